--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,211 @@
+// Package settings holds the checked settings of every process. Command-line flags go before
+// environment variables, environment variables before the INI file, the file before the defaults.
+package settings
+
+import (
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Node tells a process where it runs.
+type Node struct {
+	Name string `long:"name" env:"FIREFLYRUDDER_NODE_NAME" description:"name of this VM" default:"local"`
+	Zone string `long:"zone" env:"FIREFLYRUDDER_NODE_ZONE" description:"availability zone of this VM" default:"zone-a"`
+}
+
+// Check returns an error that names the remedy if a setting is missing.
+func (n *Node) Check() error {
+	if n.Name == "" {
+		return missing("node", "name", "the name of this VM")
+	}
+	if n.Zone == "" {
+		return missing("node", "zone", "the availability zone of this VM")
+	}
+	return nil
+}
+
+// Log selects the form and level of log lines.
+type Log struct {
+	Format string `long:"log-format" env:"FIREFLYRUDDER_LOG_FORMAT" choice:"text" choice:"json" choice:"logfmt" default:"logfmt" description:"form of log lines"`
+	Level  string `long:"log-level" env:"FIREFLYRUDDER_LOG_LEVEL" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"least level logged"`
+}
+
+// Console is the HTTP listener for metrics, state dumps and readiness.
+type Console struct {
+	Listen string `long:"console" env:"FIREFLYRUDDER_CONSOLE_LISTEN" description:"IP:port of the HTTP console; empty switches it off"`
+}
+
+// Check returns an error that names the remedy if the address is malformed.
+func (c *Console) Check() error {
+	if c.Listen == "" {
+		return nil
+	}
+	return address("console", "console", c.Listen)
+}
+
+// TLS names certificate files. They are read again when they change.
+type TLS struct {
+	Certificate string `long:"tls-certificate" env:"FIREFLYRUDDER_TLS_CERTIFICATE" description:"PEM file with the certificate of this process"`
+	Key         string `long:"tls-key" env:"FIREFLYRUDDER_TLS_KEY" description:"PEM file with the private key"`
+	Authority   string `long:"tls-authority" env:"FIREFLYRUDDER_TLS_AUTHORITY" description:"PEM file with the authority that signed the certificates of the other processes"`
+}
+
+// Enabled reports whether TLS is set up.
+func (t *TLS) Enabled() bool {
+	return t.Certificate != ""
+}
+
+// Check returns an error that names the remedy if the files do not form a set.
+func (t *TLS) Check() error {
+	if t.Certificate == "" && t.Key == "" && t.Authority == "" {
+		return nil
+	}
+	if t.Certificate == "" || t.Key == "" {
+		return missing("tls", "tls-certificate and tls-key", "both files, or neither")
+	}
+	for _, file := range []string{t.Certificate, t.Key, t.Authority} {
+		if file == "" {
+			continue
+		}
+		if _, err := os.Stat(file); err != nil {
+			return errors.WithHint(errors.Wrap(err, "settings: [tls]"), "name a PEM file that this process can read")
+		}
+	}
+	return nil
+}
+
+// Control holds the settings of a control VM.
+type Control struct {
+	Data     string   `long:"data" env:"FIREFLYRUDDER_CONTROL_DATA" description:"data folder; must be on a disk"`
+	Listen   string   `long:"listen" env:"FIREFLYRUDDER_CONTROL_LISTEN" default:"127.0.0.1:7400" description:"IP:port of the gRPC listener"`
+	Announce string   `long:"announce" env:"FIREFLYRUDDER_CONTROL_ANNOUNCE" default:"127.0.0.1:7401" description:"IP:port of the HTTP listener for announcements of backend servers"`
+	Peers    []string `long:"peer" env:"FIREFLYRUDDER_CONTROL_PEERS" env-delim:"," description:"IP:port of the gRPC listener of each control VM, this one included; repeat"`
+	Join     bool     `long:"join" env:"FIREFLYRUDDER_CONTROL_JOIN" description:"start as a spare that joins the running group as a learner"`
+	Server   Server   `group:"server" namespace:"server"`
+}
+
+// Check returns an error that names the remedy if a setting is missing or malformed.
+func (c *Control) Check() error {
+	if c.Data == "" {
+		return missing("control", "data", "a folder on a disk of this VM")
+	}
+	for _, a := range append([]string{c.Listen, c.Announce}, c.Peers...) {
+		if err := address("control", "listen, announce or peer", a); err != nil {
+			return err
+		}
+	}
+	return c.Server.Check()
+}
+
+// Server holds the credentials that the system itself uses at backend servers.
+type Server struct {
+	User     string `long:"user" env:"FIREFLYRUDDER_SERVER_USER" default:"fireflyrudder" description:"user of the system at backend servers"`
+	Password string `long:"password-file" env:"FIREFLYRUDDER_SERVER_PASSWORD_FILE" description:"file with the password of that user"`
+}
+
+// Check returns an error that names the remedy if the password file cannot be read.
+func (s *Server) Check() error {
+	_, err := s.Secret()
+	return err
+}
+
+// Secret reads the password. It is empty if no file is named.
+func (s *Server) Secret() (string, error) {
+	if s.Password == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(s.Password)
+	if err != nil {
+		return "", errors.WithHint(errors.Wrap(err, "settings: server password-file"), "name a file that this process can read")
+	}
+	for len(text) > 0 && (text[len(text)-1] == '\n' || text[len(text)-1] == '\r') {
+		text = text[:len(text)-1]
+	}
+	return string(text), nil
+}
+
+// Entry holds the settings of an entry VM.
+type Entry struct {
+	Listen   string        `long:"listen" env:"FIREFLYRUDDER_ENTRY_LISTEN" default:"127.0.0.1:7432" description:"IP:port of the PostgreSQL listener for callers"`
+	Controls []string      `long:"control" env:"FIREFLYRUDDER_ENTRY_CONTROLS" env-delim:"," default:"127.0.0.1:7400" description:"IP:port of the gRPC listener of a control VM; repeat"`
+	Groups   []string      `long:"serve" env:"FIREFLYRUDDER_ENTRY_GROUPS" env-delim:"," description:"database group served by this entry VM; repeat; none means all"`
+	Token    string        `long:"token-file" env:"FIREFLYRUDDER_ENTRY_TOKEN_FILE" description:"file with the secret that signs session tokens, the same on all entry VMs"`
+	Drain    time.Duration `long:"drain" env:"FIREFLYRUDDER_ENTRY_DRAIN" default:"30s" description:"longest time that a graceful shutdown waits for open transactions"`
+	Wait     time.Duration `long:"wait" env:"FIREFLYRUDDER_ENTRY_WAIT" default:"10s" description:"default deadline of a statement that waits for a slot, a credit or a primary"`
+	Server   Server        `group:"server" namespace:"server"`
+}
+
+// Check returns an error that names the remedy if a setting is missing or malformed.
+func (e *Entry) Check() error {
+	if err := address("entry", "listen", e.Listen); err != nil {
+		return err
+	}
+	if len(e.Controls) == 0 {
+		return missing("entry", "control", "the address of at least one control VM")
+	}
+	for _, a := range e.Controls {
+		if err := address("entry", "control", a); err != nil {
+			return err
+		}
+	}
+	if e.Drain <= 0 || e.Wait <= 0 {
+		return errors.WithHint(errors.New("settings: [entry] drain and wait must be positive"), "give a duration such as 30s")
+	}
+	return e.Server.Check()
+}
+
+// Standin holds the settings of a stand-in backend server.
+type Standin struct {
+	Server      string        `long:"server-name" default:"a" description:"name of the instance"`
+	Group       string        `long:"group" default:"main" description:"database group"`
+	Listen      string        `long:"listen" default:"127.0.0.1:7501" description:"IP:port of the PostgreSQL listener"`
+	Announce    []string      `long:"announce" description:"IP:port of the announcement listener of a control VM; repeat"`
+	Slots       int           `long:"slots" default:"3" description:"concurrent statements"`
+	Connections int           `long:"connections" default:"24" description:"connections accepted"`
+	Open        time.Duration `long:"open" default:"12ms" description:"time to open a connection"`
+	Lag         time.Duration `long:"lag" default:"0s" description:"replication delay"`
+	Service     time.Duration `long:"service" default:"0s" description:"time that a statement occupies a slot"`
+	User        string        `long:"user" default:"fireflyrudder" description:"user that may log in"`
+	Password    string        `long:"password-file" description:"file with the password of that user"`
+}
+
+// Check returns an error that names the remedy if a setting is malformed.
+func (s *Standin) Check() error {
+	if s.Slots < 1 || s.Connections < 1 {
+		return errors.WithHint(errors.New("settings: [standin] slots and connections must be at least 1"), "give a positive number")
+	}
+	for _, a := range append([]string{s.Listen}, s.Announce...) {
+		if err := address("standin", "listen or announce", a); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Read applies the INI file to the options of parser, as defaults below flags and environment.
+// It refuses unknown sections, unknown keys and malformed values.
+func Read(parser *flags.Parser, file string) error {
+	ini := flags.NewIniParser(parser)
+	ini.ParseAsDefaults = true
+	err := ini.ParseFile(file)
+	if err != nil {
+		return errors.WithHint(errors.Wrap(err, "settings"), "see the sections and keys with: fireflyrudder <command> --help")
+	}
+	return nil
+}
+
+// address checks that text is IP:port, since the platform has no names.
+func address(section, key, text string) error {
+	if _, err := netip.ParseAddrPort(text); err != nil {
+		return errors.WithHint(errors.Wrapf(err, "settings: [%s] %s", section, key), "give an IP address and a port, such as 10.0.0.5:7400")
+	}
+	return nil
+}
+
+func missing(section, key, remedy string) error {
+	return errors.WithHint(errors.Newf("settings: [%s] %s is missing", section, key), "give "+remedy)
+}
--- /dev/null
+++ b/pkg/position/history.go
@@ -0,0 +1,77 @@
+package position
+
+import (
+	"fmt"
+	"strings"
+)
+
+// History lists where the terms of a log began.
+// Terms strictly increase; offsets never decrease.
+type History []Position
+
+// Covers reports whether an instance at the given position, whose log has this history, holds
+// everything up to floor. An instance of a lower term never covers. A floor beyond the start of
+// the next term belonged to a superseded branch and was never acknowledged, so only its part
+// before that start is asked for.
+func (h History) Covers(at, floor Position) bool {
+	if floor.IsZero() {
+		return true
+	}
+	if at.Term < floor.Term {
+		return false
+	}
+	if at.Term == floor.Term {
+		return at.Offset >= floor.Offset
+	}
+	next, ok := h.After(floor.Term)
+	if !ok {
+		return false
+	}
+	return at.Offset >= min(floor.Offset, next.Offset)
+}
+
+// After returns the start of the first term above the given one.
+func (h History) After(term Term) (Position, bool) {
+	for _, start := range h {
+		if start.Term > term {
+			return start, true
+		}
+	}
+	return Position{}, false
+}
+
+// Survives reports whether a record at p is part of the log that has this history, given that
+// the log reached at least the start of its last term.
+func (h History) Survives(p Position) bool {
+	next, ok := h.After(p.Term)
+	return !ok || p.Offset <= next.Offset
+}
+
+// String writes the starts separated by commas.
+func (h History) String() string {
+	starts := make([]string, len(h))
+	for i, start := range h {
+		starts[i] = start.String()
+	}
+	return strings.Join(starts, ",")
+}
+
+// ParseHistory reads a history as String writes it.
+func ParseHistory(text string) (History, error) {
+	if text == "" {
+		return nil, nil
+	}
+	parts := strings.Split(text, ",")
+	h := make(History, 0, len(parts))
+	for _, part := range parts {
+		start, err := Parse(part)
+		if err != nil {
+			return nil, err
+		}
+		if n := len(h); n > 0 && (start.Term <= h[n-1].Term || start.Offset < h[n-1].Offset) {
+			return nil, fmt.Errorf("position: history %q is not in order of terms", text)
+		}
+		h = append(h, start)
+	}
+	return h, nil
+}
--- /dev/null
+++ b/pkg/position/position_test.go
@@ -0,0 +1,37 @@
+package position_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// Guards against treating a superseded primary's longer log as newer.
+func TestHistoryCovers(t *testing.T) {
+	h := position.History{{Term: 1}, {Term: 2, Offset: 100}, {Term: 4, Offset: 150}}
+	at := func(term position.Term, offset position.Offset) position.Position {
+		return position.Position{Term: term, Offset: offset}
+	}
+	require.True(t, h.Covers(at(1, 5), at(1, 5)))
+	require.False(t, h.Covers(at(1, 4), at(1, 5)))
+	require.False(t, h.Covers(at(1, 500), at(2, 101)), "a lower term never covers")
+	require.True(t, h.Covers(at(2, 100), at(1, 400)), "beyond the next start nothing was acknowledged")
+	require.False(t, h.Covers(at(2, 99), at(1, 400)))
+	require.True(t, h.Covers(at(4, 150), at(2, 149)))
+	require.False(t, h.Covers(at(4, 148), at(2, 149)))
+	require.False(t, position.History{}.Covers(at(2, 9), at(1, 1)), "an unknown start proves nothing")
+}
+
+// Guards against losing term starts between processes.
+func TestHistoryText(t *testing.T) {
+	h := position.History{{Term: 1}, {Term: 3, Offset: 7}}
+	back, err := position.ParseHistory(h.String())
+	require.NoError(t, err)
+	require.Equal(t, h, back)
+	_, err = position.ParseHistory("3/7,1/0")
+	require.Error(t, err)
+	_, err = position.Parse("3/7x")
+	require.Error(t, err)
+}
