Require the term of a record in a log's own history before it counts as surviving

Cause: a promoted log may skip a term that acknowledged nothing. The old rule compared the offset with the next start only and would have confirmed a record of the skipped term. Ruled out: using the control log's list of promoted terms, which is not the history of one log.

--- a/pkg/position/history.go
+++ b/pkg/position/history.go
@@ -40,11 +40,20 @@
 	return Position{}, false
 }
 
-// Survives reports whether a record at p is part of the log that has this history, given that
-// the log reached at least the start of its last term.
+// Survives reports whether the record at p is part of the log that has this history. The history
+// must be that of the log itself: a log that never held the term of p holds none of its records,
+// even if it reaches beyond p's offset.
 func (h History) Survives(p Position) bool {
-	next, ok := h.After(p.Term)
-	return !ok || p.Offset <= next.Offset
+	for i, start := range h {
+		if start.Term != p.Term {
+			continue
+		}
+		if p.Offset <= start.Offset {
+			return false
+		}
+		return i+1 == len(h) || p.Offset <= h[i+1].Offset
+	}
+	return false
 }
 
 // String writes the starts separated by commas.
--- a/pkg/position/position_test.go
+++ b/pkg/position/position_test.go
@@ -35,3 +35,14 @@
 	_, err = position.Parse("3/7x")
 	require.Error(t, err)
 }
+
+// Guards against confirming a write of a term that the promoted log never followed: the log of
+// term 3 below is longer than the write's offset, but holds other records there.
+func TestHistorySurvives(t *testing.T) {
+	write := position.Position{Term: 2, Offset: 5}
+	require.False(t, position.History{{Term: 1}, {Term: 3, Offset: 6}}.Survives(write))
+	require.True(t, position.History{{Term: 1}, {Term: 2, Offset: 4}, {Term: 3, Offset: 6}}.Survives(write))
+	require.True(t, position.History{{Term: 1}, {Term: 2, Offset: 4}}.Survives(write))
+	require.False(t, position.History{{Term: 1}, {Term: 2, Offset: 4}, {Term: 3, Offset: 4}}.Survives(write))
+	require.False(t, position.History{{Term: 2, Offset: 5}}.Survives(write), "before the start of its term")
+}
