--- /dev/null
+++ b/internal/controllog/election.go
@@ -0,0 +1,179 @@
+package controllog
+
+import (
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// rest sets the next time to stand for election.
+func (v *Voter) rest(now time.Time) {
+	span := int64(ElectionMost - ElectionLeast)
+	v.deadline = now.Add(ElectionLeast + time.Duration(v.random.Int64N(span)))
+}
+
+// follow enters a term as a follower. An equal term keeps the vote.
+func (v *Voter) follow(now time.Time, term uint64, leader string) {
+	if v.role == Leader {
+		v.emit(LostLeader{v.term})
+	}
+	v.role = Follower
+	v.followers, v.votes = nil, nil
+	if term > v.term {
+		v.saveVote(term, "")
+		v.verified, v.owed = 0, nil
+	}
+	v.leader = leader
+	v.rest(now)
+}
+
+func (v *Voter) saveVote(term uint64, vote Identity) {
+	v.term, v.vote = term, vote
+	v.emit(SaveVote{term, vote})
+}
+
+// campaign asks whether votes would be given. The term stays, so that a voter that was cut off
+// does not depose a leader when it returns.
+func (v *Voter) campaign(now time.Time) {
+	v.rest(now)
+	if !v.isVoter() {
+		return
+	}
+	v.deadline = now.Add(PollAgain + time.Duration(v.random.Int64N(int64(PollAgain))))
+	v.role = PreCandidate
+	v.leader = ""
+	v.votes = map[Identity]bool{v.id: true}
+	v.poll(true, v.term+1)
+	v.count(now)
+}
+
+// poll sends a ballot to the other voters.
+func (v *Voter) poll(trial bool, term uint64) {
+	for _, m := range v.Membership().Members {
+		if m.Learner || m.Identity == string(v.id) {
+			continue
+		}
+		b := &wire.Ballot{Trial: trial, Term: term, Last: v.log.last(), LastTerm: v.log.lastTerm()}
+		v.send(m.Address, m.Identity, &wire.VoterMessage{Body: &wire.VoterMessage_Ballot{Ballot: b}})
+	}
+}
+
+// count moves on when a majority has granted.
+func (v *Voter) count(now time.Time) {
+	granted := 0
+	ids := v.voters()
+	for _, id := range ids {
+		if v.votes[id] {
+			granted++
+		}
+	}
+	if granted <= len(ids)/2 {
+		return
+	}
+	switch v.role {
+	case PreCandidate:
+		v.role = Candidate
+		v.rest(now)
+		v.saveVote(v.term+1, v.id)
+		v.verified, v.owed = 0, nil
+		v.votes = map[Identity]bool{v.id: true}
+		v.poll(false, v.term)
+		v.count(now)
+	case Candidate:
+		v.takeOffice(now)
+	}
+}
+
+// ballot answers a candidate. A voter that heard from a leader within the least election timeout
+// refuses, because the leader's lease rests on that promise.
+func (v *Voter) ballot(now time.Time, m *wire.VoterMessage, b *wire.Ballot) {
+	promised := now.Sub(v.heard) < ElectionLeast && v.Formed()
+	if promised || v.role == Leader {
+		if m.Term < v.term {
+			v.answer(m, b, false) // tells the candidate the term
+		}
+		return
+	}
+	upToDate := b.LastTerm > v.log.lastTerm() || (b.LastTerm == v.log.lastTerm() && b.Last >= v.log.last())
+	if b.Trial {
+		v.answer(m, b, upToDate && b.Term > v.term)
+		return
+	}
+	if b.Term > v.term {
+		v.follow(now, b.Term, "")
+	}
+	granted := upToDate && b.Term == v.term && (v.vote == "" || v.vote == Identity(m.From))
+	if granted && v.vote == "" {
+		v.saveVote(v.term, Identity(m.From))
+		v.rest(now)
+	}
+	v.answer(m, b, granted)
+}
+
+func (v *Voter) answer(m *wire.VoterMessage, b *wire.Ballot, granted bool) {
+	r := &wire.BallotReply{Trial: b.Trial, Term: b.Term, Granted: granted}
+	v.send(m.Address, m.From, &wire.VoterMessage{Body: &wire.VoterMessage_BallotReply{BallotReply: r}})
+}
+
+// ballotReply counts a vote. Repeated replies count once.
+func (v *Voter) ballotReply(now time.Time, m *wire.VoterMessage, r *wire.BallotReply) {
+	if !r.Granted {
+		if m.Term > v.term {
+			v.follow(now, m.Term, "")
+		}
+		return
+	}
+	trial := r.Trial && v.role == PreCandidate && r.Term == v.term+1
+	real := !r.Trial && v.role == Candidate && r.Term == v.term
+	if !trial && !real {
+		return
+	}
+	v.votes[Identity(m.From)] = true
+	v.count(now)
+}
+
+// takeOffice starts the term of office with an empty record, whose commitment shows that
+// everything before it is committed.
+func (v *Voter) takeOffice(now time.Time) {
+	v.role = Leader
+	v.leader = v.place.Address
+	v.led, v.current = now, false
+	v.followers = map[Identity]*follower{}
+	v.enroll(now)
+	v.write(now, &wire.LogRecord{})
+}
+
+// enroll keeps one follower per member.
+func (v *Voter) enroll(now time.Time) {
+	present := map[Identity]bool{}
+	for _, m := range v.Membership().Members {
+		id := Identity(m.Identity)
+		present[id] = true
+		if id != v.id && v.followers[id] == nil {
+			v.followers[id] = &follower{next: v.log.last() + 1, heard: now, acked: v.led}
+		}
+	}
+	for id := range v.followers {
+		if !present[id] {
+			delete(v.followers, id)
+		}
+	}
+}
+
+// quorumSince returns the time of the latest moment at which a majority, this voter included,
+// is known to have followed this leader.
+func (v *Voter) quorumSince(now time.Time) time.Time {
+	var times []time.Time
+	for _, id := range v.voters() {
+		switch {
+		case id == v.id:
+			times = append(times, now)
+		case v.followers[id] != nil:
+			times = append(times, v.followers[id].acked)
+		}
+	}
+	if len(times) == 0 {
+		return time.Time{}
+	}
+	return majority(times, time.Time.Before)
+}
--- /dev/null
+++ b/internal/controllog/log.go
@@ -0,0 +1,126 @@
+package controllog
+
+import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// log holds the records in memory. Indices start at 1.
+type log struct {
+	base     uint64 // index before the first record held
+	baseTerm uint64
+	records  []*wire.LogRecord // records[i].Index == base+1+i
+
+	snapshot    *wire.VoterSnapshot // latest durable one; nil before the first; base <= snapshot.Index <= last()
+	memberships []placed            // ascending by index; the last one is in force
+}
+
+// placed is a membership and the index of its record.
+type placed struct {
+	index      uint64
+	membership *wire.Membership
+}
+
+// last returns the index of the last record.
+func (l *log) last() uint64 {
+	return l.base + uint64(len(l.records))
+}
+
+// term returns the term of the record at index. It is false for records not held.
+func (l *log) term(index uint64) (uint64, bool) {
+	switch {
+	case index == l.base:
+		return l.baseTerm, true
+	case index < l.base || index > l.last():
+		return 0, false
+	}
+	return l.records[index-l.base-1].Term, true
+}
+
+// lastTerm returns the term of the last record.
+func (l *log) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// between returns the records with from <= index <= to.
+func (l *log) between(from, to uint64) []*wire.LogRecord {
+	to = min(to, l.last())
+	if from > to || from <= l.base {
+		return nil
+	}
+	return l.records[from-l.base-1 : to-l.base]
+}
+
+// put replaces all records from the first one's index on.
+func (l *log) put(records []*wire.LogRecord) {
+	first := records[0].Index
+	l.records = slices.Concat(l.records[:first-l.base-1], records)
+	for n := len(l.memberships); n > 0 && l.memberships[n-1].index >= first; n-- {
+		l.memberships = l.memberships[:n-1]
+	}
+	for _, r := range records {
+		if m := r.GetMembership(); m != nil {
+			l.memberships = append(l.memberships, placed{r.Index, m})
+		}
+	}
+}
+
+// compact drops records that a durable snapshot holds, except the latest few.
+func (l *log) compact(s *wire.VoterSnapshot, keep uint64) {
+	if l.snapshot != nil && s.Index <= l.snapshot.Index {
+		return
+	}
+	l.snapshot = s
+	if s.Index <= l.base+keep {
+		return
+	}
+	base := s.Index - keep
+	term, _ := l.term(base)
+	l.records = append([]*wire.LogRecord(nil), l.between(base+1, l.last())...)
+	l.base, l.baseTerm = base, term
+	for len(l.memberships) > 1 && l.memberships[1].index <= base {
+		l.memberships = l.memberships[1:]
+	}
+}
+
+// rest returns the records behind a snapshot if they belong to the same log. They may have been
+// counted by a leader and must not be lost.
+func (l *log) rest(s *wire.VoterSnapshot) []*wire.LogRecord {
+	if term, ok := l.term(s.Index); ok && term == s.Term {
+		return append([]*wire.LogRecord(nil), l.between(s.Index+1, l.last())...)
+	}
+	return nil
+}
+
+// reset replaces the whole log by a snapshot and the records behind it.
+func (l *log) reset(s *wire.VoterSnapshot) {
+	rest := l.rest(s)
+	*l = log{base: s.Index, baseTerm: s.Term, snapshot: s}
+	l.memberships = []placed{{s.Index, s.Membership}}
+	if len(rest) > 0 {
+		l.put(rest)
+	}
+}
+
+// membership returns the membership in force: the last one in the log, committed or not.
+func (l *log) membership() placed {
+	if n := len(l.memberships); n > 0 {
+		return l.memberships[n-1]
+	}
+	return placed{membership: &wire.Membership{}}
+}
+
+// membershipAt returns a copy of the membership as of index.
+func (l *log) membershipAt(index uint64) *wire.Membership {
+	var found *wire.Membership
+	for _, p := range l.memberships {
+		if p.index <= index {
+			found = p.membership
+		}
+	}
+	return proto.CloneOf(found)
+}
--- /dev/null
+++ b/internal/controllog/membership.go
@@ -0,0 +1,205 @@
+package controllog
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// greet introduces this process to the group while it has none, or has heard nothing of it.
+func (v *Voter) greet(now time.Time) {
+	silent := v.role != Leader && now.Sub(v.heard) >= Lonely
+	if (v.Formed() && !silent) || now.Sub(v.greeted) < HelloEvery {
+		return
+	}
+	v.greeted = now
+	if !v.Formed() && len(v.others()) == 0 {
+		v.form(now)
+		return
+	}
+	for _, address := range v.contacts() {
+		h := &wire.Hello{Zone: v.place.Zone, Spare: v.place.Spare}
+		v.send(address, "", &wire.VoterMessage{Body: &wire.VoterMessage_Hello{Hello: h}})
+	}
+}
+
+// others returns the configured addresses of the other control VMs.
+func (v *Voter) others() []string {
+	var out []string
+	for _, p := range v.place.Peers {
+		if p != v.place.Address && !slices.Contains(out, p) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// contacts returns every address at which a member may listen.
+func (v *Voter) contacts() []string {
+	out := v.others()
+	for _, m := range v.Membership().Members {
+		out = append(out, m.Address)
+	}
+	out = append(out, v.known...)
+	sort.Strings(out)
+	out = slices.Compact(out)
+	return slices.DeleteFunc(out, func(a string) bool { return a == v.place.Address })
+}
+
+// hello answers a process that introduces itself. A leader admits it as a learner.
+func (v *Voter) hello(now time.Time, m *wire.VoterMessage, h *wire.Hello) {
+	r := &wire.HelloReply{Zone: v.place.Zone, Formed: v.Formed(), Leader: v.LeaderAddress(now), Spare: v.place.Spare}
+	v.send(m.Address, m.From, &wire.VoterMessage{Body: &wire.VoterMessage_HelloReply{HelloReply: r}})
+	if v.role == Leader && v.settled() {
+		v.admit(now, &wire.VoterMember{Identity: m.From, Address: m.Address, Zone: h.Zone, Learner: true})
+	}
+}
+
+// helloReply gathers what the other control VMs know. The one with the lowest address forms the
+// group, once all of them have said that they have none.
+func (v *Voter) helloReply(now time.Time, m *wire.VoterMessage, r *wire.HelloReply) {
+	if r.Leader != "" && !slices.Contains(v.known, r.Leader) {
+		v.known = []string{r.Leader}
+	}
+	if v.Formed() || v.place.Spare {
+		return
+	}
+	v.forming[m.Address] = m
+	for _, address := range v.others() {
+		reply := v.forming[address].GetHelloReply()
+		if reply == nil || reply.Formed || reply.Spare || address < v.place.Address {
+			return
+		}
+	}
+	v.form(now)
+}
+
+// form writes the first record: the membership of a new group. The other members learn of it
+// by replication; until a majority of them holds it nothing can be committed.
+func (v *Voter) form(now time.Time) {
+	listed := len(v.place.Peers) == 0 || slices.Contains(v.place.Peers, v.place.Address)
+	if v.place.Spare || !listed {
+		return
+	}
+	g := &wire.Membership{Group: string(v.id)}
+	g.Members = append(g.Members, &wire.VoterMember{Identity: string(v.id), Address: v.place.Address, Zone: v.place.Zone})
+	for _, address := range v.others() {
+		m := v.forming[address]
+		g.Members = append(g.Members, &wire.VoterMember{Identity: m.From, Address: address, Zone: m.GetHelloReply().Zone})
+	}
+	g.Voters = uint32(len(g.Members))
+	arrange(g)
+	v.saveVote(v.term+1, v.id)
+	r := &wire.LogRecord{Index: 1, Term: v.term, Body: &wire.LogRecord_Membership{Membership: g}}
+	v.log.put([]*wire.LogRecord{r})
+	v.emit(Append{[]*wire.LogRecord{r}})
+	v.campaign(now)
+}
+
+// settled reports whether the leader may change the membership: one change at a time, and only
+// after a record of the own term is committed, so that no change of an earlier leader is overlooked.
+func (v *Voter) settled() bool {
+	return v.current && v.log.membership().index <= v.commit
+}
+
+// admit adds a learner, or notes the new address of a member.
+func (v *Voter) admit(now time.Time, n *wire.VoterMember) {
+	g := proto.CloneOf(v.Membership())
+	for _, m := range g.Members {
+		if m.Identity != n.Identity {
+			continue
+		}
+		if m.Address != n.Address {
+			m.Address = n.Address
+			v.change(now, g)
+		}
+		return
+	}
+	for i, m := range g.Members {
+		f := v.followers[Identity(m.Identity)]
+		if m.Learner && f != nil && now.Sub(f.heard) >= SupersededAfter && (m.Address == n.Address || len(g.Members) >= MaxMembers) {
+			g.Members = slices.Delete(g.Members, i, i+1)
+			v.change(now, g)
+			return
+		}
+	}
+	if len(g.Members) < MaxMembers {
+		g.Members = append(g.Members, n)
+		v.change(now, g)
+	}
+}
+
+// change writes a membership that differs in one member.
+func (v *Voter) change(now time.Time, g *wire.Membership) {
+	arrange(g)
+	v.write(now, &wire.LogRecord{Body: &wire.LogRecord_Membership{Membership: g}})
+}
+
+// maintain replaces a silent voter: it is removed, then a caught-up learner becomes a voter.
+func (v *Voter) maintain(now time.Time) {
+	if !v.settled() {
+		return
+	}
+	learner := v.replacement(now)
+	if learner == "" {
+		return
+	}
+	g := proto.CloneOf(v.Membership())
+	if len(v.voters()) < int(g.Voters) {
+		for _, m := range g.Members {
+			if m.Identity == string(learner) {
+				m.Learner = false
+			}
+		}
+		v.change(now, g)
+		return
+	}
+	for i, m := range g.Members {
+		if !m.Learner && v.silent(now, m) {
+			g.Members = slices.Delete(g.Members, i, i+1)
+			v.change(now, g)
+			return
+		}
+	}
+}
+
+// silent reports whether a voter is to be replaced. A new identity at its own address proves that
+// its data folder is gone, so that less silence suffices.
+func (v *Voter) silent(now time.Time, m *wire.VoterMember) bool {
+	f := v.followers[Identity(m.Identity)]
+	if f == nil {
+		return false
+	}
+	wait := ReplaceAfter
+	for _, other := range v.Membership().Members {
+		if other.Learner && other.Address == m.Address {
+			wait = SupersededAfter
+		}
+	}
+	return now.Sub(f.heard) >= wait
+}
+
+// replacement returns a learner that holds every committed entry and answers. Configured control
+// VMs go before spares.
+func (v *Voter) replacement(now time.Time) Identity {
+	var best Identity
+	for _, m := range v.Membership().Members {
+		f := v.followers[Identity(m.Identity)]
+		if !m.Learner || f == nil || f.matched < v.commit || now.Sub(f.heard) > Fresh {
+			continue
+		}
+		if best == "" || slices.Contains(v.place.Peers, m.Address) {
+			best = Identity(m.Identity)
+		}
+	}
+	return best
+}
+
+// arrange sorts the members, so that equal memberships are equal messages.
+func arrange(g *wire.Membership) {
+	sort.Slice(g.Members, func(i, j int) bool { return g.Members[i].Identity < g.Members[j].Identity })
+}
--- /dev/null
+++ b/internal/controllog/replication.go
@@ -0,0 +1,282 @@
+package controllog
+
+import (
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// propose appends an entry if this voter leads with a current state.
+func (v *Voter) propose(now time.Time, p Proposed) {
+	if v.role != Leader || !v.current {
+		v.emit(Refused{p.Tag, v.LeaderAddress(now)})
+		return
+	}
+	r := &wire.LogRecord{Body: &wire.LogRecord_Entry{Entry: p.Entry}}
+	v.write(now, r)
+	v.emit(Accepted{p.Tag, r.Index, r.Term})
+}
+
+// write appends a record as the leader and sends it on.
+func (v *Voter) write(now time.Time, r *wire.LogRecord) {
+	r.Index, r.Term = v.log.last()+1, v.term
+	v.log.put([]*wire.LogRecord{r})
+	if r.GetMembership() != nil {
+		v.enroll(now)
+	}
+	v.emit(Append{[]*wire.LogRecord{r}})
+	v.broadcast(now)
+}
+
+// lead does what is due for a leader: heartbeats, resignation without a quorum, membership.
+func (v *Voter) lead(now time.Time) {
+	if now.Sub(v.quorumSince(now)) > ElectionMost {
+		v.follow(now, v.term, "")
+		return
+	}
+	v.maintain(now)
+	if now.Sub(v.beat) >= Heartbeat {
+		v.beat = now
+		for _, m := range v.Membership().Members {
+			if f := v.followers[Identity(m.Identity)]; f != nil {
+				v.feed(now, m, f, true)
+			}
+		}
+	}
+}
+
+// broadcast sends new records to every member.
+func (v *Voter) broadcast(now time.Time) {
+	for _, m := range v.Membership().Members {
+		if f := v.followers[Identity(m.Identity)]; f != nil {
+			v.feed(now, m, f, false)
+		}
+	}
+}
+
+// feed sends the next records, a snapshot if they are gone, or a heartbeat if asked for.
+func (v *Voter) feed(now time.Time, m *wire.VoterMember, f *follower, heartbeat bool) {
+	previous := f.next - 1
+	term, ok := v.log.term(previous)
+	if !ok && !v.sendSnapshot(now, m, f) && heartbeat {
+		v.send(m.Address, m.Identity, v.heartbeat(now))
+	}
+	if !ok {
+		return
+	}
+	records := v.log.between(f.next, previous+BatchRecords)
+	if len(records) == 0 && !heartbeat {
+		return
+	}
+	a := &wire.AppendRecords{
+		Previous:     previous,
+		PreviousTerm: term,
+		Records:      records,
+		Commit:       v.commit,
+		Sent:         int64(now.Sub(v.led)),
+	}
+	f.next += uint64(len(records))
+	v.send(m.Address, m.Identity, &wire.VoterMessage{Body: &wire.VoterMessage_Append{Append: a}})
+}
+
+// heartbeat returns a message without records for a follower that is being sent a snapshot. It is
+// refused, but keeps the follower from standing for election.
+func (v *Voter) heartbeat(now time.Time) *wire.VoterMessage {
+	a := &wire.AppendRecords{Previous: v.log.last(), PreviousTerm: v.log.lastTerm(), Sent: int64(now.Sub(v.led))}
+	return &wire.VoterMessage{Body: &wire.VoterMessage_Append{Append: a}}
+}
+
+// sendSnapshot sends the latest snapshot, at most once per interval since it may be large.
+func (v *Voter) sendSnapshot(now time.Time, m *wire.VoterMember, f *follower) bool {
+	if v.log.snapshot == nil || now.Sub(f.installed) < ResendSnapshot {
+		return false
+	}
+	f.installed = now
+	s := &wire.InstallSnapshot{Snapshot: v.log.snapshot, Sent: int64(now.Sub(v.led))}
+	v.send(m.Address, m.Identity, &wire.VoterMessage{Body: &wire.VoterMessage_Install{Install: s}})
+	return true
+}
+
+// heed enters the term of a leader's message. It is false for a superseded leader, which learns
+// the higher term from the reply.
+func (v *Voter) heed(now time.Time, m *wire.VoterMessage, sent int64) bool {
+	if m.Term < v.term {
+		v.reply(m.Address, m.From, &wire.AppendReply{Refused: true, Sent: sent})
+		return false
+	}
+	if m.Term > v.term || v.role != Follower {
+		v.follow(now, m.Term, m.Address)
+	}
+	v.leader = m.Address
+	v.heard = now
+	v.rest(now)
+	return true
+}
+
+// append handles records from the leader. Records up to the commit index are skipped: committed
+// records are equal everywhere.
+func (v *Voter) append(now time.Time, m *wire.VoterMessage, a *wire.AppendRecords) {
+	if !v.heed(now, m, a.Sent) {
+		return
+	}
+	v.promised = max(v.promised, a.Commit)
+	records := a.Records
+	if a.Previous < v.commit {
+		records = records[min(v.commit-a.Previous, uint64(len(records))):]
+	} else if term, ok := v.log.term(a.Previous); !ok || term != a.PreviousTerm {
+		v.reply(m.Address, m.From, &wire.AppendReply{Refused: true, Sent: a.Sent, Hint: v.hint(a.Previous)})
+		return
+	}
+	end := max(v.commit, a.Previous+uint64(len(a.Records)))
+	if fresh := v.unknown(records); len(fresh) > 0 {
+		v.log.put(fresh)
+		v.synced = min(v.synced, fresh[0].Index-1)
+		v.emit(Append{fresh})
+	}
+	v.verified = max(v.verified, end)
+	if v.verified > v.synced {
+		v.owed = &owed{m.Address, m.From, a.Sent}
+	} else {
+		v.reply(m.Address, m.From, &wire.AppendReply{Matched: v.verified, Sent: a.Sent})
+	}
+	v.advance(min(v.promised, v.verified, v.synced))
+}
+
+// unknown returns the records from the first one that is missing or differs.
+func (v *Voter) unknown(records []*wire.LogRecord) []*wire.LogRecord {
+	for i, r := range records {
+		if term, ok := v.log.term(r.Index); !ok || term != r.Term {
+			return records[i:]
+		}
+	}
+	return nil
+}
+
+// hint returns an index below a refused one that may match. The log certainly matches up to the
+// commit index.
+func (v *Voter) hint(previous uint64) uint64 {
+	if previous > v.log.last() {
+		return v.log.last()
+	}
+	return v.commit
+}
+
+func (v *Voter) reply(address, to string, r *wire.AppendReply) {
+	v.send(address, to, &wire.VoterMessage{Body: &wire.VoterMessage_AppendReply{AppendReply: r}})
+}
+
+// sync notes durable records. Records replaced since are told apart by their term.
+func (v *Voter) sync(e Synced) {
+	if term, ok := v.log.term(e.Index); !ok || term != e.Term || e.Index <= v.synced {
+		return
+	}
+	v.synced = e.Index
+	if v.role == Leader {
+		v.tally()
+		return
+	}
+	v.advance(min(v.promised, v.verified, v.synced))
+	if v.owed != nil {
+		v.reply(v.owed.address, v.owed.to, &wire.AppendReply{Matched: min(v.verified, v.synced), Sent: v.owed.sent})
+	}
+	if v.verified <= v.synced {
+		v.owed = nil
+	}
+}
+
+// appendReply notes what a follower holds.
+func (v *Voter) appendReply(now time.Time, m *wire.VoterMessage, r *wire.AppendReply) {
+	if m.Term > v.term {
+		v.follow(now, m.Term, "")
+		return
+	}
+	f := v.followers[Identity(m.From)]
+	if v.role != Leader || m.Term != v.term || f == nil {
+		return
+	}
+	f.heard = now
+	if acked := v.led.Add(time.Duration(r.Sent)); acked.After(f.acked) {
+		f.acked = acked
+	}
+	if r.Refused {
+		f.next = max(f.matched, min(f.next-1, r.Hint)) + 1
+	} else {
+		f.matched = max(f.matched, r.Matched)
+		f.next = max(f.next, f.matched+1)
+		v.tally()
+	}
+	for _, member := range v.Membership().Members {
+		if member.Identity == m.From {
+			v.feed(now, member, f, false)
+		}
+	}
+}
+
+// tally commits what a majority holds. Only records of the own term are counted; earlier ones
+// are committed with them, since a record of an earlier term may still be replaced.
+func (v *Voter) tally() {
+	var held []uint64
+	for _, id := range v.voters() {
+		switch {
+		case id == v.id:
+			held = append(held, v.synced)
+		case v.followers[id] != nil:
+			held = append(held, v.followers[id].matched)
+		}
+	}
+	if len(held) == 0 {
+		return
+	}
+	index := min(v.synced, majority(held, func(a, b uint64) bool { return a < b }))
+	if term, ok := v.log.term(index); !ok || term != v.term || index <= v.commit {
+		return
+	}
+	v.advance(index)
+	if !v.current {
+		v.current = true
+		v.emit(BecameLeader{v.term})
+	}
+}
+
+// advance commits records up to index and asks for a snapshot when enough have gathered.
+func (v *Voter) advance(index uint64) {
+	if index <= v.commit {
+		return
+	}
+	v.emit(Commit{v.log.between(v.commit+1, index)})
+	v.commit = index
+	if index-v.compacted >= v.place.Compact {
+		v.compacted = index
+		term, _ := v.log.term(index)
+		rest := v.log.between(index+1, v.log.last())
+		v.emit(Compact{index, term, v.log.membershipAt(index), rest})
+	}
+}
+
+// receiveSnapshot hands a snapshot to the shell unless the log is already past it.
+func (v *Voter) receiveSnapshot(now time.Time, m *wire.VoterMessage, s *wire.InstallSnapshot) {
+	if !v.heed(now, m, s.Sent) {
+		return
+	}
+	if s.Snapshot.Index <= v.commit {
+		v.reply(m.Address, m.From, &wire.AppendReply{Matched: v.commit, Sent: s.Sent})
+		return
+	}
+	v.owed = &owed{m.Address, m.From, s.Sent}
+	v.emit(Install{s.Snapshot, v.log.rest(s.Snapshot)})
+}
+
+// installed continues from a durable snapshot.
+func (v *Voter) installed(s *wire.VoterSnapshot) {
+	if s.Index <= v.commit {
+		return
+	}
+	v.log.reset(s)
+	v.commit, v.compacted = s.Index, s.Index
+	v.synced = min(max(v.synced, s.Index), v.log.last())
+	v.verified = max(v.verified, s.Index)
+	if v.owed != nil {
+		v.reply(v.owed.address, v.owed.to, &wire.AppendReply{Matched: min(v.verified, v.synced), Sent: v.owed.sent})
+		v.owed = nil
+	}
+}
--- /dev/null
+++ b/internal/controllog/voter.go
@@ -0,0 +1,280 @@
+// Package controllog is the replicated log of the control group as a deterministic state machine:
+// elections with pre-vote, replication, a leader lease, snapshots and changes of membership.
+// A Voter has no goroutine, clock, network or disk; a shell performs its effects.
+package controllog
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Identity names a voter. It is made with the data folder and lost with it.
+type Identity string
+
+// Role is what a voter does at present.
+type Role int
+
+// Roles of a voter. Learners and processes outside the group are followers.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String names the role as it is shown to operators.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Place tells a voter where it runs.
+type Place struct {
+	Address string   // IP:port of the own gRPC listener
+	Zone    string   // availability zone
+	Peers   []string // addresses of all control VMs, the own one included; empty for a group of one
+	Spare   bool     // never forms a group; joins as a learner
+	Compact uint64   // committed records between snapshots; 0 means CompactAfter
+}
+
+// State is what a voter finds in its data folder.
+type State struct {
+	Term     uint64
+	Vote     Identity
+	Snapshot *wire.VoterSnapshot // nil if there is none
+	Records  []*wire.LogRecord   // after the snapshot, without gaps
+}
+
+// Voter is one voter of the control group. It is not safe for concurrent use.
+type Voter struct {
+	id     Identity
+	place  Place
+	random *rand.Rand
+
+	term   uint64
+	vote   Identity
+	role   Role
+	log    log
+	commit uint64 // highest index known to be committed
+	synced uint64 // highest index that is durable here
+
+	leader   string    // address of the leader of the term; empty if unknown
+	heard    time.Time // when the leader of the term was last heard; at start, the start
+	deadline time.Time // when to stand for election
+	greeted  time.Time // when Hello was last sent
+
+	verified  uint64 // follower: index up to which the log equals that of the leader of the term
+	promised  uint64 // follower: highest commit index heard
+	owed      *owed  // follower: reply due when records are durable
+	votes     map[Identity]bool
+	forming   map[string]*wire.VoterMessage // founder: latest HelloReply by address
+	known     []string                      // leader addresses learned from Hello replies
+	compacted uint64                        // index at which a snapshot was last asked for
+
+	led       time.Time // leader: when the term of office began
+	beat      time.Time // leader: when heartbeats were last sent
+	current   bool      // leader: an entry of the own term is committed
+	followers map[Identity]*follower
+
+	effects []Effect
+}
+
+// owed is a reply that waits for records to become durable.
+type owed struct {
+	address string
+	to      string
+	sent    int64
+}
+
+// follower is what the leader knows of another member.
+type follower struct {
+	matched   uint64    // durable there and equal
+	next      uint64    // index of the next record to send
+	heard     time.Time // when it last answered
+	acked     time.Time // send time of the latest message it answered in this term; bounds the lease
+	installed time.Time // when a snapshot was last sent
+}
+
+// New returns a voter that continues from its data folder. Start counts as hearing from a leader,
+// because the promise made to a leader before the restart is not on disk.
+func New(now time.Time, id Identity, place Place, random *rand.Rand, restored State) *Voter {
+	v := &Voter{id: id, place: place, random: random, term: restored.Term, vote: restored.Vote}
+	v.forming = map[string]*wire.VoterMessage{}
+	if place.Compact == 0 {
+		v.place.Compact = CompactAfter
+	}
+	if s := restored.Snapshot; s != nil {
+		v.log.reset(s)
+		v.commit, v.compacted = s.Index, s.Index
+	}
+	if len(restored.Records) > 0 {
+		v.log.put(restored.Records)
+	}
+	v.synced = v.log.last()
+	v.heard = now
+	v.rest(now)
+	return v
+}
+
+// Step handles one event. The returned effects are performed in order.
+func (v *Voter) Step(now time.Time, e Event) []Effect {
+	v.effects = nil
+	switch e := e.(type) {
+	case Tick:
+		v.tick(now)
+	case Received:
+		v.receive(now, e.Message)
+	case Proposed:
+		v.propose(now, e)
+	case Synced:
+		v.sync(e)
+	case Compacted:
+		v.log.compact(e.Snapshot, min(KeptRecords, v.place.Compact/2))
+	case Installed:
+		v.installed(e.Snapshot)
+	}
+	return v.effects
+}
+
+// Role returns what the voter does at present.
+func (v *Voter) Role() Role { return v.role }
+
+// Term returns the current term.
+func (v *Voter) Term() uint64 { return v.term }
+
+// Committed returns the highest index known to be committed.
+func (v *Voter) Committed() uint64 { return v.commit }
+
+// Membership returns the membership in force. It is read-only.
+func (v *Voter) Membership() *wire.Membership { return v.log.membership().membership }
+
+// Formed reports whether the voter is, or was, part of a group.
+func (v *Voter) Formed() bool { return v.Membership().Group != "" }
+
+// LeaderAddress returns the address of the leader's gRPC listener, or "" if none was heard within
+// the longest election timeout.
+func (v *Voter) LeaderAddress(now time.Time) string {
+	if v.role == Leader {
+		return v.place.Address
+	}
+	if now.Sub(v.heard) > ElectionMost {
+		return ""
+	}
+	return v.leader
+}
+
+// Lease reports whether this voter is certainly the only leader at now, and its applied state is
+// current. A shell reads the clock again after preparing a reply and asks once more before sending.
+func (v *Voter) Lease(now time.Time) bool {
+	return v.role == Leader && v.current && now.Before(v.quorumSince(now).Add(LeaderLease))
+}
+
+// Members returns the state of every member, sorted by identity. Only the leader knows silence and
+// matched indices.
+func (v *Voter) Members(now time.Time) []*wire.VoterStatus {
+	out := make([]*wire.VoterStatus, 0, MaxMembers)
+	for _, m := range v.Membership().Members {
+		s := &wire.VoterStatus{Identity: m.Identity, Address: m.Address, Zone: m.Zone, Role: "follower"}
+		if m.Learner {
+			s.Role = "learner"
+		}
+		switch f := v.followers[Identity(m.Identity)]; {
+		case Identity(m.Identity) == v.id:
+			s.Matched = v.synced
+			if v.role == Leader {
+				s.Role = Leader.String()
+			}
+		case v.role == Leader && f != nil:
+			s.Matched = f.matched
+			s.Silent = now.Sub(f.heard).Milliseconds()
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func (v *Voter) emit(e Effect) {
+	v.effects = append(v.effects, e)
+}
+
+// send addresses a message to a member or, with an empty identity, to whoever listens there.
+func (v *Voter) send(address, to string, m *wire.VoterMessage) {
+	m.Group = v.Membership().Group
+	m.From = string(v.id)
+	m.To = to
+	m.Address = v.place.Address
+	m.Term = v.term
+	v.emit(Send{address, m})
+}
+
+// tick does what is due.
+func (v *Voter) tick(now time.Time) {
+	v.greet(now)
+	if v.role == Leader {
+		v.lead(now)
+		return
+	}
+	if !now.Before(v.deadline) || v.alone() {
+		v.campaign(now)
+	}
+}
+
+// receive handles a message. Messages of another group are dropped: their logs never mix.
+func (v *Voter) receive(now time.Time, m *wire.VoterMessage) {
+	own := v.Membership().Group
+	foreign := m.Group != "" && own != "" && m.Group != own
+	if foreign || (m.To != "" && m.To != string(v.id)) || m.From == string(v.id) {
+		return
+	}
+	switch b := m.Body.(type) {
+	case *wire.VoterMessage_Ballot:
+		v.ballot(now, m, b.Ballot)
+	case *wire.VoterMessage_BallotReply:
+		v.ballotReply(now, m, b.BallotReply)
+	case *wire.VoterMessage_Append:
+		v.append(now, m, b.Append)
+	case *wire.VoterMessage_AppendReply:
+		v.appendReply(now, m, b.AppendReply)
+	case *wire.VoterMessage_Install:
+		v.receiveSnapshot(now, m, b.Install)
+	case *wire.VoterMessage_Hello:
+		v.hello(now, m, b.Hello)
+	case *wire.VoterMessage_HelloReply:
+		v.helloReply(now, m, b.HelloReply)
+	}
+}
+
+// voters returns the identities that count for majorities, sorted.
+func (v *Voter) voters() []Identity {
+	var ids []Identity
+	for _, m := range v.Membership().Members {
+		if !m.Learner {
+			ids = append(ids, Identity(m.Identity))
+		}
+	}
+	return ids
+}
+
+// isVoter reports whether this process counts for majorities.
+func (v *Voter) isVoter() bool {
+	for _, id := range v.voters() {
+		if id == v.id {
+			return true
+		}
+	}
+	return false
+}
+
+// alone reports whether this process is the whole group, so that nobody else can lead it.
+func (v *Voter) alone() bool {
+	ids := v.voters()
+	return len(ids) == 1 && ids[0] == v.id
+}
+
+// majority returns the value that a majority of the voters has reached.
+func majority[T any](values []T, less func(a, b T) bool) T {
+	sort.Slice(values, func(i, j int) bool { return less(values[j], values[i]) })
+	return values[len(values)/2]
+}
