--- /dev/null
+++ b/internal/configuration/file.go
@@ -0,0 +1,192 @@
+// Package configuration reads and writes the configuration as an INI file:
+//
+//	[group enrollment]
+//	members = 3
+//	slots = 3
+//	connections = 24
+//
+//	[account school-1]
+//	rate = 100
+//	burst = 50
+//	weight = 1
+//
+//	[key school-1/main]
+//	verifier = SCRAM-SHA-256$4096:...
+//
+//	[route enrollment]
+//	group = enrollment
+//	database = enrollment
+//	accounts = school-1, school-2
+//	age = 500ms
+//	open = false
+//	repeatable = false
+//
+// Reading is strict: whatever it does not know is refused with the file, the section, the key and
+// a remedy. The control VMs check what the values mean.
+package configuration
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// kind describes one kind of section.
+type kind struct {
+	keys []string
+	read func(*reader, *section, *wire.Configuration) error
+}
+
+// kinds are the sections that a file may have.
+var kinds = map[string]kind{
+	"account": {[]string{"rate", "burst", "weight"}, readAccount},
+	"key":     {[]string{"verifier"}, readKey},
+	"route":   {[]string{"group", "database", "open", "accounts", "age", "repeatable"}, readRoute},
+	"group":   {[]string{"members", "slots", "connections"}, readGroup},
+}
+
+// order is the order in which sections are read and written: keys follow their accounts.
+var order = []string{"group", "account", "key", "route"}
+
+// reader holds what is needed for error messages.
+type reader struct{ file string }
+
+// section is one section and its name without the kind.
+type section struct {
+	*ini.Section
+	name string
+}
+
+// Read reads a file. The lists of the configuration are sorted by name.
+func Read(file string) (*wire.Configuration, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{
+		AllowNonUniqueSections: true,
+		AllowShadows:           true,
+		IgnoreContinuation:     true,
+		IgnoreInlineComment:    true,
+		KeyValueDelimiters:     "=",
+	}, file)
+	if err != nil {
+		return nil, errors.WithHint(errors.Wrapf(err, "configuration: %s", file), "name a readable INI file with sections such as [account NAME]")
+	}
+	r := &reader{file}
+	sections, err := r.sort(f)
+	if err != nil {
+		return nil, err
+	}
+	c := &wire.Configuration{}
+	for _, name := range order {
+		for _, s := range sections[name] {
+			if err := kinds[name].read(r, s, c); err != nil {
+				return nil, err
+			}
+		}
+	}
+	slices.SortFunc(c.Accounts, func(a, b *wire.Account) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Routes, func(a, b *wire.Route) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(c.Groups, func(a, b *wire.Group) int { return cmp.Compare(a.Name, b.Name) })
+	return c, nil
+}
+
+// sort groups the sections by kind and refuses those that are unknown or given twice.
+func (r *reader) sort(f *ini.File) (map[string][]*section, error) {
+	out := map[string][]*section{}
+	seen := map[string]bool{}
+	for _, s := range f.Sections() {
+		if s.Name() == ini.DefaultSection {
+			if keys := s.KeyStrings(); len(keys) > 0 {
+				return nil, r.refuse("", keys[0], "is outside of every section", "put it below a section such as [account NAME]")
+			}
+			continue
+		}
+		word, name, _ := strings.Cut(s.Name(), " ")
+		k, known := kinds[word]
+		name = strings.TrimSpace(name)
+		switch {
+		case !known:
+			return nil, r.refuse(s.Name(), "", "is not known", "use [account NAME], [key ACCOUNT/NAME], [route NAME] or [group NAME]")
+		case name == "":
+			return nil, r.refuse(s.Name(), "", "has no name", "write ["+word+" NAME]")
+		case seen[word+" "+name]:
+			return nil, r.refuse(s.Name(), "", "is given twice", "merge the two sections")
+		}
+		seen[word+" "+name] = true
+		if err := r.checkKeys(s, k.keys); err != nil {
+			return nil, err
+		}
+		out[word] = append(out[word], &section{s, name})
+	}
+	return out, nil
+}
+
+// checkKeys refuses keys that are unknown or given twice.
+func (r *reader) checkKeys(s *ini.Section, known []string) error {
+	for _, k := range s.Keys() {
+		if !slices.Contains(known, k.Name()) {
+			return r.refuse(s.Name(), k.Name(), "is not known", "use "+strings.Join(known, ", "))
+		}
+		if len(k.ValueWithShadows()) > 1 {
+			return r.refuse(s.Name(), k.Name(), "is given twice", "keep one of the two lines")
+		}
+	}
+	return nil
+}
+
+// refuse returns an error that names the place and the remedy.
+func (r *reader) refuse(section, key, fault, remedy string) error {
+	where := r.file
+	if section != "" {
+		where += ": [" + section + "]"
+	}
+	if key != "" {
+		where += " " + key
+	}
+	return errors.WithHint(errors.Newf("configuration: %s %s", where, fault), remedy)
+}
+
+// Edits returns the edits that put everything of c. Keys of an account replace its present keys;
+// an account without keys keeps them. What c does not name is left as it is.
+func Edits(c *wire.Configuration) []*wire.Edit {
+	var out []*wire.Edit
+	for _, g := range c.GetGroups() {
+		out = append(out, &wire.Edit{Edit: &wire.Edit_PutGroup{PutGroup: g}})
+	}
+	for _, a := range c.GetAccounts() {
+		out = append(out, &wire.Edit{Edit: &wire.Edit_PutAccount{PutAccount: a}})
+	}
+	for _, r := range c.GetRoutes() {
+		out = append(out, &wire.Edit{Edit: &wire.Edit_PutRoute{PutRoute: r}})
+	}
+	return out
+}
+
+// Prune returns the edits that drop what present has and wanted does not.
+func Prune(present, wanted *wire.Configuration) []*wire.Edit {
+	var out []*wire.Edit
+	for _, name := range missing(present.GetRoutes(), wanted.GetRoutes(), (*wire.Route).GetName) {
+		out = append(out, &wire.Edit{Edit: &wire.Edit_DropRoute{DropRoute: name}})
+	}
+	for _, name := range missing(present.GetAccounts(), wanted.GetAccounts(), (*wire.Account).GetName) {
+		out = append(out, &wire.Edit{Edit: &wire.Edit_DropAccount{DropAccount: name}})
+	}
+	for _, name := range missing(present.GetGroups(), wanted.GetGroups(), (*wire.Group).GetName) {
+		out = append(out, &wire.Edit{Edit: &wire.Edit_DropGroup{DropGroup: name}})
+	}
+	return out
+}
+
+// missing returns the names in present that wanted lacks.
+func missing[T any](present, wanted []T, name func(T) string) []string {
+	var out []string
+	for _, p := range present {
+		if !slices.ContainsFunc(wanted, func(w T) bool { return name(w) == name(p) }) {
+			out = append(out, name(p))
+		}
+	}
+	return out
+}
