--- a/cmd/fireflyrudder/commands.go
+++ b/cmd/fireflyrudder/commands.go
@@ -7,5 +7,9 @@
 )
 
 // addCommands registers every subcommand with parser.
-func addCommands(_ context.Context, _ *flags.Parser, _ *globals) {
+func addCommands(ctx context.Context, parser *flags.Parser, g *globals) {
+	must(parser.AddCommand("control", "run a control VM", controlLong, &controlCommand{ctx: ctx, globals: g}))
+	must(parser.AddCommand("apply", "change the configuration", applyLong, &applyCommand{ctx: ctx, globals: g}))
+	must(parser.AddCommand("status", "show the state of the control group", statusLong, &statusCommand{ctx: ctx, globals: g}))
+	must(parser.AddCommand("dump", "show the state of one process", dumpLong, &dumpCommand{ctx: ctx}))
 }
--- /dev/null
+++ b/internal/controlvm/client.go
@@ -0,0 +1,128 @@
+package controlvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"fireflyrudder.example/fireflyrudder/internal/certificate"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Limits of an operator's call.
+const (
+	attemptTimeout = 2 * time.Second
+	attemptPause   = 100 * time.Millisecond
+)
+
+// Client asks the control group on behalf of an operator. It is not safe for concurrent use.
+type Client struct {
+	controls  []string
+	pair      *certificate.Pair
+	conns     map[string]*grpc.ClientConn
+	preferred string // address of the last known leader
+}
+
+// NewClient returns a client of the control VMs at the given addresses. A nil pair means no TLS.
+func NewClient(controls []string, pair *certificate.Pair) *Client {
+	return &Client{controls: controls, pair: pair, conns: map[string]*grpc.ClientConn{}}
+}
+
+// Close ends the connections.
+func (c *Client) Close() {
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+// Status returns the status of the leader. If none answers before the context ends, it returns the
+// last status of any control VM, which has no configuration, or an error if there is none.
+func (c *Client) Status(ctx context.Context) (*wire.StatusReply, error) {
+	var last *wire.StatusReply
+	err := c.each(ctx, func(ctx context.Context, client wire.ControlClient) (bool, error) {
+		reply, err := client.Status(ctx, &wire.StatusRequest{})
+		if err != nil {
+			return false, err
+		}
+		last = reply
+		c.preferred = reply.Leader
+		return reply.Configuration != nil, nil
+	})
+	if last != nil {
+		return last, nil
+	}
+	return nil, err
+}
+
+// Apply sends a change until its decision is known, always with the same id.
+func (c *Client) Apply(ctx context.Context, change *wire.Change) (*wire.Decision, error) {
+	var decision *wire.Decision
+	err := c.each(ctx, func(ctx context.Context, client wire.ControlClient) (bool, error) {
+		reply, err := client.Apply(ctx, &wire.ApplyRequest{Change: change})
+		switch status.Code(err) {
+		case codes.OK:
+			decision = reply.Decision
+			return true, nil
+		case codes.FailedPrecondition:
+			c.preferred = ""
+			if s, err := client.Status(ctx, &wire.StatusRequest{}); err == nil {
+				c.preferred = s.Leader
+			}
+		case codes.InvalidArgument:
+			return true, err
+		}
+		return false, err
+	})
+	if status.Code(err) == codes.InvalidArgument {
+		return nil, err
+	}
+	if err != nil {
+		hint := "send the change again with the same id: --id " + change.Id
+		return nil, errors.WithHint(errors.Wrap(err, "controlvm: the outcome of the change is not known"), hint)
+	}
+	return decision, nil
+}
+
+// each asks the leader, then the other control VMs in turn, until one call is done.
+func (c *Client) each(ctx context.Context, call func(context.Context, wire.ControlClient) (bool, error)) error {
+	var last error
+	for turn := 0; ctx.Err() == nil; turn++ {
+		address := c.controls[turn%len(c.controls)]
+		if c.preferred != "" {
+			address, c.preferred = c.preferred, ""
+		}
+		done, err := c.attempt(ctx, address, call)
+		if done {
+			return err
+		}
+		if err != nil {
+			last = err
+		}
+		if c.preferred != "" && c.preferred != address {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(attemptPause):
+		}
+	}
+	return errors.CombineErrors(last, ctx.Err())
+}
+
+func (c *Client) attempt(ctx context.Context, address string, call func(context.Context, wire.ControlClient) (bool, error)) (bool, error) {
+	conn := c.conns[address]
+	if conn == nil {
+		var err error
+		if conn, err = Dial(address, c.pair); err != nil {
+			return false, err
+		}
+		c.conns[address] = conn
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return call(ctx, wire.NewControlClient(conn))
+}
--- /dev/null
+++ b/internal/controlvm/dial.go
@@ -0,0 +1,42 @@
+package controlvm
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"fireflyrudder.example/fireflyrudder/internal/certificate"
+)
+
+// Limits of connections between processes.
+const (
+	maxMessage     = 256 << 20 // bytes; a snapshot travels as one message
+	redialMost     = time.Second
+	connectTimeout = 500 * time.Millisecond
+	pingEvery      = 10 * time.Second
+	pingTimeout    = 3 * time.Second
+)
+
+// Dial returns a connection to the gRPC listener of a control VM. It connects on first use and
+// again after a loss, at least once a second. A nil pair means no TLS.
+func Dial(address string, pair *certificate.Pair) (*grpc.ClientConn, error) {
+	transport := insecure.NewCredentials()
+	if pair != nil {
+		transport = credentials.NewTLS(pair.Client(address))
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(transport),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: redialMost},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: pingEvery, Timeout: pingTimeout}),
+	)
+	return conn, errors.Wrap(err, "controlvm: dial")
+}
--- /dev/null
+++ b/internal/controlvm/dump.go
@@ -0,0 +1,80 @@
+package controlvm
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"fireflyrudder.example/fireflyrudder/internal/console"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// dump is the state of a control VM as the console shows it. Verifiers are left out.
+type dump struct {
+	Identity  string          `json:"identity"`
+	Role      string          `json:"role"`
+	Lease     bool            `json:"lease"`
+	Term      uint64          `json:"term"`
+	Committed uint64          `json:"committed"`
+	Leader    string          `json:"leader"`
+	Watchers  int             `json:"watchers"`
+	Waiting   int             `json:"waiting"`
+	Group     json.RawMessage `json:"group"`
+	Book      json.RawMessage `json:"book"`
+}
+
+// console answers HTTP until the context ends.
+func (vm *VM) console(ctx context.Context) error {
+	s, err := console.Listen(vm.options.Console.Listen, console.Process{
+		Name: "control", Vars: vm.metrics.all, Dump: vm.dump, Ready: vm.available,
+	})
+	if err != nil {
+		return err
+	}
+	return s.Serve(ctx)
+}
+
+func (vm *VM) dump(ctx context.Context) (any, error) {
+	var d dump
+	var book *wire.Book
+	var group *wire.Membership
+	err := vm.do(ctx, func(now time.Time) {
+		d = dump{
+			Identity:  vm.folder.Identity(),
+			Role:      vm.voter.Role().String(),
+			Lease:     vm.voter.Lease(now),
+			Term:      vm.voter.Term(),
+			Committed: vm.voter.Committed(),
+			Leader:    vm.voter.LeaderAddress(now),
+			Watchers:  len(vm.watchers),
+			Waiting:   len(vm.waiting),
+		}
+		book, group = vm.book.Snapshot(), vm.voter.Membership()
+	})
+	if err != nil {
+		return nil, err
+	}
+	book = proto.CloneOf(book)
+	book.Configuration = withoutVerifiers(book.Configuration)
+	if d.Book, err = protojson.Marshal(book); err != nil {
+		return nil, err
+	}
+	d.Group, err = protojson.Marshal(group)
+	return d, err
+}
+
+// available reports whether this control VM leads or follows a leader.
+func (vm *VM) available(ctx context.Context) error {
+	var leader string
+	if err := vm.do(ctx, func(now time.Time) { leader = vm.voter.LeaderAddress(now) }); err != nil {
+		return err
+	}
+	if leader == "" {
+		return errors.New("controlvm: no leader is known; see the status of the other control VMs")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controlvm/group_test.go
@@ -0,0 +1,181 @@
+package controlvm_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/controlvm"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// wait bounds how long a test waits for a state.
+const wait = 20 * time.Second
+
+func startAll(sites []*site) {
+	for _, s := range sites {
+		s.start()
+	}
+}
+
+// leader waits for a leader and returns its site.
+func leader(t *testing.T, sites []*site) *site {
+	t.Helper()
+	c, ctx := client(t, sites...)
+	var found *site
+	require.Eventually(t, func() bool {
+		limited, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		reply, err := c.Status(limited)
+		if err != nil || reply.Configuration == nil {
+			return false
+		}
+		for _, s := range sites {
+			if s.cancel != nil && s.options.Control.Listen == reply.Leader {
+				found = s
+			}
+		}
+		return found != nil
+	}, wait, 50*time.Millisecond)
+	return found
+}
+
+// Guards against a change that is lost, doubled or reverted when the leader dies, and against a
+// resend that is decided anew by another leader or after a snapshot.
+func TestLeaderKilled(t *testing.T) {
+	sites := newSites(t, 3)
+	for _, s := range sites {
+		s.options.Compact = 20
+	}
+	startAll(sites)
+	c, ctx := client(t, sites...)
+	version := uint64(0)
+	for i := range 30 {
+		version = accept(t, ctx, c, fmt.Sprint("before", i), version)
+	}
+	first := leader(t, sites)
+	first.stop()
+	for i := range 30 {
+		version = accept(t, ctx, c, fmt.Sprint("after", i), version)
+	}
+	again, err := c.Apply(ctx, &wire.Change{Id: "before7", Base: version, Edits: put("other")})
+	require.NoError(t, err)
+	require.EqualValues(t, 8, again.Version, "the first outcome holds after a snapshot and another leader")
+	first.start()
+	require.Eventually(t, func() bool {
+		reply, err := c.Status(ctx)
+		if err != nil || reply.Configuration == nil {
+			return false
+		}
+		for _, v := range reply.Voters {
+			if v.Matched < reply.Index {
+				return false
+			}
+		}
+		return len(reply.Voters) == 3
+	}, wait, 50*time.Millisecond, "the old leader catches up by snapshot")
+}
+
+// Guards against a group that comes back with an older configuration after all its processes stopped.
+func TestAllRestart(t *testing.T) {
+	sites := newSites(t, 3)
+	for _, s := range sites {
+		s.options.Compact = 64
+	}
+	startAll(sites)
+	c, ctx := client(t, sites...)
+	version := uint64(0)
+	for i := range 300 {
+		version = accept(t, ctx, c, fmt.Sprint(i), version)
+	}
+	for _, s := range sites {
+		s.stop()
+	}
+	startAll(sites)
+	leader(t, sites)
+	reply, err := c.Status(ctx)
+	require.NoError(t, err)
+	require.EqualValues(t, 300, reply.Configuration.Version)
+	require.Equal(t, "299", reply.Configuration.Change)
+	require.Len(t, reply.Configuration.Accounts, 300)
+}
+
+// Guards against two winners when operators race with equal version numbers, also while the
+// leader changes, and against a conflict that does not name the winner.
+func TestOperatorsRace(t *testing.T) {
+	sites := newSites(t, 3)
+	startAll(sites)
+	for round := range 12 {
+		if round == 6 {
+			leader(t, sites).stop()
+		}
+		decisions := make([]*wire.Decision, 2)
+		var both sync.WaitGroup
+		for i := range decisions {
+			c, ctx := client(t, sites...)
+			both.Go(func() {
+				id := fmt.Sprint(round, "-", i)
+				d, err := c.Apply(ctx, &wire.Change{Id: id, Base: uint64(round), Edits: put("a" + id)})
+				if err == nil {
+					decisions[i] = d
+				}
+			})
+		}
+		both.Wait()
+		require.NotNil(t, decisions[0])
+		require.NotNil(t, decisions[1])
+		won, lost := decisions[0], decisions[1]
+		if won.Verdict != wire.Verdict_VERDICT_ACCEPTED {
+			won, lost = lost, won
+		}
+		require.Equal(t, wire.Verdict_VERDICT_ACCEPTED, won.Verdict)
+		require.Equal(t, wire.Verdict_VERDICT_CONFLICT, lost.Verdict)
+		require.Equal(t, won.Change, lost.Winner)
+		require.EqualValues(t, round+1, won.Version)
+	}
+}
+
+// Guards against a lost data folder that votes again under its old identity, and against a voter
+// that stays missing although its VM is back.
+func TestLostFolder(t *testing.T) {
+	sites := newSites(t, 3)
+	startAll(sites)
+	c, ctx := client(t, sites...)
+	version := accept(t, ctx, c, "one", 0)
+	lost := leader(t, sites)
+	identity := lost.vm.Identity()
+	lost.stop()
+	require.NoError(t, os.RemoveAll(lost.options.Control.Data))
+	lost.start()
+	require.NotEqual(t, identity, lost.vm.Identity())
+	version = accept(t, ctx, c, "two", version)
+	require.Eventually(t, func() bool { return voters(ctx, c)[lost.vm.Identity()] }, wait, 100*time.Millisecond)
+	require.NotContains(t, voters(ctx, c), identity)
+	for _, s := range sites {
+		if s != lost {
+			s.stop() // a second VM is lost right after the repair
+			break
+		}
+	}
+	accept(t, ctx, c, "three", version)
+}
+
+// voters returns the members of the group; true for voters, false for learners.
+func voters(ctx context.Context, c *controlvm.Client) map[string]bool {
+	out := map[string]bool{}
+	limited, cancel := context.WithTimeout(ctx, 3*time.Second)
+	defer cancel()
+	reply, err := c.Status(limited)
+	if err != nil {
+		return out
+	}
+	for _, v := range reply.Voters {
+		out[v.Identity] = v.Role != "learner"
+	}
+	return out
+}
--- /dev/null
+++ b/internal/controlvm/metrics.go
@@ -0,0 +1,49 @@
+package controlvm
+
+import (
+	"expvar"
+	"time"
+)
+
+// metrics counts what the process does. It is safe for concurrent use.
+type metrics struct {
+	all         *expvar.Map
+	changes     *expvar.Int
+	renewals    *expvar.Int
+	updates     *expvar.Int
+	announced   *expvar.Int
+	elections   *expvar.Int
+	snapshots   *expvar.Int
+	installs    *expvar.Int
+	delivered   *expvar.Int
+	undelivered *expvar.Int
+	dropped     *expvar.Int
+	syncs       *expvar.Int
+	records     *expvar.Int
+	syncTime    *expvar.Int // microseconds
+	calls       *expvar.Int
+	callErrors  *expvar.Int
+}
+
+func newMetrics() *metrics {
+	m := &metrics{all: new(expvar.Map).Init()}
+	named := map[string]**expvar.Int{
+		"changes": &m.changes, "renewals": &m.renewals, "updates": &m.updates, "announcements": &m.announced,
+		"elections": &m.elections, "snapshots": &m.snapshots, "snapshots_installed": &m.installs,
+		"messages_delivered": &m.delivered, "messages_undelivered": &m.undelivered, "messages_dropped": &m.dropped,
+		"disk_syncs": &m.syncs, "disk_records": &m.records, "disk_sync_microseconds": &m.syncTime,
+		"server_calls": &m.calls, "server_call_errors": &m.callErrors,
+	}
+	for name, counter := range named {
+		*counter = new(expvar.Int)
+		m.all.Set(name, *counter)
+	}
+	return m
+}
+
+// synced counts one sync of the write-ahead file.
+func (m *metrics) synced(took time.Duration, records int) {
+	m.syncs.Add(1)
+	m.records.Add(int64(records))
+	m.syncTime.Add(took.Microseconds())
+}
--- /dev/null
+++ b/internal/controlvm/outbox.go
@@ -0,0 +1,149 @@
+package controlvm
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/certificate"
+	"fireflyrudder.example/fireflyrudder/internal/controllog"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Limits of the messages to one address. Lost messages are repeated by the control log.
+const (
+	maxQueued      = 1024
+	deliverTimeout = 400 * time.Millisecond // a frozen receiver must not hold back later messages for longer
+	snapshotGrace  = 10 * time.Second       // for a delivery with a snapshot
+	idlePeer       = time.Minute            // after which an address without messages is forgotten
+)
+
+// outbox carries messages to the other control VMs, in order per address. It is safe for concurrent use.
+type outbox struct {
+	pair    *certificate.Pair
+	metrics *metrics
+
+	mu     sync.Mutex
+	queues map[string]*queue
+	wake   chan struct{} // holds one token when a queue is new
+}
+
+// queue holds the messages that wait for one address.
+type queue struct {
+	messages []*wire.VoterMessage
+	wake     chan struct{} // holds one token when messages wait
+	started  bool
+}
+
+func newOutbox(pair *certificate.Pair, m *metrics) *outbox {
+	return &outbox{pair: pair, metrics: m, queues: map[string]*queue{}, wake: make(chan struct{}, 1)}
+}
+
+// put queues a message. A full queue drops it.
+func (o *outbox) put(s controllog.Send) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	q := o.queues[s.Address]
+	if q == nil {
+		q = &queue{wake: make(chan struct{}, 1)}
+		o.queues[s.Address] = q
+		signal(o.wake)
+	}
+	if len(q.messages) >= maxQueued {
+		o.metrics.dropped.Add(1)
+		return
+	}
+	q.messages = append(q.messages, s.Message)
+	signal(q.wake)
+}
+
+// signal leaves a token if there is none.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// run starts one sender per address until the context ends.
+func (o *outbox) run(ctx context.Context) error {
+	var senders sync.WaitGroup
+	defer senders.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.wake:
+		}
+		o.mu.Lock()
+		for address, q := range o.queues {
+			if !q.started {
+				q.started = true
+				senders.Go(func() { o.deliver(ctx, address, q) })
+			}
+		}
+		o.mu.Unlock()
+	}
+}
+
+// deliver sends what waits for one address, all of it in one call.
+func (o *outbox) deliver(ctx context.Context, address string, q *queue) {
+	conn, err := Dial(address, o.pair)
+	if err != nil {
+		return
+	}
+	defer io.Closer(conn).Close()
+	client := wire.NewVoterClient(conn)
+	idle := time.NewTimer(idlePeer)
+	defer idle.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-idle.C:
+			if o.forget(address, q) {
+				return
+			}
+		case <-q.wake:
+			idle.Reset(idlePeer)
+			o.send(ctx, client, o.take(q))
+		}
+	}
+}
+
+// take empties a queue.
+func (o *outbox) take(q *queue) []*wire.VoterMessage {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	messages := q.messages
+	q.messages = nil
+	return messages
+}
+
+// forget drops an address that has nothing waiting.
+func (o *outbox) forget(address string, q *queue) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(q.messages) > 0 {
+		return false
+	}
+	delete(o.queues, address)
+	return true
+}
+
+func (o *outbox) send(ctx context.Context, client wire.VoterClient, messages []*wire.VoterMessage) {
+	limit := deliverTimeout
+	for _, m := range messages {
+		if m.GetInstall() != nil {
+			limit = snapshotGrace
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if _, err := client.Deliver(ctx, &wire.DeliverRequest{Messages: messages}); err != nil {
+		o.metrics.undelivered.Add(int64(len(messages)))
+		return
+	}
+	o.metrics.delivered.Add(int64(len(messages)))
+}
--- /dev/null
+++ b/internal/controlvm/service.go
@@ -0,0 +1,208 @@
+package controlvm
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"fireflyrudder.example/fireflyrudder/internal/controllog"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Terms of the answers to Renew, from the send time of the request.
+const (
+	configurationLease = 2500 * time.Millisecond
+	creditExpiry       = 2 * time.Second
+)
+
+// service answers the gRPC services Control and Voter.
+type service struct {
+	wire.UnimplementedControlServer
+	wire.UnimplementedVoterServer
+	vm *VM
+}
+
+// serve answers gRPC until the context ends.
+func (vm *VM) serve(ctx context.Context) error {
+	listener := vm.options.Listener
+	if listener == nil {
+		var err error
+		if listener, err = net.Listen("tcp", vm.options.Control.Listen); err != nil {
+			return errors.WithHint(errors.Wrap(err, "controlvm"), "choose another address for --listen, or stop the process that uses it")
+		}
+	}
+	options := []grpc.ServerOption{
+		grpc.MaxRecvMsgSize(maxMessage),
+		grpc.MaxSendMsgSize(maxMessage),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: pingTimeout}),
+	}
+	if vm.pair != nil {
+		options = append(options, grpc.Creds(credentials.NewTLS(vm.pair.Server())))
+	}
+	server := grpc.NewServer(options...)
+	s := &service{vm: vm}
+	wire.RegisterControlServer(server, s)
+	wire.RegisterVoterServer(server, s)
+	stop := context.AfterFunc(ctx, func() { shutdown(server) })
+	defer stop()
+	close(vm.ready)
+	return errors.Wrap(server.Serve(listener), "controlvm: gRPC listener")
+}
+
+// shutdown lets calls in progress end for a short time. Streams of entry VMs end at once, which
+// makes them connect to another control VM.
+func shutdown(server *grpc.Server) {
+	timer := time.AfterFunc(stopGrace, server.Stop)
+	defer timer.Stop()
+	server.GracefulStop()
+}
+
+// Deliver hands messages of other voters to the control log.
+func (s *service) Deliver(ctx context.Context, r *wire.DeliverRequest) (*wire.DeliverReply, error) {
+	err := s.vm.post(ctx, func(now time.Time) {
+		for _, m := range r.Messages {
+			s.vm.step(now, controllog.Received{Message: m})
+		}
+	})
+	if err != nil {
+		return nil, failure(err)
+	}
+	return &wire.DeliverReply{}, nil
+}
+
+// Apply decides a change. An error means that the outcome is not known, or that this control VM
+// does not lead; a resend with the same id gets the first outcome.
+func (s *service) Apply(ctx context.Context, r *wire.ApplyRequest) (*wire.ApplyReply, error) {
+	if r.GetChange().GetId() == "" {
+		return nil, status.Error(codes.InvalidArgument, "controlvm: the change has no id; send it again with a random one")
+	}
+	e := &wire.Entry{Entry: &wire.Entry_Change{Change: r.Change}}
+	decided, err := s.vm.commit(ctx, e)
+	if err != nil {
+		return nil, failure(err)
+	}
+	s.vm.metrics.changes.Add(1)
+	return &wire.ApplyReply{Decision: decided.decision}, nil
+}
+
+// commit proposes an entry and waits until it is applied.
+func (vm *VM) commit(ctx context.Context, e *wire.Entry) (result, error) {
+	var w *waiter
+	if err := vm.do(ctx, func(now time.Time) { w = vm.propose(now, e) }); err != nil {
+		return result{}, err
+	}
+	select {
+	case r := <-w.answer:
+		return r, r.err
+	case <-ctx.Done():
+		return result{}, errUnknown
+	case <-vm.ended:
+		return result{}, errUnknown
+	}
+}
+
+// Status tells what this control VM knows. Only a leader under its lease shows the configuration,
+// because an older one misleads operators.
+func (s *service) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusReply, error) {
+	reply := &wire.StatusReply{}
+	err := s.vm.do(ctx, func(now time.Time) {
+		vm := s.vm
+		reply.Leader = vm.voter.LeaderAddress(now)
+		reply.Term = vm.voter.Term()
+		reply.Index = vm.voter.Committed()
+		reply.Views = vm.book.Views()
+		reply.Registrations = vm.book.Registrations()
+		reply.Voters = vm.voter.Members(now)
+		if vm.voter.Lease(now) {
+			reply.Configuration = vm.book.Configuration()
+		}
+	})
+	if err != nil {
+		return nil, failure(err)
+	}
+	reply.Configuration = withoutVerifiers(reply.Configuration)
+	return reply, nil
+}
+
+// withoutVerifiers returns a copy of a configuration for operators.
+func withoutVerifiers(c *wire.Configuration) *wire.Configuration {
+	if c == nil {
+		return nil
+	}
+	c = proto.CloneOf(c)
+	for _, a := range c.Accounts {
+		for _, k := range a.Keys {
+			k.Verifier = ""
+		}
+	}
+	return c
+}
+
+// Renew extends the configuration lease of an entry VM and grants credits and connections. An
+// entry VM is registered in the log before it gets anything, so that a later leader counts it.
+func (s *service) Renew(ctx context.Context, r *wire.RenewRequest) (*wire.RenewReply, error) {
+	if r.GetRegistration().GetEntry() == "" {
+		return nil, status.Error(codes.InvalidArgument, "controlvm: the entry VM gave no identity")
+	}
+	s.vm.metrics.renewals.Add(1)
+	if reply, err := s.enlist(ctx, r); reply != nil || err != nil {
+		return reply, err
+	}
+	var reply *wire.RenewReply
+	err := s.vm.do(ctx, func(now time.Time) { reply = s.vm.renew(now, r) })
+	if err != nil {
+		return nil, failure(err)
+	}
+	if r.Leaving && reply.Leader {
+		forget := &wire.Entry{Entry: &wire.Entry_Forget{Forget: r.Registration.Entry}}
+		if _, err := s.vm.commit(ctx, forget); err != nil {
+			return nil, failure(err)
+		}
+	}
+	return reply, nil
+}
+
+// enlist registers an unknown entry VM. It returns a reply only if this control VM does not lead.
+func (s *service) enlist(ctx context.Context, r *wire.RenewRequest) (*wire.RenewReply, error) {
+	var known bool
+	var leader string
+	err := s.vm.do(ctx, func(now time.Time) {
+		known = s.vm.registered(r.Registration) || !s.vm.voter.Lease(now)
+		leader = s.vm.voter.LeaderAddress(now)
+	})
+	if err != nil {
+		return nil, failure(err)
+	}
+	if known || r.Leaving {
+		return nil, nil
+	}
+	_, err = s.vm.commit(ctx, &wire.Entry{Entry: &wire.Entry_Register{Register: r.Registration}})
+	if errors.HasType(err, errRedirect{}) {
+		return &wire.RenewReply{Redirect: leader, Sequence: r.Sequence}, nil
+	}
+	return nil, failure(err)
+}
+
+// failure turns an error into a gRPC status. Everything may be sent again.
+func failure(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.HasType(err, errRedirect{}):
+		return status.Error(codes.FailedPrecondition, err.Error())
+	case errors.Is(err, context.DeadlineExceeded):
+		return status.Error(codes.DeadlineExceeded, err.Error())
+	case errors.Is(err, context.Canceled):
+		return status.Error(codes.Canceled, err.Error())
+	}
+	return status.Error(codes.Unavailable, err.Error())
+}
--- /dev/null
+++ b/internal/controlvm/vm.go
@@ -0,0 +1,225 @@
+// Package controlvm is the control process. One goroutine owns the control state; gRPC, HTTP and
+// probes hand it events and wait for its answers.
+package controlvm
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"fireflyrudder.example/fireflyrudder/internal/certificate"
+	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/controllog"
+	"fireflyrudder.example/fireflyrudder/internal/disk"
+	"fireflyrudder.example/fireflyrudder/internal/settings"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Intervals and limits of the process.
+const (
+	tick      = 20 * time.Millisecond
+	maxBatch  = 256             // events handled before the disk is synced
+	stopGrace = 2 * time.Second // for calls in progress when the process stops
+)
+
+// Options are the settings of a control VM.
+type Options struct {
+	Node     settings.Node
+	Control  settings.Control
+	TLS      settings.TLS
+	Console  settings.Console
+	Listener net.Listener // gRPC listener; opened from the settings if nil
+	Announce net.Listener // announcement listener; opened from the settings if nil
+	Compact  uint64       // committed records between snapshots; 0 means the default
+}
+
+// VM is one control process. Its fields below events belong to the goroutine of loop.
+type VM struct {
+	options  Options
+	pair     *certificate.Pair // nil without TLS
+	password string
+	folder   *disk.Folder
+	outbox   *outbox
+	metrics  *metrics
+	events   chan func(now time.Time)
+	ended    chan struct{} // closed when the loop has ended
+	ready    chan struct{} // closed when the listeners serve
+
+	voter    *controllog.Voter
+	book     *contract.Book
+	unsynced []*wire.LogRecord  // appended and not yet on disk
+	outgoing []controllog.Send  // waits for the disk
+	tag      uint64             // of the latest proposal
+	proposed map[uint64]*waiter // by tag
+	waiting  map[uint64]*waiter // by log index
+	watchers map[*watcher]struct{}
+	fault    error // of the disk; ends the process
+	duties   *duties
+}
+
+// New opens the data folder and restores the state.
+func New(options Options) (*VM, error) {
+	vm := &VM{
+		options:  options,
+		metrics:  newMetrics(),
+		events:   make(chan func(time.Time), maxBatch),
+		ended:    make(chan struct{}),
+		ready:    make(chan struct{}),
+		proposed: map[uint64]*waiter{},
+		waiting:  map[uint64]*waiter{},
+		watchers: map[*watcher]struct{}{},
+	}
+	var err error
+	if vm.password, err = options.Control.Server.Secret(); err != nil {
+		return nil, err
+	}
+	if options.TLS.Enabled() {
+		if vm.pair, err = certificate.Load(options.TLS); err != nil {
+			return nil, err
+		}
+	}
+	if vm.folder, err = disk.Open(options.Control.Data); err != nil {
+		return nil, err
+	}
+	if err := vm.restore(time.Now()); err != nil {
+		_ = vm.folder.Close()
+		return nil, err
+	}
+	vm.outbox = newOutbox(vm.pair, vm.metrics)
+	return vm, nil
+}
+
+// restore makes the voter and the book from the data folder.
+func (vm *VM) restore(now time.Time) error {
+	found := vm.folder.State()
+	if cut := vm.folder.Cut(); cut > 0 {
+		log.WithField("bytes", cut).Warn("torn end of the write-ahead file cut")
+	}
+	if err := vm.rebook(found.Snapshot); err != nil {
+		return err
+	}
+	c := vm.options.Control
+	place := controllog.Place{
+		Address: c.Listen, Zone: vm.options.Node.Zone, Peers: c.Peers, Spare: c.Join, Compact: vm.options.Compact,
+	}
+	state := controllog.State{
+		Term: found.Vote.GetTerm(), Vote: controllog.Identity(found.Vote.GetCandidate()),
+		Snapshot: found.Snapshot, Records: found.Records,
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	vm.voter = controllog.New(now, controllog.Identity(vm.folder.Identity()), place, random, state)
+	return nil
+}
+
+// rebook replaces the book by the one of a snapshot.
+func (vm *VM) rebook(s *wire.VoterSnapshot) error {
+	if s == nil {
+		vm.book = contract.New()
+		return nil
+	}
+	book, err := contract.Restore(s.Book)
+	if err != nil {
+		return err
+	}
+	book.Resume(s.Index)
+	vm.book = book
+	return nil
+}
+
+// Run serves until the context ends or the disk fails. It returns nil after a planned stop.
+func (vm *VM) Run(ctx context.Context) error {
+	defer io.Closer(vm.folder).Close()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return vm.loop(ctx) })
+	g.Go(func() error { return vm.serve(ctx) })
+	g.Go(func() error { return vm.announcements(ctx) })
+	g.Go(func() error { return vm.outbox.run(ctx) })
+	if vm.options.Console.Listen != "" {
+		g.Go(func() error { return vm.console(ctx) })
+	}
+	err := g.Wait()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Ready is closed when the listeners serve.
+func (vm *VM) Ready() <-chan struct{} { return vm.ready }
+
+// Identity returns the identity made with the data folder.
+func (vm *VM) Identity() string { return vm.folder.Identity() }
+
+// loop owns the control state.
+func (vm *VM) loop(ctx context.Context) error {
+	defer close(vm.ended)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for vm.fault == nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			now := time.Now()
+			vm.step(now, controllog.Tick{})
+			vm.duty(now)
+		case event := <-vm.events:
+			event(time.Now())
+			vm.drain()
+		}
+		vm.settle()
+	}
+	return vm.fault
+}
+
+// drain handles events that wait already, so that one sync serves them all.
+func (vm *VM) drain() {
+	for range maxBatch {
+		select {
+		case event := <-vm.events:
+			event(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// do runs an event on the goroutine of loop and waits until it has run.
+func (vm *VM) do(ctx context.Context, event func(now time.Time)) error {
+	done := make(chan struct{})
+	err := vm.post(ctx, func(now time.Time) {
+		event(now)
+		close(done)
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-vm.ended:
+		return errStopped
+	}
+}
+
+// post hands an event to the goroutine of loop.
+func (vm *VM) post(ctx context.Context, event func(now time.Time)) error {
+	select {
+	case vm.events <- event:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-vm.ended:
+		return errStopped
+	}
+}
+
+var errStopped = errors.WithHint(errors.New("controlvm: the process stops"), "ask another control VM")
--- /dev/null
+++ b/internal/controlvm/vm_test.go
@@ -0,0 +1,150 @@
+package controlvm_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/controlvm"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+func init() { log.SetHandler(discard.Default) }
+
+// site is a control VM that a test starts and stops.
+type site struct {
+	t       *testing.T
+	options controlvm.Options
+	vm      *controlvm.VM
+	cancel  context.CancelFunc
+	ended   chan error
+}
+
+// newSite reserves the addresses of a control VM.
+func newSite(t *testing.T) *site {
+	s := &site{t: t}
+	s.options.Node.Zone = "zone-a"
+	s.options.Control.Data = filepath.Join(t.TempDir(), "data")
+	s.options.Control.Listen = reserve(t)
+	s.options.Control.Announce = reserve(t)
+	t.Cleanup(s.stop)
+	return s
+}
+
+// reserve returns a loopback address that was free a moment ago.
+func reserve(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// newSites returns a group of control VMs that know each other.
+func newSites(t *testing.T, count int) []*site {
+	sites := make([]*site, count)
+	peers := make([]string, count)
+	for i := range sites {
+		sites[i] = newSite(t)
+		peers[i] = sites[i].options.Control.Listen
+	}
+	for _, s := range sites {
+		s.options.Control.Peers = peers
+	}
+	return sites
+}
+
+func (s *site) start() {
+	s.t.Helper()
+	vm, err := controlvm.New(s.options)
+	require.NoError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.vm, s.cancel, s.ended = vm, cancel, make(chan error, 1)
+	go func() { s.ended <- vm.Run(ctx) }()
+	<-vm.Ready()
+}
+
+func (s *site) stop() {
+	if s.cancel == nil {
+		return
+	}
+	s.cancel()
+	s.cancel = nil
+	require.NoError(s.t, <-s.ended)
+}
+
+func addresses(sites []*site) []string {
+	var out []string
+	for _, s := range sites {
+		out = append(out, s.options.Control.Listen)
+	}
+	return out
+}
+
+func client(t *testing.T, sites ...*site) (*controlvm.Client, context.Context) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	c := controlvm.NewClient(addresses(sites), nil)
+	t.Cleanup(func() { cancel(); c.Close() })
+	return c, ctx
+}
+
+func put(name string) []*wire.Edit {
+	return []*wire.Edit{{Edit: &wire.Edit_PutAccount{PutAccount: &wire.Account{Name: name, Rate: 10, Burst: 5}}}}
+}
+
+// accept applies a change that must be accepted and returns the version it made.
+func accept(t *testing.T, ctx context.Context, c *controlvm.Client, id string, base uint64) uint64 {
+	t.Helper()
+	d, err := c.Apply(ctx, &wire.Change{Id: id, Base: base, Edits: put("account-" + id)})
+	require.NoError(t, err)
+	require.Equal(t, wire.Verdict_VERDICT_ACCEPTED, d.Verdict, d.Remedy)
+	return d.Version
+}
+
+// Guards against a single control VM that answers before it leads, loses its state with a restart
+// or serves an entry VM less than it needs.
+func TestSingleVoter(t *testing.T) {
+	s := newSite(t)
+	s.options.Compact = 7
+	s.start()
+	c, ctx := client(t, s)
+	for v := range uint64(40) {
+		require.Equal(t, v+1, accept(t, ctx, c, fmt.Sprint(v), v))
+	}
+	s.stop()
+	s.start()
+	again, err := c.Apply(ctx, &wire.Change{Id: "3", Base: 9, Edits: put("other")})
+	require.NoError(t, err)
+	require.Equal(t, wire.Verdict_VERDICT_ACCEPTED, again.Verdict, "a resend gets the first outcome")
+	require.EqualValues(t, 4, again.Version)
+
+	conn, err := controlvm.Dial(s.options.Control.Listen, nil)
+	require.NoError(t, err)
+	defer conn.Close()
+	control := wire.NewControlClient(conn)
+	stream, err := control.Watch(ctx, &wire.WatchRequest{Entry: "e"})
+	require.NoError(t, err)
+	first, err := stream.Recv()
+	require.NoError(t, err)
+	require.EqualValues(t, 40, first.Version)
+	require.Len(t, first.Full.Accounts, 40)
+	reply, err := control.Renew(ctx, &wire.RenewRequest{Registration: &wire.Registration{Entry: "e", Name: "n"}, Sequence: 1})
+	require.NoError(t, err)
+	require.True(t, reply.Leader)
+	require.EqualValues(t, 40, reply.Version)
+	accept(t, ctx, c, "next", 40)
+	next, err := stream.Recv()
+	require.NoError(t, err)
+	require.EqualValues(t, 41, next.Version)
+	require.Nil(t, next.Full)
+	require.Len(t, next.Edits, 1)
+	status, err := c.Status(ctx)
+	require.NoError(t, err)
+	require.Len(t, status.Registrations, 1)
+}
--- /dev/null
+++ b/internal/controlvm/watch.go
@@ -0,0 +1,97 @@
+package controlvm
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// lostContact is the silence of the leader after which a control VM ends the streams of its entry
+// VMs, so that they watch another one before their configuration lease ends.
+const lostContact = time.Second
+
+// watcher is one stream of updates to an entry VM.
+type watcher struct {
+	wake    chan struct{} // holds one token when the book has changed
+	version uint64
+	index   uint64
+	groups  []string
+}
+
+// applied tells the watchers that the book has changed.
+func (vm *VM) applied(now time.Time) {
+	if vm.duties != nil {
+		vm.duties.configure(now, vm.book)
+	}
+	for w := range vm.watchers {
+		signal(w.wake)
+	}
+}
+
+// Watch sends the state an entry VM lacks and then every change. Every control VM that hears from
+// the leader serves it: what it sends is committed, and an entry VM serves callers only at the
+// version that Renew names.
+func (s *service) Watch(r *wire.WatchRequest, stream wire.Control_WatchServer) error {
+	ctx := stream.Context()
+	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups}
+	if err := s.vm.do(ctx, func(time.Time) { s.vm.watchers[w] = struct{}{} }); err != nil {
+		return failure(err)
+	}
+	defer s.vm.post(context.WithoutCancel(ctx), func(time.Time) { delete(s.vm.watchers, w) }) //nolint:errcheck // the process has ended
+	contact := time.NewTicker(lostContact)
+	defer contact.Stop()
+	lost := 0
+	for first := true; ; first = false {
+		u, led, err := s.next(ctx, w)
+		if err != nil {
+			return failure(err)
+		}
+		if lost++; led {
+			lost = 0
+		}
+		if lost > 1 {
+			return status.Error(codes.Unavailable, "controlvm: this control VM hears from no leader; watch another one")
+		}
+		if err := s.push(stream, w, u, first); err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.vm.ended:
+			return failure(errStopped)
+		case <-w.wake:
+		case <-contact.C:
+		}
+	}
+}
+
+// next returns what the watcher lacks and whether the leader is known.
+func (s *service) next(ctx context.Context, w *watcher) (u *wire.Update, led bool, err error) {
+	err = s.vm.do(ctx, func(now time.Time) {
+		led = s.vm.voter.LeaderAddress(now) != ""
+		var ok bool
+		if u, ok = s.vm.book.Since(w.version, w.index, w.groups); !ok {
+			u = s.vm.book.Full(w.groups)
+		}
+	})
+	return u, led, err
+}
+
+// push sends an update unless it brings nothing new or is older than what the entry VM holds.
+func (s *service) push(stream wire.Control_WatchServer, w *watcher, u *wire.Update, first bool) error {
+	fresh := u.Version > w.version || len(u.Views) > 0 || u.Full != nil
+	if u.Version < w.version || (!fresh && !first) {
+		return nil
+	}
+	s.vm.metrics.updates.Add(1)
+	if err := stream.Send(u); err != nil {
+		return err
+	}
+	w.version, w.index = u.Version, max(w.index, u.Index)
+	return nil
+}
