--- a/cmd/fireflyrudder/commands.go
+++ b/cmd/fireflyrudder/commands.go
@@ -7,5 +7,6 @@
 )
 
 // addCommands registers every subcommand with parser.
-func addCommands(_ context.Context, _ *flags.Parser, _ *globals) {
+func addCommands(ctx context.Context, parser *flags.Parser, g *globals) {
+	must(parser.AddCommand("standin", "run a stand-in backend server", "Runs a stand-in for a backend server of a database group.", &standinCommand{ctx: ctx, globals: g}))
 }
--- /dev/null
+++ b/internal/standin/expression.go
@@ -0,0 +1,631 @@
+package standin
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgtype"
+	pg "github.com/pganalyze/pg_query_go/v6"
+)
+
+// scope is what an expression may refer to.
+type scope struct {
+	run    *run
+	table  *table
+	alias  string
+	values []Value // of the current row
+	group  []row   // rows of the current group, for aggregates; nil outside
+}
+
+// run is the execution of one statement.
+type run struct {
+	ctx     context.Context
+	session *session
+	x       *transaction
+	params  []Value
+	types   []oid // of the parameters; grows while types are inferred
+}
+
+// column finds the column that a reference names.
+func (s *scope) column(ref *pg.ColumnRef) (int, error) {
+	name := lastName(ref.Fields)
+	if s.table == nil {
+		return 0, fault(stateNoColumn, "column %q does not exist", name)
+	}
+	if len(ref.Fields) == 2 {
+		if q := ref.Fields[0].GetString_().GetSval(); q != s.alias && q != s.table.name && q != "excluded" {
+			return 0, fault(stateNoTable, "missing FROM-clause entry for table %q", q)
+		}
+	}
+	return s.table.find(name)
+}
+
+// eval returns the value of an expression.
+func (s *scope) eval(n *pg.Node) (Value, error) {
+	switch e := n.GetNode().(type) {
+	case nil:
+		return nil, nil
+	case *pg.Node_AConst:
+		return constant(e.AConst)
+	case *pg.Node_ParamRef:
+		if i := int(e.ParamRef.Number); i >= 1 && i <= len(s.run.params) {
+			return s.run.params[i-1], nil
+		}
+		return nil, fault(stateBadProtocol, "parameter $%d is missing", e.ParamRef.Number)
+	case *pg.Node_ColumnRef:
+		i, err := s.column(e.ColumnRef)
+		if err != nil {
+			return nil, err
+		}
+		if s.values == nil {
+			return nil, nil
+		}
+		return s.values[i], nil
+	case *pg.Node_TypeCast:
+		to, err := typeOfName(e.TypeCast.TypeName)
+		if err != nil {
+			return nil, err
+		}
+		v, err := s.eval(e.TypeCast.Arg)
+		if err != nil {
+			return nil, err
+		}
+		return convert(v, to)
+	case *pg.Node_AExpr:
+		return s.operate(e.AExpr)
+	case *pg.Node_BoolExpr:
+		return s.logic(e.BoolExpr)
+	case *pg.Node_NullTest:
+		v, err := s.eval(e.NullTest.Arg)
+		return (v == nil) == (e.NullTest.Nulltesttype == pg.NullTestType_IS_NULL), err
+	case *pg.Node_CoalesceExpr:
+		for _, a := range e.CoalesceExpr.Args {
+			if v, err := s.eval(a); v != nil || err != nil {
+				return v, err
+			}
+		}
+		return nil, nil
+	case *pg.Node_FuncCall:
+		return s.call(e.FuncCall)
+	case *pg.Node_SqlvalueFunction:
+		return s.run.x.now, nil
+	case *pg.Node_SubLink:
+		return s.subselect(e.SubLink)
+	}
+	return nil, unsupported("this expression")
+}
+
+func constant(c *pg.A_Const) (Value, error) {
+	if c.Isnull {
+		return nil, nil
+	}
+	switch v := c.Val.(type) {
+	case *pg.A_Const_Ival:
+		return int64(v.Ival.Ival), nil
+	case *pg.A_Const_Fval:
+		if n, err := strconv.ParseInt(v.Fval.Fval, 10, 64); err == nil {
+			return n, nil
+		}
+		return toFloat(v.Fval.Fval)
+	case *pg.A_Const_Boolval:
+		return v.Boolval.Boolval, nil
+	case *pg.A_Const_Sval:
+		return v.Sval.Sval, nil
+	}
+	return nil, unsupported("this constant")
+}
+
+func (s *scope) logic(e *pg.BoolExpr) (Value, error) {
+	unknown := false
+	for _, a := range e.Args {
+		v, err := s.eval(a)
+		if err != nil {
+			return nil, err
+		}
+		if v == nil {
+			unknown = true
+			continue
+		}
+		b, err := toBool(v)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case e.Boolop == pg.BoolExprType_NOT_EXPR:
+			return b != true, nil
+		case e.Boolop == pg.BoolExprType_AND_EXPR && b == false:
+			return false, nil
+		case e.Boolop == pg.BoolExprType_OR_EXPR && b == true:
+			return true, nil
+		}
+	}
+	if unknown {
+		return nil, nil
+	}
+	return e.Boolop == pg.BoolExprType_AND_EXPR, nil
+}
+
+func (s *scope) operate(e *pg.A_Expr) (Value, error) {
+	operator := lastName(e.Name)
+	left, err := s.eval(e.Lexpr)
+	if err != nil {
+		return nil, err
+	}
+	if e.Kind == pg.A_Expr_Kind_AEXPR_IN {
+		return s.in(left, e.Rexpr, operator == "<>")
+	}
+	if list := e.Rexpr.GetList(); list != nil && (e.Kind == pg.A_Expr_Kind_AEXPR_BETWEEN || e.Kind == pg.A_Expr_Kind_AEXPR_NOT_BETWEEN) {
+		return s.between(left, list.Items, e.Kind == pg.A_Expr_Kind_AEXPR_NOT_BETWEEN)
+	}
+	right, err := s.eval(e.Rexpr)
+	if err != nil {
+		return nil, err
+	}
+	switch e.Kind {
+	case pg.A_Expr_Kind_AEXPR_OP:
+		if e.Lexpr == nil {
+			return arithmetic(operator, int64(0), right)
+		}
+		return binary(operator, left, right)
+	case pg.A_Expr_Kind_AEXPR_LIKE:
+		if left == nil || right == nil {
+			return nil, nil
+		}
+		return like(text(left), text(right)) == (operator == "~~"), nil
+	}
+	return nil, unsupported("operator " + operator)
+}
+
+func (s *scope) in(left Value, list *pg.Node, negate bool) (Value, error) {
+	if left == nil {
+		return nil, nil
+	}
+	for _, item := range list.GetList().GetItems() {
+		v, err := s.eval(item)
+		if err != nil {
+			return nil, err
+		}
+		if v == nil {
+			continue
+		}
+		c, err := compare(left, v)
+		if err != nil {
+			return nil, err
+		}
+		if c == 0 {
+			return !negate, nil
+		}
+	}
+	return negate, nil
+}
+
+func (s *scope) between(left Value, bounds []*pg.Node, negate bool) (Value, error) {
+	low, err := s.eval(bounds[0])
+	if err != nil {
+		return nil, err
+	}
+	high, err := s.eval(bounds[1])
+	if err != nil || left == nil || low == nil || high == nil {
+		return nil, err
+	}
+	a, err := compare(left, low)
+	if err != nil {
+		return nil, err
+	}
+	b, err := compare(left, high)
+	return (a >= 0 && b <= 0) != negate, err
+}
+
+func binary(operator string, left, right Value) (Value, error) {
+	if left == nil || right == nil {
+		return nil, nil
+	}
+	switch operator {
+	case "=", "<>", "<", "<=", ">", ">=":
+		c, err := compare(left, right)
+		if err != nil {
+			return nil, err
+		}
+		return compared(operator, c), nil
+	case "||":
+		return text(left) + text(right), nil
+	}
+	return arithmetic(operator, left, right)
+}
+
+func compared(operator string, c int) bool {
+	switch operator {
+	case "=":
+		return c == 0
+	case "<>":
+		return c != 0
+	case "<":
+		return c < 0
+	case "<=":
+		return c <= 0
+	case ">":
+		return c > 0
+	}
+	return c >= 0
+}
+
+func arithmetic(operator string, left, right Value) (Value, error) {
+	if left == nil || right == nil {
+		return nil, nil
+	}
+	left, right, err := align(left, right)
+	if err != nil {
+		return nil, err
+	}
+	if a, ok := left.(float64); ok {
+		return floating(operator, a, right.(float64))
+	}
+	a, err := toInteger(left)
+	if err != nil {
+		return nil, err
+	}
+	b, err := toInteger(right)
+	if err != nil {
+		return nil, err
+	}
+	x, y := a.(int64), b.(int64)
+	switch operator {
+	case "+":
+		return x + y, nil
+	case "-":
+		return x - y, nil
+	case "*":
+		return x * y, nil
+	case "/", "%":
+		if y == 0 {
+			return nil, fault(stateDivision, "division by zero")
+		}
+		if operator == "/" {
+			return x / y, nil
+		}
+		return x % y, nil
+	}
+	return nil, unsupported("operator " + operator)
+}
+
+func floating(operator string, a, b float64) (Value, error) {
+	switch operator {
+	case "+":
+		return a + b, nil
+	case "-":
+		return a - b, nil
+	case "*":
+		return a * b, nil
+	case "/":
+		if b == 0 {
+			return nil, fault(stateDivision, "division by zero")
+		}
+		return a / b, nil
+	}
+	return nil, unsupported("operator " + operator)
+}
+
+// like matches a LIKE pattern with % and _.
+func like(s, pattern string) bool {
+	if pattern == "" {
+		return s == ""
+	}
+	switch pattern[0] {
+	case '%':
+		for i := 0; i <= len(s); i++ {
+			if like(s[i:], pattern[1:]) {
+				return true
+			}
+		}
+		return false
+	case '_':
+		return s != "" && like(s[1:], pattern[1:])
+	}
+	return s != "" && s[0] == pattern[0] && like(s[1:], pattern[1:])
+}
+
+// subselect evaluates an uncorrelated subquery.
+func (s *scope) subselect(l *pg.SubLink) (Value, error) {
+	q := l.Subselect.GetSelectStmt()
+	if q == nil {
+		return nil, unsupported("this subquery")
+	}
+	r, err := s.run.selects(q)
+	if err != nil {
+		return nil, err
+	}
+	switch l.SubLinkType {
+	case pg.SubLinkType_EXISTS_SUBLINK:
+		return len(r.rows) > 0, nil
+	case pg.SubLinkType_EXPR_SUBLINK:
+		if len(r.rows) == 0 {
+			return nil, nil
+		}
+		return r.rows[0][0], nil
+	}
+	return nil, unsupported("this kind of subquery")
+}
+
+// aggregates are the functions over groups of rows.
+var aggregates = map[string]bool{"count": true, "sum": true, "min": true, "max": true}
+
+// call evaluates a function.
+func (s *scope) call(f *pg.FuncCall) (Value, error) {
+	name := lastName(f.Funcname)
+	if aggregates[name] {
+		return s.aggregate(name, f)
+	}
+	args := make([]Value, len(f.Args))
+	for i, a := range f.Args {
+		v, err := s.eval(a)
+		if err != nil {
+			return nil, err
+		}
+		args[i] = v
+	}
+	switch name {
+	case "now", "transaction_timestamp", "statement_timestamp":
+		return s.run.x.now, nil
+	case "clock_timestamp":
+		return time.Now().UTC().Truncate(time.Microsecond), nil
+	case "version":
+		return "PostgreSQL 16.0 (fireflyrudder stand-in)", nil
+	case "pg_is_in_recovery":
+		return s.run.session.server.Status().Role != RolePrimary, nil
+	case "pg_backend_pid":
+		return int64(s.run.session.pid), nil
+	case "current_database":
+		return s.run.session.database, nil
+	}
+	return s.callWith(name, args)
+}
+
+func (s *scope) callWith(name string, args []Value) (Value, error) {
+	if len(args) == 0 {
+		return nil, fault(stateNoFunction, "function %s() does not exist", name)
+	}
+	switch name {
+	case "pg_sleep":
+		return "", s.run.sleep(args[0])
+	case "current_setting":
+		return s.run.session.show(text(args[0]))
+	case "set_config":
+		if len(args) == 3 {
+			return text(args[1]), s.run.session.set(text(args[0]), text(args[1]))
+		}
+	case "lower":
+		return strings.ToLower(text(args[0])), nil
+	case "upper":
+		return strings.ToUpper(text(args[0])), nil
+	case "length":
+		return int64(len([]rune(text(args[0])))), nil
+	case "abs":
+		n, err := toInteger(args[0])
+		if v, ok := n.(int64); ok && v < 0 {
+			return -v, err
+		}
+		return n, err
+	case "group_terminate":
+		return int64(s.run.session.server.terminate(s.run.session, text(args[0]))), nil
+	case "standin_hook":
+		if len(args) == 2 {
+			return "", s.run.session.server.hook(text(args[0]), text(args[1]))
+		}
+	}
+	return nil, fault(stateNoFunction, "function %s does not exist", name)
+}
+
+func (r *run) sleep(v Value) error {
+	seconds, err := toFloat(v)
+	if err != nil || seconds == nil {
+		return err
+	}
+	timer := time.NewTimer(time.Duration(seconds.(float64) * float64(time.Second)))
+	defer timer.Stop()
+	select {
+	case <-r.ctx.Done():
+		return canceled(r.ctx)
+	case <-timer.C:
+		return nil
+	}
+}
+
+// aggregate evaluates an aggregate over the current group.
+func (s *scope) aggregate(name string, f *pg.FuncCall) (Value, error) {
+	if s.group == nil {
+		return nil, fault(stateSyntax, "aggregate functions are not allowed here")
+	}
+	if f.AggStar {
+		return int64(len(s.group)), nil
+	}
+	var total Value
+	count := int64(0)
+	seen := map[Value]bool{}
+	for _, r := range s.group {
+		inner := scope{run: s.run, table: s.table, alias: s.alias, values: r.values}
+		v, err := inner.eval(f.Args[0])
+		if err != nil {
+			return nil, err
+		}
+		if v == nil || (f.AggDistinct && seen[v]) {
+			continue
+		}
+		if f.AggDistinct {
+			seen[v] = true
+		}
+		count++
+		if total, err = accumulate(name, total, v); err != nil {
+			return nil, err
+		}
+	}
+	if name == "count" {
+		return count, nil
+	}
+	return total, nil
+}
+
+func accumulate(name string, total, v Value) (Value, error) {
+	if total == nil || name == "count" {
+		return v, nil
+	}
+	if name == "sum" {
+		return arithmetic("+", total, v)
+	}
+	c, err := compare(v, total)
+	if err != nil {
+		return nil, err
+	}
+	if (name == "min") == (c < 0) {
+		return v, nil
+	}
+	return total, nil
+}
+
+// infer returns the type of an expression and gives parameters of unknown type the wanted one.
+// Zero means unknown.
+func (s *scope) infer(n *pg.Node, want oid) oid {
+	switch e := n.GetNode().(type) {
+	case *pg.Node_AConst:
+		return inferConstant(e.AConst, want)
+	case *pg.Node_ParamRef:
+		return s.run.parameter(int(e.ParamRef.Number), want)
+	case *pg.Node_ColumnRef:
+		if i, err := s.column(e.ColumnRef); err == nil {
+			return s.table.columns[i].kind
+		}
+	case *pg.Node_TypeCast:
+		to, _ := typeOfName(e.TypeCast.TypeName)
+		s.infer(e.TypeCast.Arg, to)
+		return to
+	case *pg.Node_AExpr:
+		return s.inferOperator(e.AExpr, want)
+	case *pg.Node_BoolExpr:
+		for _, a := range e.BoolExpr.Args {
+			s.infer(a, pgtype.BoolOID)
+		}
+		return pgtype.BoolOID
+	case *pg.Node_NullTest:
+		s.infer(e.NullTest.Arg, 0)
+		return pgtype.BoolOID
+	case *pg.Node_CoalesceExpr:
+		for _, a := range e.CoalesceExpr.Args {
+			if t := s.infer(a, want); t != 0 && want == 0 {
+				want = t
+			}
+		}
+		return want
+	case *pg.Node_FuncCall:
+		return s.inferCall(e.FuncCall)
+	case *pg.Node_SqlvalueFunction:
+		return pgtype.TimestamptzOID
+	case *pg.Node_SubLink:
+		if e.SubLink.SubLinkType == pg.SubLinkType_EXISTS_SUBLINK {
+			if _, err := s.run.describeSelect(e.SubLink.Subselect.GetSelectStmt()); err != nil {
+				return 0
+			}
+			return pgtype.BoolOID
+		}
+		if fields, err := s.run.describeSelect(e.SubLink.Subselect.GetSelectStmt()); err == nil && len(fields) == 1 {
+			return fields[0].kind
+		}
+	}
+	return 0
+}
+
+func inferConstant(c *pg.A_Const, want oid) oid {
+	switch v, _ := constant(c); v.(type) {
+	case int64:
+		if c.GetIval() != nil || c.GetFval() == nil {
+			return pgtype.Int4OID
+		}
+		return pgtype.Int8OID
+	case float64:
+		return pgtype.Float8OID
+	case bool:
+		return pgtype.BoolOID
+	}
+	return want
+}
+
+func (s *scope) inferOperator(e *pg.A_Expr, want oid) oid {
+	operator := lastName(e.Name)
+	left := s.infer(e.Lexpr, 0)
+	var right oid
+	if list := e.Rexpr.GetList(); list != nil {
+		for _, item := range list.Items {
+			right = s.infer(item, left)
+		}
+	} else {
+		right = s.infer(e.Rexpr, left)
+	}
+	if left == 0 && right != 0 {
+		left = s.infer(e.Lexpr, right)
+	}
+	switch operator {
+	case "+", "-", "*", "/", "%":
+		if left == 0 && right == 0 && want != 0 {
+			s.infer(e.Lexpr, want)
+			return s.infer(e.Rexpr, want)
+		}
+		return max(left, right)
+	case "||":
+		s.infer(e.Lexpr, pgtype.TextOID)
+		s.infer(e.Rexpr, pgtype.TextOID)
+		return pgtype.TextOID
+	}
+	return pgtype.BoolOID
+}
+
+// functionTypes are the result types of functions whose arguments do not decide them.
+var functionTypes = map[string]oid{
+	"count": pgtype.Int8OID, "sum": pgtype.Int8OID, "length": pgtype.Int8OID, "abs": pgtype.Int8OID,
+	"group_terminate": pgtype.Int4OID, "pg_backend_pid": pgtype.Int4OID,
+	"now": pgtype.TimestamptzOID, "clock_timestamp": pgtype.TimestamptzOID,
+	"transaction_timestamp": pgtype.TimestamptzOID, "statement_timestamp": pgtype.TimestamptzOID,
+	"pg_is_in_recovery": pgtype.BoolOID,
+}
+
+// argumentTypes are the parameter types of functions with arguments other than text.
+var argumentTypes = map[string]oid{
+	"pg_sleep": pgtype.Float8OID, "abs": pgtype.Int8OID, "group_fence": pgtype.Int8OID,
+	"group_promote": pgtype.Int8OID, "group_follow": pgtype.Int8OID, "generate_series": pgtype.Int8OID,
+}
+
+func (s *scope) inferCall(f *pg.FuncCall) oid {
+	name := lastName(f.Funcname)
+	first := oid(0)
+	for i, a := range f.Args {
+		want := argumentTypes[name]
+		if want == 0 || (name == "group_follow" && i == 1) {
+			want = pgtype.TextOID
+		}
+		if t := s.infer(a, want); i == 0 {
+			first = t
+		}
+	}
+	switch name {
+	case "min", "max":
+		return first
+	case "sum":
+		if first == pgtype.Float8OID {
+			return first
+		}
+	}
+	if t, ok := functionTypes[name]; ok {
+		return t
+	}
+	return pgtype.TextOID
+}
+
+// parameter returns the type of parameter n and sets it if it is unknown.
+func (r *run) parameter(n int, want oid) oid {
+	for len(r.types) < n {
+		r.types = append(r.types, 0)
+	}
+	if r.types[n-1] == 0 {
+		r.types[n-1] = want
+	}
+	return r.types[n-1]
+}
--- /dev/null
+++ b/internal/standin/group.go
@@ -0,0 +1,319 @@
+package standin
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgtype"
+	pg "github.com/pganalyze/pg_query_go/v6"
+
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// followWait bounds the wait of group_follow for agreement with the primary. It only makes the answer
+// more telling; following goes on in the background.
+const followWait = 300 * time.Millisecond
+
+// Role is the part that an instance plays in its group.
+type Role string
+
+// Roles. A fenced instance neither writes nor follows; so is one that was told to follow a primary
+// with which it has not agreed yet.
+const (
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
+	RoleFenced  Role = "fenced"
+)
+
+// groupState is the log and the terms of an instance, guarded by Server.mu.
+type groupState struct {
+	role     Role
+	term     position.Term // led, or followed after agreement with its primary
+	promised position.Term // never falls
+	history  position.History
+	records  []Record // offsets 1, 2, ...
+	primary  string   // name of the primary's server
+	lead     leadership
+	follow   following
+}
+
+// leadership is the right to write in one term.
+type leadership struct {
+	term position.Term
+	lock chan struct{} // one writing transaction at a time
+	over chan struct{} // closed when the instance is fenced
+}
+
+// following is the order to follow a primary.
+type following struct {
+	term    position.Term
+	address string
+	cancel  context.CancelFunc
+	agreed  chan struct{} // closed once the log agrees with the primary's
+}
+
+func (g *groupState) offset() position.Offset {
+	return position.Offset(len(g.records))
+}
+
+// last returns the position of the last log record.
+func (g *groupState) last() position.Position {
+	if len(g.records) == 0 {
+		return position.Position{}
+	}
+	r := g.records[len(g.records)-1]
+	return position.Position{Term: r.Term, Offset: r.Offset}
+}
+
+func (g *groupState) append(r Record) {
+	g.records = append(g.records, r)
+}
+
+// stopLeading aborts the open transactions of a primary.
+func (g *groupState) stopLeading() {
+	if g.role == RolePrimary {
+		close(g.lead.over)
+		g.role = RoleFenced
+	}
+}
+
+func (g *groupState) stopFollowing() {
+	if g.follow.cancel != nil {
+		g.follow.cancel()
+	}
+	g.follow = following{}
+}
+
+// Status is what group_status reports.
+type Status struct {
+	Server      string
+	Group       string
+	Role        Role
+	Term        position.Term
+	LastTerm    position.Term
+	Offset      position.Offset
+	History     position.History
+	Primary     string
+	Promised    position.Term
+	Slots       int
+	Connections int
+}
+
+// Status returns the state of the instance.
+func (s *Server) Status() Status {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.status()
+}
+
+func (s *Server) status() Status {
+	g := &s.state
+	return Status{
+		Server: s.config.Server, Group: s.config.Group, Role: g.role, Term: g.term, LastTerm: g.last().Term,
+		Offset: g.offset(), History: append(position.History{}, g.history...), Primary: g.primary,
+		Promised: g.promised, Slots: s.config.Slots, Connections: s.config.Connections,
+	}
+}
+
+// leadership returns the right to write, or an error on an instance that is not primary.
+func (s *Server) leadership() (leadership, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.state.role != RolePrimary {
+		return leadership{}, fault(stateReadOnly, "cannot write on a %s instance", s.state.role)
+	}
+	return s.state.lead, nil
+}
+
+// Fence promises not to accept anything of terms below the given one.
+func (s *Server) Fence(term position.Term) (Status, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := &s.state
+	if g.promised > term {
+		return s.status(), promisedHigher(g.promised, term)
+	}
+	if g.promised == term && (g.term == term || g.follow.term == term) {
+		return s.status(), nil
+	}
+	g.promised = term
+	g.stopLeading()
+	g.stopFollowing()
+	g.role = RoleFenced
+	s.move()
+	s.log.WithField("term", term).Info("fenced")
+	return s.status(), nil
+}
+
+// Promote makes the instance primary of the term that it promised.
+func (s *Server) Promote(term position.Term) (Status, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := &s.state
+	if g.promised != term {
+		return s.status(), fault(stateWrongState, "the promise is to term %d, not %d", g.promised, term)
+	}
+	if g.role == RolePrimary && g.term == term {
+		return s.status(), nil
+	}
+	if g.term == term || g.follow.term == term {
+		return s.status(), fault(stateWrongState, "the instance follows another primary of term %d", term)
+	}
+	g.role, g.term, g.primary = RolePrimary, term, s.config.Server
+	g.history = append(g.history, position.Position{Term: term, Offset: g.offset()})
+	g.lead = leadership{term: term, lock: make(chan struct{}, 1), over: make(chan struct{})}
+	s.move()
+	s.log.WithField("term", term).WithField("offset", g.offset()).Info("promoted")
+	return s.status(), nil
+}
+
+// Follow makes the instance a replica of the primary at an address.
+func (s *Server) Follow(ctx context.Context, term position.Term, address string) (Status, error) {
+	agreed, err := s.follow(term, address)
+	if err != nil {
+		return s.Status(), err
+	}
+	timer := time.NewTimer(followWait)
+	defer timer.Stop()
+	select {
+	case <-agreed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return s.Status(), nil
+}
+
+func (s *Server) follow(term position.Term, address string) (<-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := &s.state
+	if term < g.promised {
+		return nil, promisedHigher(g.promised, term)
+	}
+	if g.role == RolePrimary && g.term == term {
+		return nil, fault(stateWrongState, "the instance is primary of term %d", term)
+	}
+	if g.follow.term == term && g.follow.address == address {
+		return g.follow.agreed, nil
+	}
+	g.promised = term
+	g.stopLeading()
+	g.stopFollowing()
+	if g.term != term {
+		g.role = RoleFenced
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	g.follow = following{term: term, address: address, cancel: cancel, agreed: make(chan struct{})}
+	f := g.follow
+	s.spawn(func() { s.pull(ctx, f) })
+	s.move()
+	s.log.WithField("term", term).WithField("primary", address).Info("following")
+	return f.agreed, nil
+}
+
+func promisedHigher(promised, term position.Term) error {
+	return fault(stateWrongState, "a promise to term %d is higher than term %d", promised, term)
+}
+
+// statusFields are the columns of group_status, group_fence, group_promote and group_follow.
+var statusFields = []column{
+	{name: "server", kind: pgtype.TextOID}, {name: "grp", kind: pgtype.TextOID}, {name: "role", kind: pgtype.TextOID},
+	{name: "term", kind: pgtype.Int8OID}, {name: "last_term", kind: pgtype.Int8OID}, {name: "pos", kind: pgtype.Int8OID},
+	{name: "history", kind: pgtype.TextOID}, {name: "primary_server", kind: pgtype.TextOID},
+	{name: "promised", kind: pgtype.Int8OID}, {name: "slots", kind: pgtype.Int4OID},
+	{name: "connections", kind: pgtype.Int4OID},
+}
+
+func (t Status) row() []Value {
+	return []Value{
+		t.Server, t.Group, string(t.Role), int64(t.Term), int64(t.LastTerm), int64(t.Offset), t.History.String(),
+		t.Primary, int64(t.Promised), int64(t.Slots), int64(t.Connections),
+	}
+}
+
+// fromFunction calls a function in FROM: a group function or generate_series.
+func (r *run) fromFunction(f *pg.RangeFunction, read bool) (*source, error) {
+	if len(f.Functions) != 1 {
+		return nil, unsupported("ROWS FROM")
+	}
+	call := f.Functions[0].GetList().Items[0].GetFuncCall()
+	name := lastName(call.GetFuncname())
+	t := &table{name: name, columns: statusFields}
+	if name == "generate_series" {
+		t.columns = []column{{name: "generate_series", kind: pgtype.Int8OID}}
+		if f.Alias != nil {
+			t.columns = []column{{name: f.Alias.Aliasname, kind: pgtype.Int8OID}}
+		}
+	} else if !groupFunctions[name] {
+		return nil, fault(stateNoFunction, "function %s does not exist", name)
+	}
+	s := &source{scope: scope{run: r, table: t, alias: f.Alias.GetAliasname()}}
+	outer := scope{run: r}
+	outer.inferCall(call)
+	if !read {
+		return s, nil
+	}
+	args := make([]Value, len(call.Args))
+	for i, a := range call.Args {
+		v, err := outer.eval(a)
+		if err != nil {
+			return nil, err
+		}
+		args[i] = v
+	}
+	if name == "generate_series" {
+		return s, s.series(args)
+	}
+	status, err := r.group(name, args)
+	s.rows = []row{{values: status.row()}}
+	return s, err
+}
+
+func (s *source) series(args []Value) error {
+	if len(args) != 2 {
+		return unsupported("generate_series with a step")
+	}
+	low, err := toInteger(args[0])
+	if err != nil {
+		return err
+	}
+	high, err := toInteger(args[1])
+	if err != nil {
+		return err
+	}
+	for i := low.(int64); i <= high.(int64); i++ {
+		s.rows = append(s.rows, row{values: []Value{i}})
+	}
+	return nil
+}
+
+// groupFunctions are the functions of the platform interface; they occupy no slot.
+var groupFunctions = map[string]bool{
+	"group_status": true, "group_fence": true, "group_promote": true, "group_follow": true, "group_terminate": true,
+}
+
+func (r *run) group(name string, args []Value) (Status, error) {
+	s := r.session.server
+	if name == "group_status" {
+		return s.Status(), nil
+	}
+	if len(args) == 0 || (name == "group_follow") != (len(args) == 2) {
+		return Status{}, fault(stateNoFunction, "wrong number of arguments of %s", name)
+	}
+	v, err := toInteger(args[0])
+	if err != nil {
+		return Status{}, err
+	}
+	n, ok := v.(int64)
+	if !ok || n < 1 {
+		return Status{}, fault(stateBadText, "the term must be positive")
+	}
+	term := position.Term(n)
+	switch name {
+	case "group_fence":
+		return s.Fence(term)
+	case "group_promote":
+		return s.Promote(term)
+	}
+	return s.Follow(r.ctx, term, text(args[1]))
+}
--- /dev/null
+++ b/internal/standin/hooks.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Hooks are switches that make an instance slow, late or unreachable. SQL callers set them with
+// SELECT standin_hook(name, value).
+type Hooks struct {
+	lag      atomic.Int64 // age of a record when it is applied
+	service  atomic.Int64 // time that a statement occupies a slot
+	delay    atomic.Int64 // pause before each message is handled
+	paused   atomic.Bool  // replication
+	isolated atomic.Bool  // no replication stream is opened
+
+	mu      sync.Mutex
+	streams map[net.Conn]bool
+}
+
+// hookPoll is the time between two looks at a switch that holds work back.
+const hookPoll = time.Millisecond
+
+func newHooks(c Config) *Hooks {
+	h := &Hooks{streams: map[net.Conn]bool{}}
+	h.SetLag(c.Lag)
+	h.SetService(c.Service)
+	return h
+}
+
+// SetLag sets the age that a record has when a replica applies it.
+func (h *Hooks) SetLag(d time.Duration) {
+	h.lag.Store(int64(d))
+}
+
+// SetService sets the time that a statement occupies a slot.
+func (h *Hooks) SetService(d time.Duration) {
+	h.service.Store(int64(d))
+}
+
+// SetDelay sets a pause before each message from a caller is handled.
+func (h *Hooks) SetDelay(d time.Duration) {
+	h.delay.Store(int64(d))
+}
+
+// Pause stops or resumes the application of records. The stream stays open.
+func (h *Hooks) Pause(on bool) {
+	h.paused.Store(on)
+}
+
+// Isolate closes the replication stream of a replica and opens none until it is switched off.
+func (h *Hooks) Isolate(on bool) {
+	h.isolated.Store(on)
+	if !on {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for c := range h.streams {
+		c.Close()
+	}
+}
+
+// track registers a stream until the returned function is called.
+func (h *Hooks) track(c net.Conn) func() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.streams[c] = true
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.streams, c)
+	}
+}
+
+// hold waits until a record of the given time may be applied.
+func (h *Hooks) hold(ctx context.Context, made time.Time) error {
+	for {
+		wait := time.Until(made.Add(time.Duration(h.lag.Load())))
+		if wait <= 0 && !h.paused.Load() {
+			return ctx.Err()
+		}
+		timer := time.NewTimer(min(max(wait, hookPoll), 10*hookPoll))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-timer.C:
+		}
+	}
+}
+
+// Cut closes every connection of callers.
+func (s *Server) Cut() {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for c := range s.sessions {
+		c.conn.Close()
+	}
+}
+
+// hook sets a switch by name.
+func (s *Server) hook(name, value string) error {
+	switch name {
+	case "pause", "isolate":
+		on, err := strconv.ParseBool(value)
+		if err != nil {
+			return badText(value, "boolean")
+		}
+		if name == "pause" {
+			s.hooks.Pause(on)
+			return nil
+		}
+		s.hooks.Isolate(on)
+		return nil
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil {
+		return badText(value, "duration")
+	}
+	switch name {
+	case "lag":
+		s.hooks.SetLag(d)
+	case "service":
+		s.hooks.SetService(d)
+	case "delay":
+		s.hooks.SetDelay(d)
+	default:
+		return fault(stateUnknownSetting, "unknown hook %q; use lag, service, delay, pause or isolate", name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,237 @@
+// Package standin is a small stand-in for a backend server of a replicated database group, with the
+// interface of docs/PLATFORM.md. It keeps everything in memory and runs one writing transaction at a
+// time. It serves tests, demonstrations and measurements.
+package standin
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// Config describes a stand-in.
+type Config struct {
+	Server      string
+	Group       string
+	Zone        string
+	Listen      string // IP:port; port 0 picks a free one
+	Announce    []string
+	Slots       int
+	Connections int
+	Open        time.Duration // time to open a connection
+	Service     time.Duration // time that a statement occupies a slot
+	Lag         time.Duration // age of a record when a replica applies it
+	User        string
+	Password    string // empty means trust
+}
+
+// Server is one instance. All methods are safe for concurrent use.
+type Server struct {
+	config   Config
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	work     sync.WaitGroup
+	slots    chan struct{}
+	hooks    *Hooks
+	log      log.Interface
+
+	mu       sync.RWMutex
+	state    groupState
+	tables   map[string]*table
+	moved    chan struct{} // closed and replaced when the reported position changes
+	sessions map[*session]bool
+	peers    map[net.Conn]bool // replication streams
+	count    int               // connections that count against the limit
+	nextPID  uint32
+}
+
+// Start listens and serves until Close or the end of ctx.
+func Start(ctx context.Context, c Config) (*Server, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", c.Listen)
+	if err != nil {
+		return nil, errors.WithHint(errors.Wrap(err, "standin: listen"), "choose a free IP:port on this VM")
+	}
+	s := &Server{
+		config: c, listener: l, slots: make(chan struct{}, c.Slots), hooks: newHooks(c),
+		tables: map[string]*table{}, moved: make(chan struct{}), sessions: map[*session]bool{}, peers: map[net.Conn]bool{},
+		log: log.WithField("server", c.Server),
+	}
+	s.state.role = RoleReplica
+	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	s.spawn(s.accept)
+	for _, address := range c.Announce {
+		s.spawn(func() { s.announce(address) })
+	}
+	s.spawn(func() {
+		<-s.ctx.Done()
+		s.shut()
+	})
+	return s, nil
+}
+
+// Address returns the address of the listener.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Hooks returns the switches for tests.
+func (s *Server) Hooks() *Hooks {
+	return s.hooks
+}
+
+// Close ends all connections and waits for the goroutines.
+func (s *Server) Close() {
+	s.cancel(fault(stateShutdown, "terminating connection due to administrator command"))
+	s.work.Wait()
+}
+
+// Wait returns after the end of the context given to Start, when all connections are closed.
+func (s *Server) Wait() {
+	<-s.ctx.Done()
+	s.work.Wait()
+}
+
+func (s *Server) spawn(f func()) {
+	s.work.Add(1)
+	go func() {
+		defer s.work.Done()
+		f()
+	}()
+}
+
+// shut closes the listener, the follower and every connection.
+func (s *Server) shut() {
+	if err := s.listener.Close(); err != nil {
+		s.log.WithError(err).Warn("closing the listener")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state.stopFollowing()
+	for c := range s.sessions {
+		c.conn.Close()
+	}
+	for c := range s.peers {
+		c.Close()
+	}
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.spawn(func() { s.serve(conn) })
+	}
+}
+
+// serve tells replication streams and PostgreSQL connections apart. A startup packet begins with a
+// zero byte, since its length is below 16 MB; a stream begins with streamMark.
+func (s *Server) serve(conn net.Conn) {
+	defer conn.Close()
+	stop := context.AfterFunc(s.ctx, func() { conn.Close() })
+	defer stop()
+	r := bufio.NewReader(conn)
+	first, err := r.Peek(1)
+	if err != nil {
+		return
+	}
+	if first[0] == streamMark {
+		s.feed(conn, r)
+		return
+	}
+	newSession(s, conn, r).serve()
+}
+
+// enter counts a connection. It refuses one above the limit.
+func (s *Server) enter(c *session) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.count >= s.config.Connections {
+		return fault(stateConnections, "sorry, too many clients already: the limit is %d", s.config.Connections)
+	}
+	s.count++
+	s.nextPID++
+	c.pid = s.nextPID
+	s.sessions[c] = true
+	return nil
+}
+
+func (s *Server) leave(c *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sessions[c] {
+		s.count--
+		delete(s.sessions, c)
+	}
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.count
+}
+
+// terminate closes the connections whose application name starts with prefix, except the caller's.
+func (s *Server) terminate(caller *session, prefix string) int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	n := 0
+	for c := range s.sessions {
+		if c != caller && strings.HasPrefix(c.application, prefix) {
+			c.cancel(fault(stateShutdown, "terminating connection due to administrator command"))
+			c.conn.Close()
+			n++
+		}
+	}
+	return n
+}
+
+// interrupt cancels the running statement of a session.
+func (s *Server) interrupt(pid uint32, secret []byte) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for c := range s.sessions {
+		if c.pid == pid && string(c.secret) == string(secret) {
+			c.interrupt()
+		}
+	}
+}
+
+// commit appends a record if the instance still leads the term.
+func (s *Server) commit(term position.Term, changes []Change) (position.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state.role != RolePrimary || s.state.term != term {
+		return position.Position{}, errFenced()
+	}
+	if err := s.apply(changes); err != nil {
+		return position.Position{}, err
+	}
+	s.state.append(Record{Term: term, Offset: s.state.offset() + 1, Time: time.Now(), Changes: changes})
+	s.move()
+	return position.Position{Term: term, Offset: s.state.offset()}, nil
+}
+
+// move wakes those who wait for a change of the position. The caller holds mu.
+func (s *Server) move() {
+	close(s.moved)
+	s.moved = make(chan struct{})
+}
+
+// at returns the reported position and a channel that closes when it changes.
+func (s *Server) at() (position.Position, <-chan struct{}) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return position.Position{Term: s.state.term, Offset: s.state.offset()}, s.moved
+}
--- /dev/null
+++ b/internal/standin/startup.go
@@ -0,0 +1,170 @@
+package standin
+
+import (
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+)
+
+const (
+	startupTimeout  = 5 * time.Second // bound of the whole login
+	scramMechanism  = "SCRAM-SHA-256"
+	scramIterations = 4096
+)
+
+// start performs the startup exchange. It returns false if the connection is to be closed.
+func (c *session) start() bool {
+	if err := c.conn.SetDeadline(time.Now().Add(startupTimeout)); err != nil {
+		return false
+	}
+	m, ok := c.startupMessage()
+	if !ok {
+		return false
+	}
+	if err := c.login(m); err != nil {
+		c.refuse(err)
+		return false
+	}
+	for _, p := range [][2]string{
+		{"server_version", "16.0"}, {"server_encoding", "UTF8"}, {"client_encoding", "UTF8"}, {"DateStyle", "ISO, MDY"},
+		{"IntervalStyle", "postgres"}, {"TimeZone", "UTC"}, {"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"}, {"is_superuser", "off"}, {"application_name", c.application},
+		{"session_authorization", c.user},
+	} {
+		c.out.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	c.out.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
+	if err := c.conn.SetDeadline(time.Time{}); err != nil {
+		return false
+	}
+	c.out.Lock()
+	defer c.out.Unlock()
+	return c.ready()
+}
+
+// refuse reports why the connection is closed.
+func (c *session) refuse(err error) {
+	c.out.Send(response(err, "FATAL"))
+	if err := c.out.Flush(); err != nil {
+		c.server.log.WithError(err).Debug("refusing a connection")
+	}
+}
+
+// startupMessage answers encryption requests and carries out cancel requests.
+func (c *session) startupMessage() (*pgproto3.StartupMessage, bool) {
+	for {
+		m, err := c.out.ReceiveStartupMessage()
+		if err != nil {
+			return nil, false
+		}
+		switch m := m.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := c.conn.Write([]byte{'N'}); err != nil {
+				return nil, false
+			}
+		case *pgproto3.CancelRequest:
+			c.server.interrupt(m.ProcessID, m.SecretKey)
+			return nil, false
+		case *pgproto3.StartupMessage:
+			return m, true
+		default:
+			return nil, false
+		}
+	}
+}
+
+func (c *session) login(m *pgproto3.StartupMessage) error {
+	c.user, c.database, c.application = m.Parameters["user"], m.Parameters["database"], m.Parameters["application_name"]
+	for name, value := range m.Parameters {
+		switch name {
+		case "user", "database", "options", "replication":
+		default:
+			c.settings[strings.ToLower(name)] = value
+		}
+	}
+	if err := c.server.enter(c); err != nil {
+		return err
+	}
+	if open := c.server.config.Open; open > 0 {
+		time.Sleep(open)
+	}
+	if c.server.config.Password != "" {
+		if err := c.authenticate(); err != nil {
+			return err
+		}
+	}
+	if c.server.config.User != "" && c.user != c.server.config.User {
+		return badPassword(c.user)
+	}
+	c.out.Send(&pgproto3.AuthenticationOk{})
+	return nil
+}
+
+// authenticate proves the password by SCRAM-SHA-256.
+func (c *session) authenticate() error {
+	c.out.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramMechanism}})
+	if err := c.expect(pgproto3.AuthTypeSASL); err != nil {
+		return err
+	}
+	m, err := c.out.Receive()
+	if err != nil {
+		return err
+	}
+	first, ok := m.(*pgproto3.SASLInitialResponse)
+	if !ok || first.AuthMechanism != scramMechanism {
+		return fault(stateBadProtocol, "the client did not choose %s", scramMechanism)
+	}
+	conversation, err := c.conversation()
+	if err != nil {
+		return err
+	}
+	challenge, err := conversation.Step(string(first.Data))
+	if err != nil {
+		return badPassword(c.user)
+	}
+	c.out.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	if err := c.expect(pgproto3.AuthTypeSASLContinue); err != nil {
+		return err
+	}
+	if m, err = c.out.Receive(); err != nil {
+		return err
+	}
+	proof, ok := m.(*pgproto3.SASLResponse)
+	if !ok {
+		return fault(stateBadProtocol, "unexpected message %T", m)
+	}
+	final, err := conversation.Step(string(proof.Data))
+	if err != nil || !conversation.Valid() {
+		return badPassword(c.user)
+	}
+	c.out.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	return nil
+}
+
+func (c *session) expect(kind uint32) error {
+	return errors.CombineErrors(c.out.SetAuthType(kind), c.out.Flush())
+}
+
+// conversation prepares the server side. The name in the exchange is ignored, as PostgreSQL does.
+func (c *session) conversation() (*scram.ServerConversation, error) {
+	client, err := scram.SHA256.NewClient("", c.server.config.Password, "")
+	if err != nil {
+		return nil, err
+	}
+	credentials, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(c.secret), Iters: scramIterations})
+	if err != nil {
+		return nil, err
+	}
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return credentials, nil })
+	if err != nil {
+		return nil, err
+	}
+	return server.NewConversation(), nil
+}
+
+func badPassword(user string) error {
+	return fault(stateBadPassword, "password authentication failed for user %q", user)
+}
--- /dev/null
+++ b/internal/standin/stream.go
@@ -0,0 +1,284 @@
+package standin
+
+import (
+	"context"
+	"encoding/gob"
+	"io"
+	"net"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// Replication stream: the replica sends streamMark and a request, then the primary sends a greeting
+// and batches of records, all as gob values.
+const (
+	streamMark    = 'R'
+	streamRetry   = 50 * time.Millisecond  // pause before another attempt to reach the primary
+	streamTimeout = 2 * time.Second        // longest silence of a primary, and bound of each step
+	streamBeat    = 300 * time.Millisecond // an empty batch keeps the stream alive
+	streamBatch   = 256                    // records per batch
+)
+
+func init() {
+	gob.Register(time.Time{})
+}
+
+// streamRequest asks a primary for records.
+type streamRequest struct {
+	Server string
+	Term   position.Term
+}
+
+// streamGreeting tells the primary's log. OK is false if the instance does not lead the term.
+type streamGreeting struct {
+	OK      bool
+	Server  string
+	History position.History
+	Offset  position.Offset
+}
+
+// streamStart names the last record that the replica holds.
+type streamStart struct {
+	Offset position.Offset
+}
+
+// streamRecords carries records; none is a heartbeat.
+type streamRecords struct {
+	Records []Record
+}
+
+// feed serves a replica until the instance no longer leads the term.
+func (s *Server) feed(conn net.Conn, r io.Reader) {
+	s.mu.Lock()
+	s.peers[conn] = true
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.peers, conn)
+		s.mu.Unlock()
+	}()
+	var mark [1]byte
+	if _, err := io.ReadFull(r, mark[:]); err != nil {
+		return
+	}
+	in, out := gob.NewDecoder(r), gob.NewEncoder(conn)
+	var q streamRequest
+	if err := in.Decode(&q); err != nil {
+		return
+	}
+	g := s.greeting(q.Term)
+	if err := out.Encode(g); err != nil || !g.OK {
+		return
+	}
+	var start streamStart
+	if err := in.Decode(&start); err != nil {
+		return
+	}
+	s.send(conn, out, q.Term, start.Offset)
+}
+
+func (s *Server) greeting(term position.Term) streamGreeting {
+	t := s.Status()
+	return streamGreeting{OK: t.Role == RolePrimary && t.Term == term, Server: t.Server, History: t.History, Offset: t.Offset}
+}
+
+// send passes on records after the given offset as they are committed.
+func (s *Server) send(conn net.Conn, out *gob.Encoder, term position.Term, after position.Offset) {
+	for {
+		records, moved, ok := s.since(term, after)
+		if !ok {
+			return
+		}
+		if len(records) == 0 {
+			timer := time.NewTimer(streamBeat)
+			select {
+			case <-moved:
+				timer.Stop()
+				continue
+			case <-timer.C:
+			case <-s.ctx.Done():
+				return
+			}
+		}
+		err := conn.SetWriteDeadline(time.Now().Add(streamTimeout))
+		if err != nil || out.Encode(streamRecords{records}) != nil {
+			return
+		}
+		after += position.Offset(len(records))
+	}
+}
+
+func (s *Server) since(term position.Term, after position.Offset) ([]Record, <-chan struct{}, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	g := &s.state
+	if g.role != RolePrimary || g.term != term || after > g.offset() {
+		return nil, nil, false
+	}
+	last := min(after+streamBatch, g.offset())
+	return g.records[after:last:last], s.moved, true
+}
+
+// pull follows a primary until the order is withdrawn.
+func (s *Server) pull(ctx context.Context, f following) {
+	for ctx.Err() == nil {
+		if err := s.attempt(ctx, f); err != nil {
+			s.log.WithError(err).WithField("primary", f.address).Debug("replication stream ended")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(streamRetry):
+		}
+	}
+}
+
+// attempt runs one replication stream.
+func (s *Server) attempt(ctx context.Context, f following) error {
+	if s.hooks.isolated.Load() {
+		return nil
+	}
+	d := net.Dialer{Timeout: streamTimeout}
+	conn, err := d.DialContext(ctx, "tcp", f.address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	release := s.hooks.track(conn)
+	defer release()
+	if err := conn.SetDeadline(time.Now().Add(streamTimeout)); err != nil {
+		return err
+	}
+	if _, err := conn.Write([]byte{streamMark}); err != nil {
+		return err
+	}
+	in, out := gob.NewDecoder(conn), gob.NewEncoder(conn)
+	if err := out.Encode(streamRequest{Server: s.config.Server, Term: f.term}); err != nil {
+		return err
+	}
+	var g streamGreeting
+	if err := in.Decode(&g); err != nil || !g.OK {
+		return err
+	}
+	after, ok := s.agree(ctx, f, g)
+	if !ok {
+		return nil
+	}
+	if err := out.Encode(streamStart{after}); err != nil {
+		return err
+	}
+	return s.receive(ctx, conn, in, g.History)
+}
+
+// receive applies records when they have the age that the settings ask for.
+func (s *Server) receive(ctx context.Context, conn net.Conn, in *gob.Decoder, history position.History) error {
+	for {
+		if err := conn.SetDeadline(time.Now().Add(streamTimeout)); err != nil {
+			return err
+		}
+		var batch streamRecords
+		if err := in.Decode(&batch); err != nil {
+			return err
+		}
+		for _, r := range batch.Records {
+			if err := s.hooks.hold(ctx, r.Time); err != nil {
+				return err
+			}
+			if !s.replicate(ctx, r, history) {
+				return nil
+			}
+		}
+	}
+}
+
+// agree cuts the log back to its common part with the primary's and adopts the term. It returns the
+// offset after which records are wanted.
+func (s *Server) agree(ctx context.Context, f following, g streamGreeting) (position.Offset, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		return 0, false
+	}
+	state := &s.state
+	common := commonPart(state.records, g.History, g.Offset)
+	if common < state.offset() {
+		s.log.WithField("offset", state.offset()).WithField("common", common).Info("dropping a superseded branch")
+		if err := s.cut(common); err != nil {
+			s.log.WithError(err).Error("rebuilding the tables")
+			return 0, false
+		}
+	}
+	state.role, state.term, state.primary = RoleReplica, f.term, g.Server
+	state.history = reached(g.History, state.offset())
+	select {
+	case <-f.agreed:
+	default:
+		close(f.agreed)
+	}
+	s.move()
+	return common, true
+}
+
+// commonPart returns the offset of the last record that a log shares with the primary's. Each term has
+// one primary, so records with equal term and offset are equal, and so are all before them.
+func commonPart(records []Record, history position.History, end position.Offset) position.Offset {
+	for o := min(position.Offset(len(records)), end); o > 0; o-- {
+		if records[o-1].Term == termAt(history, o) {
+			return o
+		}
+	}
+	return 0
+}
+
+// termAt returns the term of the record at an offset.
+func termAt(history position.History, o position.Offset) position.Term {
+	term := position.Term(0)
+	for _, start := range history {
+		if start.Offset < o {
+			term = start.Term
+		}
+	}
+	return term
+}
+
+// reached returns the terms that began at or before an offset.
+func reached(history position.History, o position.Offset) position.History {
+	var h position.History
+	for _, start := range history {
+		if start.Offset <= o {
+			h = append(h, start)
+		}
+	}
+	return h
+}
+
+// cut drops the records above an offset and rebuilds the tables. The caller holds mu.
+func (s *Server) cut(o position.Offset) error {
+	s.state.records = append([]Record{}, s.state.records[:o]...)
+	s.tables = map[string]*table{}
+	for _, r := range s.state.records {
+		if err := s.apply(r.Changes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replicate applies one record of the primary.
+func (s *Server) replicate(ctx context.Context, r Record, history position.History) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil || r.Offset != s.state.offset()+1 {
+		return false
+	}
+	if err := s.apply(r.Changes); err != nil {
+		s.log.WithError(err).Error("applying a record")
+		return false
+	}
+	s.state.append(r)
+	s.state.history = reached(history, r.Offset)
+	s.move()
+	return true
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,198 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgtype"
+	pg "github.com/pganalyze/pg_query_go/v6"
+)
+
+// column is one column of a table.
+type column struct {
+	name     string
+	kind     oid
+	required bool
+	serial   bool
+	standard *pg.Node // default expression, or nil
+}
+
+// table is the committed content of one table. It is guarded by Server.mu. Rows are never changed in
+// place, so a reader may keep them after it released the lock.
+type table struct {
+	name    string
+	columns []column
+	keys    [][]int            // columns of each unique key
+	rows    map[int64][]Value  // by row id
+	order   []int64            // row ids in order of insertion; may name deleted rows
+	index   []map[string]int64 // per key
+	next    int64              // next row id
+}
+
+// row is one row as seen by a statement.
+type row struct {
+	id     int64
+	values []Value
+}
+
+// newTable builds an empty table from its definition.
+func newTable(c *pg.CreateStmt) (*table, error) {
+	t := &table{name: c.Relation.Relname, rows: map[int64][]Value{}, next: 1}
+	for _, e := range c.TableElts {
+		switch n := e.Node.(type) {
+		case *pg.Node_ColumnDef:
+			if err := t.addColumn(n.ColumnDef); err != nil {
+				return nil, err
+			}
+		case *pg.Node_Constraint:
+			if err := t.addKey(n.Constraint); err != nil {
+				return nil, err
+			}
+		default:
+			return nil, unsupported("this table element")
+		}
+	}
+	for range t.keys {
+		t.index = append(t.index, map[string]int64{})
+	}
+	return t, nil
+}
+
+func (t *table) addColumn(d *pg.ColumnDef) error {
+	kind, err := typeOfName(d.TypeName)
+	if err != nil {
+		return err
+	}
+	c := column{name: d.Colname, kind: kind, serial: strings.HasSuffix(lastName(d.TypeName.Names), "serial")}
+	for _, n := range d.Constraints {
+		k := n.GetConstraint()
+		switch k.GetContype() {
+		case pg.ConstrType_CONSTR_NOTNULL:
+			c.required = true
+		case pg.ConstrType_CONSTR_DEFAULT:
+			c.standard = k.RawExpr
+		case pg.ConstrType_CONSTR_PRIMARY, pg.ConstrType_CONSTR_UNIQUE:
+			c.required = c.required || k.Contype == pg.ConstrType_CONSTR_PRIMARY
+			t.keys = append(t.keys, []int{len(t.columns)})
+		case pg.ConstrType_CONSTR_NULL:
+		default:
+			return unsupported("this column constraint")
+		}
+	}
+	t.columns = append(t.columns, c)
+	return nil
+}
+
+func (t *table) addKey(k *pg.Constraint) error {
+	if k.Contype != pg.ConstrType_CONSTR_PRIMARY && k.Contype != pg.ConstrType_CONSTR_UNIQUE {
+		return unsupported("this table constraint")
+	}
+	var key []int
+	for _, n := range k.Keys {
+		i, err := t.find(n.GetString_().GetSval())
+		if err != nil {
+			return err
+		}
+		if k.Contype == pg.ConstrType_CONSTR_PRIMARY {
+			t.columns[i].required = true
+		}
+		key = append(key, i)
+	}
+	t.keys = append(t.keys, key)
+	return nil
+}
+
+// find returns the number of a column.
+func (t *table) find(name string) (int, error) {
+	i := slices.IndexFunc(t.columns, func(c column) bool { return c.name == name })
+	if i < 0 {
+		return 0, fault(stateNoColumn, "column %q does not exist", name)
+	}
+	return i, nil
+}
+
+// put stores a row version.
+func (t *table) put(id int64, values []Value) {
+	old, ok := t.rows[id]
+	if ok {
+		t.unindex(old)
+	} else {
+		t.order = append(t.order, id)
+	}
+	t.rows[id] = values
+	t.next = max(t.next, id+1)
+	for k := range t.keys {
+		if text, ok := t.key(k, values); ok {
+			t.index[k][text] = id
+		}
+	}
+}
+
+// remove deletes a row.
+func (t *table) remove(id int64) {
+	t.unindex(t.rows[id])
+	delete(t.rows, id)
+	if len(t.order) > 2*len(t.rows)+64 {
+		t.order = slices.DeleteFunc(slices.Clone(t.order), func(id int64) bool {
+			_, ok := t.rows[id]
+			return !ok
+		})
+	}
+}
+
+func (t *table) unindex(values []Value) {
+	for k := range t.keys {
+		if text, ok := t.key(k, values); ok {
+			delete(t.index[k], text)
+		}
+	}
+}
+
+// key writes the values of unique key k. It reports false if one of them is null.
+func (t *table) key(k int, values []Value) (string, bool) {
+	if values == nil {
+		return "", false
+	}
+	var b strings.Builder
+	for _, c := range t.keys[k] {
+		if values[c] == nil {
+			return "", false
+		}
+		fmt.Fprintf(&b, "%q,", text(values[c]))
+	}
+	return b.String(), true
+}
+
+func typeOfName(n *pg.TypeName) (oid, error) {
+	name := lastName(n.Names)
+	if t, ok := typeNames[name]; ok && len(n.ArrayBounds) == 0 {
+		return t, nil
+	}
+	return 0, unsupported("type " + name)
+}
+
+func lastName(names []*pg.Node) string {
+	if len(names) == 0 {
+		return ""
+	}
+	return names[len(names)-1].GetString_().GetSval()
+}
+
+// field describes one column of a result.
+type field struct {
+	name string
+	kind oid
+}
+
+// result is what a statement returns.
+type result struct {
+	fields []field
+	rows   [][]Value
+	tag    string
+}
+
+// textField returns a result column of text.
+func textField(name string) field {
+	return field{name: name, kind: pgtype.TextOID}
+}
--- /dev/null
+++ b/internal/standin/value.go
@@ -0,0 +1,225 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgtype"
+)
+
+// Value is nil, int64, float64, string, bool or time.Time.
+type Value any
+
+// oid is a type of the PostgreSQL protocol.
+type oid = uint32
+
+// typeNames maps the names of the syntax tree to types.
+var typeNames = map[string]oid{
+	"int2": pgtype.Int4OID, "int4": pgtype.Int4OID, "serial": pgtype.Int4OID,
+	"int8": pgtype.Int8OID, "bigserial": pgtype.Int8OID,
+	"text": pgtype.TextOID, "varchar": pgtype.TextOID, "bpchar": pgtype.TextOID,
+	"bool": pgtype.BoolOID, "timestamptz": pgtype.TimestamptzOID, "float8": pgtype.Float8OID,
+}
+
+// timeLayouts are the accepted forms of a timestamptz.
+var timeLayouts = []string{
+	"2006-01-02 15:04:05.999999999Z07", "2006-01-02 15:04:05.999999999Z07:00", time.RFC3339Nano,
+	"2006-01-02 15:04:05.999999999", "2006-01-02",
+}
+
+// convert returns v as a value of the type.
+func convert(v Value, to oid) (Value, error) {
+	if v == nil {
+		return nil, nil
+	}
+	switch to {
+	case pgtype.Int4OID, pgtype.Int8OID:
+		return toInteger(v)
+	case pgtype.Float8OID:
+		return toFloat(v)
+	case pgtype.BoolOID:
+		return toBool(v)
+	case pgtype.TimestamptzOID:
+		return toTime(v)
+	}
+	return text(v), nil
+}
+
+func toInteger(v Value) (Value, error) {
+	switch v := v.(type) {
+	case int64:
+		return v, nil
+	case float64:
+		return int64(v), nil
+	case bool:
+		if v {
+			return int64(1), nil
+		}
+		return int64(0), nil
+	case string:
+		n, err := strconv.ParseInt(strings.TrimSpace(v), 10, 64)
+		if err == nil {
+			return n, nil
+		}
+	}
+	return nil, badText(v, "bigint")
+}
+
+func toFloat(v Value) (Value, error) {
+	switch v := v.(type) {
+	case int64:
+		return float64(v), nil
+	case float64:
+		return v, nil
+	case string:
+		f, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+		if err == nil {
+			return f, nil
+		}
+	}
+	return nil, badText(v, "double precision")
+}
+
+func toBool(v Value) (Value, error) {
+	switch v := v.(type) {
+	case bool:
+		return v, nil
+	case int64:
+		return v != 0, nil
+	case string:
+		switch strings.ToLower(strings.TrimSpace(v)) {
+		case "t", "true", "on", "yes", "1":
+			return true, nil
+		case "f", "false", "off", "no", "0":
+			return false, nil
+		}
+	}
+	return nil, badText(v, "boolean")
+}
+
+func toTime(v Value) (Value, error) {
+	switch v := v.(type) {
+	case time.Time:
+		return v, nil
+	case string:
+		for _, layout := range timeLayouts {
+			if t, err := time.Parse(layout, v); err == nil {
+				return t.UTC().Truncate(time.Microsecond), nil
+			}
+		}
+	}
+	return nil, badText(v, "timestamp with time zone")
+}
+
+func badText(v Value, kind string) error {
+	return fault(stateBadText, "invalid input syntax for type %s: %q", kind, text(v))
+}
+
+// text writes a value as PostgreSQL does in text results.
+func text(v Value) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case bool:
+		if v {
+			return "t"
+		}
+		return "f"
+	case time.Time:
+		return v.UTC().Format("2006-01-02 15:04:05.999999-07")
+	case float64:
+		return strconv.FormatFloat(v, 'g', -1, 64)
+	}
+	return fmt.Sprint(v)
+}
+
+// compare orders two values that are not nil. Differing types are brought to the more specific one.
+func compare(a, b Value) (int, error) {
+	a, b, err := align(a, b)
+	if err != nil {
+		return 0, err
+	}
+	switch a := a.(type) {
+	case int64:
+		return cmp.Compare(a, b.(int64)), nil
+	case float64:
+		return cmp.Compare(a, b.(float64)), nil
+	case string:
+		return cmp.Compare(a, b.(string)), nil
+	case time.Time:
+		return a.Compare(b.(time.Time)), nil
+	case bool:
+		x, y := int64(0), int64(0)
+		if a {
+			x = 1
+		}
+		if b.(bool) {
+			y = 1
+		}
+		return cmp.Compare(x, y), nil
+	}
+	return 0, unsupported(fmt.Sprintf("comparison of %T", a))
+}
+
+// align converts a text, or an integer beside a float, to the type of the other value.
+func align(a, b Value) (Value, Value, error) {
+	ta, tb := typeOfValue(a), typeOfValue(b)
+	if ta == tb {
+		return a, b, nil
+	}
+	to := ta
+	if ta == pgtype.TextOID || (ta == pgtype.Int8OID && tb == pgtype.Float8OID) {
+		to = tb
+	}
+	x, err := convert(a, to)
+	if err != nil {
+		return nil, nil, err
+	}
+	y, err := convert(b, to)
+	return x, y, err
+}
+
+func typeOfValue(v Value) oid {
+	switch v.(type) {
+	case int64:
+		return pgtype.Int8OID
+	case float64:
+		return pgtype.Float8OID
+	case bool:
+		return pgtype.BoolOID
+	case time.Time:
+		return pgtype.TimestamptzOID
+	}
+	return pgtype.TextOID
+}
+
+// normalize turns a decoded parameter into a Value.
+func normalize(v any) Value {
+	switch v := v.(type) {
+	case int16:
+		return int64(v)
+	case int32:
+		return int64(v)
+	case float32:
+		return float64(v)
+	case time.Time:
+		return v.UTC()
+	}
+	return v
+}
+
+// size returns the length of a fixed-size type, or -1.
+func size(t oid) int16 {
+	switch t {
+	case pgtype.BoolOID:
+		return 1
+	case pgtype.Int4OID:
+		return 4
+	case pgtype.Int8OID, pgtype.Float8OID, pgtype.TimestamptzOID:
+		return 8
+	}
+	return -1
+}
