--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -135,9 +135,6 @@
 
 // attempt runs one replication stream.
 func (s *Server) attempt(ctx context.Context, f following) error {
-	if s.hooks.isolated.Load() {
-		return nil
-	}
 	d := net.Dialer{Timeout: streamTimeout}
 	conn, err := d.DialContext(ctx, "tcp", f.address)
 	if err != nil {
@@ -148,6 +145,9 @@
 	defer stop()
 	release := s.hooks.track(conn)
 	defer release()
+	if s.hooks.isolated.Load() {
+		return nil
+	}
 	if err := conn.SetDeadline(time.Now().Add(streamTimeout)); err != nil {
 		return err
 	}
