Add the load tool with its audit

The measures M1 to M4 need a load that does not slow down with the server, so arrivals are a seeded Poisson process per account and latency counts from the due time. Each write has an id that is a primary key: a write that runs twice fails with 23505 and is reported. Reads look for the session's own last write or for the newest write that the stated age makes due.

Tests against a stand-in: a healthy run passes; a run whose rows are deleted behind its back reports lost writes, torn transactions and stale reads.

--- /dev/null
+++ b/internal/load/ledger.go
@@ -0,0 +1,158 @@
+package load
+
+import (
+	"sort"
+	"sync"
+	"time"
+)
+
+// Verdict is what the caller learned about a write.
+type Verdict uint8
+
+// Verdicts of a write.
+const (
+	Pending Verdict = iota
+	Acknowledged
+	NotRun
+	Unknown
+)
+
+// entry is one write that was sent.
+type entry struct {
+	session string
+	whole   bool
+	verdict Verdict
+}
+
+// acknowledged is a write with the time at which its acknowledgement arrived.
+type acknowledged struct {
+	id string
+	at time.Time
+}
+
+// ledger records the writes on one route and what must be visible. It is safe for concurrent use.
+type ledger struct {
+	mu     sync.Mutex
+	writes map[string]entry
+	acked  []acknowledged // in order of time
+	gap    time.Duration  // longest time without an acknowledgement
+	first  time.Time
+	last   time.Time
+}
+
+func newLedger() *ledger {
+	return &ledger{writes: map[string]entry{}}
+}
+
+// record notes the verdict on a write.
+func (l *ledger) record(now time.Time, id, session string, whole bool, v Verdict) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.writes[id] = entry{session, whole, v}
+	if v != Acknowledged {
+		return
+	}
+	if l.first.IsZero() {
+		l.first = now
+	} else {
+		l.gap = max(l.gap, now.Sub(l.last))
+	}
+	l.last = now
+	l.acked = append(l.acked, acknowledged{id, now})
+}
+
+// finish closes the last gap. A route whose writes all failed counts as one gap.
+func (l *ledger) finish(began, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.writes) == 0 {
+		return 0
+	}
+	if l.first.IsZero() {
+		return now.Sub(began)
+	}
+	return max(l.gap, l.first.Sub(began), now.Sub(l.last))
+}
+
+// due returns the newest write that was acknowledged before a time.
+func (l *ledger) due(before time.Time) (string, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := sort.Search(len(l.acked), func(i int) bool { return !l.acked[i].at.Before(before) })
+	if i == 0 {
+		return "", false
+	}
+	return l.acked[i-1].id, true
+}
+
+// Audit is the result of comparing the database with what callers were told.
+type Audit struct {
+	Acknowledged int      `json:"acknowledged"` // writes
+	Unknown      int      `json:"unknown"`      // writes whose outcome callers do not know
+	Lost         []string `json:"lost"`         // acknowledged but absent
+	Invented     []string `json:"invented"`     // reported as not run but present
+	Doubled      []string `json:"doubled"`      // ran twice
+	Torn         []string `json:"torn"`         // sessions whose counter disagrees with their transactions
+	StaleOwn     []string `json:"stale_own"`    // reads that missed the session's own write
+	StaleAge     []string `json:"stale_age"`    // reads that missed a write older than the stated age
+	Unaudited    []string `json:"unaudited"`    // routes whose content could not be read at the end
+}
+
+// Passed reports whether nothing was violated.
+func (a *Audit) Passed() bool {
+	return len(a.Lost)+len(a.Invented)+len(a.Doubled)+len(a.Torn)+len(a.StaleOwn)+len(a.StaleAge)+len(a.Unaudited) == 0
+}
+
+// add joins two audits.
+func (a *Audit) add(b Audit) {
+	a.Acknowledged += b.Acknowledged
+	a.Unknown += b.Unknown
+	a.Lost = append(a.Lost, b.Lost...)
+	a.Invented = append(a.Invented, b.Invented...)
+	a.Doubled = append(a.Doubled, b.Doubled...)
+	a.Torn = append(a.Torn, b.Torn...)
+	a.StaleOwn = append(a.StaleOwn, b.StaleOwn...)
+	a.StaleAge = append(a.StaleAge, b.StaleAge...)
+	a.Unaudited = append(a.Unaudited, b.Unaudited...)
+}
+
+// compare checks the ledger against the rows found at the end: how often each id is present, and the
+// counter of each session, which each explicit transaction raises by one.
+func (l *ledger) compare(present map[string]int, counters map[string]int) Audit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var a Audit
+	whole := map[string]int{}
+	for id, e := range l.writes {
+		n := present[id]
+		if e.whole {
+			whole[e.session] += n
+		}
+		switch e.verdict {
+		case Acknowledged:
+			a.Acknowledged++
+			if n == 0 {
+				a.Lost = append(a.Lost, id)
+			}
+		case NotRun:
+			if n > 0 {
+				a.Invented = append(a.Invented, id)
+			}
+		default:
+			a.Unknown++
+		}
+		if n > 1 {
+			a.Doubled = append(a.Doubled, id)
+		}
+	}
+	for session, n := range counters {
+		if whole[session] != n {
+			a.Torn = append(a.Torn, session)
+		}
+	}
+	sort.Strings(a.Lost)
+	sort.Strings(a.Invented)
+	sort.Strings(a.Doubled)
+	sort.Strings(a.Torn)
+	return a
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,191 @@
+package load_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/load"
+	"fireflyrudder.example/fireflyrudder/internal/standin"
+)
+
+// primary runs a stand-in that is primary of term 1.
+func primary(t *testing.T) *standin.Server {
+	t.Helper()
+	s, err := standin.Start(t.Context(), standin.Config{Server: "a", Group: "g", Listen: "127.0.0.1:0", Slots: 3, Connections: 24})
+	require.NoError(t, err)
+	t.Cleanup(s.Close)
+	_, err = s.Fence(1)
+	require.NoError(t, err)
+	_, err = s.Promote(1)
+	require.NoError(t, err)
+	return s
+}
+
+func workload() *load.Workload {
+	account := func(name string, rate, send float64, ages ...time.Duration) load.Account {
+		return load.Account{Name: name, User: name, Routes: []string{"main"}, Rate: rate, Send: send, Writes: 0.5, Ages: ages, Sessions: 3}
+	}
+	return &load.Workload{
+		Name: "test", Duration: 2 * time.Second, Seed: 7, Limit: 5000, Deadline: 5 * time.Second, Roam: 300 * time.Millisecond, Tokens: 0.5,
+		Accounts: []load.Account{account("one", 60, 0.8, 0, time.Second), account("two", 20, 5, 0)},
+	}
+}
+
+// Guards against a tool that reports findings where there are none, or that cannot drive a server.
+func TestRunAgainstPrimary(t *testing.T) {
+	s := primary(t)
+	r, err := load.Run(t.Context(), workload(), []string{s.Address()})
+	require.NoError(t, err)
+	require.True(t, r.Passed, "%+v", r.Audit)
+	require.Positive(t, r.Audit.Acknowledged)
+	require.Zero(t, r.Audit.Unknown)
+	require.Equal(t, 1.0, r.Unknown, "a plain server does not say who served a read")
+	for _, a := range r.Accounts {
+		require.Equal(t, a.Sent, a.Done, a.Name)
+	}
+	require.True(t, r.Accounts[1].Over)
+	require.Empty(t, r.Wrongful)
+	var b strings.Builder
+	r.Write(&b)
+	require.Contains(t, b.String(), "audit passed")
+}
+
+// Guards against an audit that overlooks a lost write, a partly applied transaction and stale reads.
+func TestRunFindsViolations(t *testing.T) {
+	s := primary(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	tampered := make(chan error, 1)
+	go func() { tampered <- tamper(ctx, s) }()
+	r, err := load.Run(t.Context(), workload(), []string{s.Address()})
+	cancel()
+	require.NoError(t, err)
+	require.NoError(t, <-tampered)
+	require.False(t, r.Passed)
+	require.NotEmpty(t, r.Audit.Lost)
+	require.NotEmpty(t, r.Audit.Torn)
+	require.NotEmpty(t, r.Audit.StaleOwn)
+	require.NotEmpty(t, r.Audit.StaleAge)
+}
+
+// tamper deletes writes behind the back of the load tool.
+func tamper(ctx context.Context, s *standin.Server) error {
+	c, err := pgx.Connect(ctx, "postgres://x@"+s.Address()+"/main?sslmode=disable")
+	if err != nil {
+		return err
+	}
+	defer c.Close(context.Background())
+	for ctx.Err() == nil {
+		if _, err := c.Exec(ctx, "DELETE FROM load_write"); err != nil && ctx.Err() == nil {
+			var p *pgconn.PgError
+			if !errors.As(err, &p) || p.Code != "42P01" {
+				return err
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
+
+// Guards against arrivals that depend on anything but the seed, and against accounts that disturb each other.
+func TestScheduleIsSeeded(t *testing.T) {
+	a, b := workload(), workload()
+	require.Equal(t, a.Arrivals(&a.Accounts[0]), b.Arrivals(&b.Accounts[0]))
+	b.Seed++
+	require.NotEqual(t, a.Arrivals(&a.Accounts[0]), b.Arrivals(&b.Accounts[0]))
+	a.Limit = 10
+	require.LessOrEqual(t, len(a.Arrivals(&a.Accounts[0]))+len(a.Arrivals(&a.Accounts[1])), 10)
+}
+
+// Guards against a wrong verdict of the ledger in each of its cases.
+func TestLedger(t *testing.T) {
+	l := load.NewLedger()
+	t0 := time.Unix(1000, 0)
+	l.Record(t0.Add(1*time.Second), "a", "s", false, load.Acknowledged)
+	l.Record(t0.Add(2*time.Second), "b", "s", true, load.Acknowledged)
+	l.Record(t0.Add(5*time.Second), "c", "s", true, load.Unknown)
+	l.Record(t0.Add(6*time.Second), "d", "s", false, load.NotRun)
+	l.Record(t0.Add(7*time.Second), "e", "s", true, load.Acknowledged)
+	require.Equal(t, 5*time.Second, l.Finish(t0, t0.Add(8*time.Second)))
+	require.Equal(t, 9*time.Second, l.Finish(t0, t0.Add(16*time.Second)), "the end of the run closes the last gap")
+	id, ok := l.Due(t0.Add(2 * time.Second))
+	require.True(t, ok)
+	require.Equal(t, "a", id)
+	_, ok = l.Due(t0)
+	require.False(t, ok)
+
+	good := map[string]int{"a": 1, "b": 1, "c": 1, "e": 1}
+	audit := l.Compare(good, map[string]int{"s": 3})
+	require.True(t, audit.Passed())
+	require.Equal(t, 3, audit.Acknowledged)
+	require.Equal(t, 1, audit.Unknown)
+	bad := l.Compare(map[string]int{"b": 2, "d": 1, "e": 1}, map[string]int{"s": 2})
+	require.Equal(t, []string{"a"}, bad.Lost)
+	require.Equal(t, []string{"d"}, bad.Invented)
+	require.Equal(t, []string{"b"}, bad.Doubled)
+	require.Equal(t, []string{"s"}, bad.Torn)
+}
+
+// Guards against an error of unknown outcome that is counted as not run, which would hide doubled writes.
+func TestVerdicts(t *testing.T) {
+	state := func(code string) error { return errors.Wrap(&pgconn.PgError{Code: code}, "exec") }
+	require.Equal(t, load.Acknowledged, load.VerdictOf(nil))
+	for _, code := range []string{"FR001", "FR005", "25006", "23505"} {
+		require.Equal(t, load.NotRun, load.VerdictOf(state(code)), code)
+	}
+	for _, code := range []string{"08007", "57P01", "08006"} {
+		require.Equal(t, load.Unknown, load.VerdictOf(state(code)), code)
+	}
+	require.Equal(t, load.Unknown, load.VerdictOf(errors.New("connection reset")))
+	require.Equal(t, "FR002", load.StateOf(state("FR002")))
+}
+
+// Guards against measures that count accounts above their rate as served badly or refused wrongfully.
+func TestMeasures(t *testing.T) {
+	r := load.Report{Accounts: []load.AccountReport{
+		{Name: "a", Sent: 100, Goodput: 1, P99: 9, Served: map[load.Served]int{load.ServedReplica: 90, load.ServedPrimary: 10}},
+		{Name: "b", Sent: 100, Goodput: 0.5, Refusals: map[string]int{"FR005": 2}, Served: map[load.Served]int{load.ServedUnknown: 100}},
+		{Name: "c", Sent: 900, Goodput: 0.1, Over: true, Refusals: map[string]int{"FR002": 800}},
+	}}
+	r.Summarize()
+	require.InDelta(t, 0.9, r.Replica, 1e-9)
+	require.InDelta(t, 0.5, r.Unknown, 1e-9)
+	require.Equal(t, "b", r.Worst)
+	require.InDelta(t, 0.9, r.Jain, 1e-9)
+	require.Equal(t, map[string]int{"FR005": 2}, r.Wrongful)
+	require.InDelta(t, 0.01, r.Share, 1e-9)
+}
+
+// Guards against workload files that are misread in silence.
+func TestRead(t *testing.T) {
+	for _, name := range []string{"cascadia", "vinokrug"} {
+		w, err := load.Read("../../examples/" + name + "/workload.ini")
+		require.NoError(t, err)
+		require.Equal(t, name, w.Name)
+		require.Len(t, w.Accounts, 8)
+		require.Len(t, w.Accounts[0].Routes, 3)
+	}
+	for text, problem := range map[string]string{
+		"[workload]\nduratoin = 3s":                               "duratoin",
+		"[workload]\nduration = 3":                                "duration",
+		"[workload]\nduration = 11m\n[account a]\nroutes = r":     "duration",
+		"[workload]\n[account a]\nroutes = r\nages = soon":        "ages",
+		"[workload]\n[account a]\nrate = 5":                       "account a",
+		"[workload]\n[acount a]\nrate = 5":                        "acount",
+		"[workload]\n[account a]\nroutes = r\nsessions = 1000000": "sessions",
+	} {
+		file := filepath.Join(t.TempDir(), "w.ini")
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		_, err := load.Read(file)
+		require.ErrorContains(t, err, problem)
+		require.NotEmpty(t, errors.GetAllHints(err), "the error names a remedy")
+	}
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,133 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Report is the result of a run with the four measures of the design page.
+type Report struct {
+	Workload string          `json:"workload"`
+	Seed     uint64          `json:"seed"`
+	Lasted   time.Duration   `json:"lasted"`   // nanoseconds
+	Replica  float64         `json:"replica"`  // M1: share of reads served by replicas, of those whose server is known
+	Unknown  float64         `json:"unknown"`  // M1: share of reads whose server is unknown
+	Gap      time.Duration   `json:"gap"`      // M2: longest time without an acknowledged write, worst route; nanoseconds
+	Worst    string          `json:"worst"`    // M3: within-rate account with the least goodput, then the highest p99
+	Jain     float64         `json:"jain"`     // M3: Jain index of goodput over the accounts within their rate
+	Wrongful map[string]int  `json:"wrongful"` // M4: refusals of accounts within their rate, by SQLSTATE
+	Share    float64         `json:"share"`    // M4: the same as a share of the requests of those accounts
+	Accounts []AccountReport `json:"accounts"`
+	Audit    Audit           `json:"audit"`
+	Passed   bool            `json:"passed"` // the audit found nothing
+}
+
+// summarize computes the measures from the accounts.
+func (r *Report) summarize() {
+	served := map[Served]int{}
+	r.Wrongful = map[string]int{}
+	var shares []float64
+	sent, refused := 0, 0
+	var worst *AccountReport
+	for i := range r.Accounts {
+		a := &r.Accounts[i]
+		for s, n := range a.Served {
+			served[s] += n
+		}
+		if a.Over {
+			continue
+		}
+		shares = append(shares, a.Goodput)
+		sent += a.Sent
+		for state, n := range a.Refusals {
+			r.Wrongful[state] += n
+			refused += n
+		}
+		if worst == nil || a.Goodput < worst.Goodput || (a.Goodput == worst.Goodput && a.P99 > worst.P99) {
+			worst = a
+		}
+	}
+	if worst != nil {
+		r.Worst = worst.Name
+	}
+	r.Replica = ratio(served[ServedReplica], served[ServedReplica]+served[ServedPrimary])
+	r.Unknown = ratio(served[ServedUnknown], served[ServedReplica]+served[ServedPrimary]+served[ServedUnknown])
+	r.Share = ratio(refused, sent)
+	r.Jain = jain(shares)
+	r.Passed = r.Audit.Passed()
+}
+
+func ratio(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+// jain is 1 when all shares are equal and 1/n when one has everything.
+func jain(shares []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, s := range shares {
+		sum += s
+		squares += s * s
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (float64(len(shares)) * squares)
+}
+
+// Write writes the readable form.
+func (r *Report) Write(w io.Writer) {
+	fmt.Fprintf(w, "workload %s, seed %d, %s\n", r.Workload, r.Seed, r.Lasted.Round(time.Millisecond))
+	fmt.Fprintf(w, "M1 reads served by replicas  %.1f%% (server unknown for %.1f%% of reads)\n", 100*r.Replica, 100*r.Unknown)
+	fmt.Fprintf(w, "M2 longest write gap         %s\n", r.Gap.Round(time.Millisecond))
+	fmt.Fprintf(w, "M3 worst-served account      %s, Jain index %.4f\n", r.Worst, r.Jain)
+	fmt.Fprintf(w, "M4 refused within rate       %.3f%%%s\n", 100*r.Share, states(r.Wrongful))
+	fmt.Fprintf(w, "%-16s %7s %7s %7s %8s %9s %9s  %s\n", "account", "sent", "due", "done", "goodput", "p50 ms", "p99 ms", "other")
+	for _, a := range r.Accounts {
+		other := strings.TrimSpace(states(a.Refusals))
+		if a.Unknown > 0 {
+			other += fmt.Sprintf(" unknown=%d", a.Unknown)
+		}
+		if a.Expired > 0 {
+			other += fmt.Sprintf(" expired=%d", a.Expired)
+		}
+		fmt.Fprintf(w, "%-16s %7d %7d %7d %7.2f%% %9.2f %9.2f  %s\n", a.Name, a.Sent, a.Due, a.Done, 100*a.Goodput, a.P50, a.P99, other)
+	}
+	r.Audit.write(w)
+}
+
+// write lists the findings, at most a few of each kind.
+func (a *Audit) write(w io.Writer) {
+	verdict := "passed"
+	if !a.Passed() {
+		verdict = "FAILED"
+	}
+	fmt.Fprintf(w, "audit %s: %d writes acknowledged, %d unknown\n", verdict, a.Acknowledged, a.Unknown)
+	const most = 5
+	for _, f := range []struct {
+		name string
+		ids  []string
+	}{
+		{"acknowledged but lost", a.Lost}, {"reported as not run but present", a.Invented}, {"run twice", a.Doubled},
+		{"transaction applied in part", a.Torn}, {"own write not read", a.StaleOwn},
+		{"stated age not kept", a.StaleAge}, {"not audited", a.Unaudited},
+	} {
+		if len(f.ids) > 0 {
+			fmt.Fprintf(w, "  %s: %d, such as %s\n", f.name, len(f.ids), strings.Join(f.ids[:min(most, len(f.ids))], "; "))
+		}
+	}
+}
+
+func states(m map[string]int) string {
+	var b strings.Builder
+	for _, s := range slices.Sorted(maps.Keys(m)) {
+		fmt.Fprintf(&b, " %s=%d", s, m[s])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/load/tally.go
@@ -0,0 +1,112 @@
+package load
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Latencies are recorded in microseconds from 1 µs to 2 min with two digits.
+const (
+	latencyMost   = int64(2 * time.Minute / time.Microsecond)
+	latencyDigits = 2
+)
+
+// Served tells who answered a read.
+type Served string
+
+// Values of the parameter status fireflyrudder.served.
+const (
+	ServedReplica Served = "replica"
+	ServedPrimary Served = "primary"
+	ServedUnknown Served = "unknown"
+)
+
+// tally counts the results of one account. It is safe for concurrent use.
+type tally struct {
+	mu       sync.Mutex
+	latency  *hdrhistogram.Histogram
+	due      int
+	done     int
+	unknown  int
+	expired  int // waited longer than the deadline in the load tool
+	refusals map[string]int
+	served   map[Served]int
+}
+
+func newTally(due int) *tally {
+	return &tally{
+		latency: hdrhistogram.New(1, latencyMost, latencyDigits), due: due,
+		refusals: map[string]int{}, served: map[Served]int{},
+	}
+}
+
+// success counts a request that was done, with the time since it was due.
+func (t *tally) success(latency time.Duration, served Served) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.done++
+	if served != "" {
+		t.served[served]++
+	}
+	// A value above the range cannot occur: the deadline is below it.
+	_ = t.latency.RecordValue(min(max(latency.Microseconds(), 1), latencyMost))
+}
+
+func (t *tally) refuse(state string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refusals[state]++
+}
+
+func (t *tally) lose() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.unknown++
+}
+
+func (t *tally) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expired++
+}
+
+// AccountReport is the result of one account.
+type AccountReport struct {
+	Name     string         `json:"name"`
+	Over     bool           `json:"over"`     // sends more than its rate
+	Sent     int            `json:"sent"`     // requests of the open loop
+	Due      int            `json:"due"`      // sent, or what the rate allows if that is less
+	Done     int            `json:"done"`     //
+	Unknown  int            `json:"unknown"`  // writes with an unknown outcome
+	Expired  int            `json:"expired"`  // given up in the load tool at the deadline
+	Goodput  float64        `json:"goodput"`  // done / due, at most 1
+	P50      float64        `json:"p50"`      // milliseconds since due
+	P99      float64        `json:"p99"`      //
+	Refusals map[string]int `json:"refusals"` // by SQLSTATE
+	Served   map[Served]int `json:"served"`   // reads
+}
+
+func (t *tally) report(a *Account, lasted time.Duration) AccountReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	due := t.due
+	if allowed := int(a.Rate * lasted.Seconds()); a.Over() && allowed < due {
+		due = allowed
+	}
+	r := AccountReport{
+		Name: a.Name, Over: a.Over(), Sent: t.due, Due: due, Done: t.done, Unknown: t.unknown, Expired: t.expired,
+		P50: milliseconds(t.latency.ValueAtQuantile(50)), P99: milliseconds(t.latency.ValueAtQuantile(99)),
+		Refusals: maps.Clone(t.refusals), Served: maps.Clone(t.served), Goodput: 1,
+	}
+	if due > 0 {
+		r.Goodput = min(1, float64(t.done)/float64(due))
+	}
+	return r
+}
+
+func milliseconds(us int64) float64 {
+	return float64(us) / 1000
+}
--- /dev/null
+++ b/internal/load/workload.go
@@ -0,0 +1,192 @@
+package load
+
+import (
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gopkg.in/ini.v1"
+)
+
+// Bounds of every run, so that a mistyped workload cannot exhaust the machine.
+const (
+	maxDuration    = 10 * time.Minute
+	maxRequests    = 500_000
+	maxConnections = 400
+)
+
+// Workload describes a run.
+type Workload struct {
+	Name     string
+	Duration time.Duration
+	Seed     uint64
+	Limit    int           // most requests of a run
+	Deadline time.Duration // a request that waited longer is given up
+	Roam     time.Duration // mean time after which a session reconnects to another address; 0 means never
+	Tokens   float64       // share of reconnections that hand over the session token
+	Requests bool          // writes carry a request id and are resent after an unknown outcome
+	Accounts []Account
+}
+
+// Account is one client account as callers use it.
+type Account struct {
+	Name     string
+	User     string // user name of the startup packet
+	Password string
+	Routes   []string // database names; sessions are spread over them
+	Rate     float64  // contracted requests per second
+	Send     float64  // requests sent, as a multiple of Rate
+	Writes   float64  // share of writes
+	Ages     []time.Duration
+	Sessions int // connections
+}
+
+// Over reports whether the account sends more than its rate.
+func (a *Account) Over() bool {
+	return a.Send > 1
+}
+
+// Keys of the INI file.
+var (
+	workloadKeys = []string{"name", "duration", "seed", "limit", "deadline", "roam", "tokens", "requests"}
+	accountKeys  = []string{"user", "password", "password-file", "routes", "rate", "send", "writes", "ages", "sessions"}
+)
+
+// accountPrefix begins the name of an account's section.
+const accountPrefix = "account "
+
+// Read reads a workload file and checks it.
+func Read(file string) (*Workload, error) {
+	f, err := ini.LoadSources(ini.LoadOptions{}, file)
+	if err != nil {
+		return nil, errors.WithHint(errors.Wrap(err, "load: workload"), "name an INI file such as examples/cascadia/workload.ini")
+	}
+	r := &reader{}
+	w := r.workload(f)
+	for _, s := range f.Sections() {
+		switch {
+		case s.Name() == "workload", s.Name() == ini.DefaultSection && len(s.Keys()) == 0:
+		case strings.HasPrefix(s.Name(), accountPrefix):
+			w.Accounts = append(w.Accounts, r.account(s))
+		default:
+			r.fail(s, "", "is unknown", "use [workload] and [account NAME]")
+		}
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	return w, w.Check()
+}
+
+// Check returns an error that names the remedy if a value is out of bounds.
+func (w *Workload) Check() error {
+	connections := 0
+	for _, a := range w.Accounts {
+		connections += a.Sessions
+		if a.Rate <= 0 || a.Send <= 0 || a.Writes < 0 || a.Writes > 1 || a.Sessions < 1 || len(a.Routes) == 0 || len(a.Ages) == 0 {
+			return refuse("[account "+a.Name+"]", "give rate and send above 0, writes from 0 to 1, at least one session, route and age")
+		}
+	}
+	switch {
+	case len(w.Accounts) == 0:
+		return refuse("workload without accounts", "add a section [account NAME]")
+	case w.Duration <= 0 || w.Duration > maxDuration:
+		return refuse("duration", "give a duration up to "+maxDuration.String())
+	case w.Limit < 1 || w.Limit > maxRequests:
+		return refuse("limit", "give from 1 to 500000 requests")
+	case connections > maxConnections:
+		return refuse("sessions", "give at most 400 sessions over all accounts")
+	case w.Deadline <= 0 || w.Tokens < 0 || w.Tokens > 1 || w.Roam < 0:
+		return refuse("deadline, tokens or roam", "give a positive deadline, tokens from 0 to 1 and a roam time of at least 0s")
+	}
+	return nil
+}
+
+func refuse(what, remedy string) error {
+	return errors.WithHint(errors.Newf("load: %s is not valid", what), remedy)
+}
+
+// reader collects the first error of an INI file.
+type reader struct {
+	err error
+}
+
+func (r *reader) fail(s *ini.Section, key, problem, remedy string) {
+	if r.err == nil {
+		r.err = errors.WithHint(errors.Newf("load: [%s] %s %s", s.Name(), key, problem), remedy)
+	}
+}
+
+func (r *reader) known(s *ini.Section, keys []string) {
+	for _, k := range s.KeyStrings() {
+		if !slices.Contains(keys, k) {
+			r.fail(s, k, "is unknown", "use one of "+strings.Join(keys, ", "))
+		}
+	}
+}
+
+// value parses a key, or returns the standard value if it is absent.
+func value[T any](r *reader, s *ini.Section, key string, standard T, parse func(*ini.Key) (T, error), remedy string) T {
+	if !s.HasKey(key) {
+		return standard
+	}
+	v, err := parse(s.Key(key))
+	if err != nil {
+		r.fail(s, key, "is malformed: "+err.Error(), remedy)
+	}
+	return v
+}
+
+func (r *reader) workload(f *ini.File) *Workload {
+	s := f.Section("workload")
+	r.known(s, workloadKeys)
+	return &Workload{
+		Name:     s.Key("name").MustString("workload"),
+		Duration: value(r, s, "duration", 10*time.Second, (*ini.Key).Duration, "give a duration such as 30s"),
+		Seed:     value(r, s, "seed", 1, (*ini.Key).Uint64, "give a whole number"),
+		Limit:    value(r, s, "limit", 100_000, (*ini.Key).Int, "give a whole number"),
+		Deadline: value(r, s, "deadline", 10*time.Second, (*ini.Key).Duration, "give a duration such as 10s"),
+		Roam:     value(r, s, "roam", 0, (*ini.Key).Duration, "give a duration such as 5s"),
+		Tokens:   value(r, s, "tokens", 0.5, (*ini.Key).Float64, "give a share such as 0.5"),
+		Requests: value(r, s, "requests", false, (*ini.Key).Bool, "give true or false"),
+	}
+}
+
+func (r *reader) account(s *ini.Section) Account {
+	r.known(s, accountKeys)
+	name := strings.TrimSpace(strings.TrimPrefix(s.Name(), accountPrefix))
+	a := Account{
+		Name:     name,
+		User:     s.Key("user").MustString(name),
+		Password: s.Key("password").String(),
+		Routes:   list(s.Key("routes")),
+		Rate:     value(r, s, "rate", 1, (*ini.Key).Float64, "give requests per second"),
+		Send:     value(r, s, "send", 1, (*ini.Key).Float64, "give a multiple of the rate, such as 5"),
+		Writes:   value(r, s, "writes", 0.2, (*ini.Key).Float64, "give a share such as 0.2"),
+		Sessions: value(r, s, "sessions", 4, (*ini.Key).Int, "give a whole number"),
+	}
+	if file := s.Key("password-file").String(); file != "" {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			r.fail(s, "password-file", err.Error(), "name a file that this process can read")
+		}
+		a.Password = strings.TrimRight(string(text), "\r\n")
+	}
+	for _, text := range list(s.Key("ages")) {
+		age, err := time.ParseDuration(text)
+		if err != nil || age < 0 {
+			r.fail(s, "ages", "is malformed", "give durations such as 0s,2s")
+		}
+		a.Ages = append(a.Ages, age)
+	}
+	if len(a.Ages) == 0 {
+		a.Ages = []time.Duration{0}
+	}
+	return a
+}
+
+func list(k *ini.Key) []string {
+	return k.Strings(",")
+}
