load: tell cut connections from addresses that refuse

A planned stop must cut no request, so a connection that breaks during a statement is counted apart from one that cannot be opened. 57P01 counts as not run: the proxy reports unknown outcomes as 08007 only, and the audit then finds a write that was refused with 57P01 and yet ran.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -25,8 +25,9 @@
 const (
 	reconnectPause = 20 * time.Millisecond // mean pause before another address is tried
 	connectTimeout = 3 * time.Second
-	resends        = 5 // of a write with an unknown outcome, with the same request id
-	stateNoConnect = "no connection"
+	resends        = 5               // of a write with an unknown outcome, with the same request id
+	stateNoConnect = "no connection" // no address answered before the deadline
+	stateCut       = "cut"           // the connection broke during a statement
 	stateUnique    = "23505"
 )
 
@@ -71,7 +72,11 @@
 		c.address++
 	}
 	if err := c.connect(ctx); err != nil {
-		c.tally.refuse(stateOf(err))
+		state := stateOf(err)
+		if state == stateCut {
+			state = stateNoConnect
+		}
+		c.tally.refuse(state)
 		return
 	}
 	if a.write {
@@ -289,7 +294,7 @@
 }
 
 // verdict tells what an error says about a write. An error of a statement means that it was rolled
-// back, except in class 08 (connection exception) and class 57 (operator intervention).
+// back, except in class 08 (connection exception).
 func verdict(err error) Verdict {
 	var b *before
 	var p *pgconn.PgError
@@ -298,7 +303,7 @@
 		return Acknowledged
 	case errors.As(err, &b), pgconn.SafeToRetry(err):
 		return NotRun
-	case errors.As(err, &p) && !strings.HasPrefix(p.Code, "08") && !strings.HasPrefix(p.Code, "57"):
+	case errors.As(err, &p) && !strings.HasPrefix(p.Code, "08"):
 		return NotRun
 	}
 	return Unknown
@@ -315,5 +320,5 @@
 	case errors.Is(err, context.DeadlineExceeded):
 		return "deadline"
 	}
-	return stateNoConnect
+	return stateCut
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -138,10 +138,10 @@
 func TestVerdicts(t *testing.T) {
 	state := func(code string) error { return errors.Wrap(&pgconn.PgError{Code: code}, "exec") }
 	require.Equal(t, load.Acknowledged, load.VerdictOf(nil))
-	for _, code := range []string{"FR001", "FR005", "25006", "23505"} {
+	for _, code := range []string{"FR001", "FR005", "25006", "23505", "57P01"} {
 		require.Equal(t, load.NotRun, load.VerdictOf(state(code)), code)
 	}
-	for _, code := range []string{"08007", "57P01", "08006"} {
+	for _, code := range []string{"08007", "08006"} {
 		require.Equal(t, load.Unknown, load.VerdictOf(state(code)), code)
 	}
 	require.Equal(t, load.Unknown, load.VerdictOf(errors.New("connection reset")))
