--- /dev/null
+++ b/internal/statement/cache.go
@@ -0,0 +1,48 @@
+package statement
+
+import (
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+// maxCached is the longest text kept, in bytes. It bounds the memory of a cache to its size times
+// a few times this length; longer texts are bulk statements that seldom repeat.
+const maxCached = 8 << 10
+
+// Cache keeps the classifications of recent texts. It is safe for concurrent use.
+type Cache struct {
+	entries *lru.Cache[string, entry]
+}
+
+// entry is what Classify returned. Syntax errors are kept as well, so that a caller that repeats a
+// broken text does not cost a parse each time.
+type entry struct {
+	statement *Statement
+	err       error
+}
+
+// NewCache returns a cache of the given number of texts, at least one.
+func NewCache(size int) *Cache {
+	entries, err := lru.New[string, entry](max(size, 1))
+	if err != nil {
+		panic(err) // only a size below one is refused
+	}
+	return &Cache{entries: entries}
+}
+
+// Classify returns what the function Classify returns. The statement is shared and must not be
+// changed. A hit allocates nothing.
+func (c *Cache) Classify(sql string) (*Statement, error) {
+	if e, ok := c.entries.Get(sql); ok {
+		return e.statement, e.err
+	}
+	s, err := Classify(sql)
+	if len(sql) <= maxCached {
+		c.entries.Add(sql, entry{statement: &s, err: err})
+	}
+	return &s, err
+}
+
+// Len returns the number of texts kept.
+func (c *Cache) Len() int {
+	return c.entries.Len()
+}
--- /dev/null
+++ b/internal/statement/limits.go
@@ -0,0 +1,94 @@
+package statement
+
+import (
+	"strings"
+	"unicode/utf8"
+
+	pg "github.com/pganalyze/pg_query_go/v6"
+)
+
+// Limits of a text. The parser writes its tree by recursion in C without a check of the stack: a
+// chain such as 1+1+1 of 100,000 operators ended the process with a segmentation fault.
+const (
+	// MaxLength is the longest text that is parsed, in bytes.
+	MaxLength = 1 << 20
+	// MaxDepth is the longest chain of operators and keywords in a text longer than flatLength.
+	MaxDepth = 4000
+	// flatLength is the longest text parsed without a look at its chains, in bytes. A link of a chain
+	// takes at least two bytes; 20,000 links were parsed without a fault on an 8 MiB stack.
+	flatLength = 16 << 10
+)
+
+// outsideLimits says why a text must not be handed to the parser.
+func outsideLimits(sql string) string {
+	switch {
+	case len(sql) > MaxLength:
+		return "the statement is longer than 1 MiB"
+	case strings.IndexByte(sql, 0) >= 0:
+		// The parser would stop at the zero byte and a backend server might not.
+		return "the statement contains a zero byte"
+	case !utf8.ValidString(sql):
+		return "the statement is not valid UTF-8"
+	case len(sql) > flatLength && tooDeep(sql):
+		return "the statement is too deeply nested"
+	}
+	return ""
+}
+
+// tooDeep bounds the depth of the tree from the tokens alone, which the parser scans without
+// recursion. A text that cannot be scanned is left to the parser, which reports the error.
+func tooDeep(sql string) bool {
+	scan, err := pg.Scan(sql)
+	if err != nil {
+		return false
+	}
+	var d depth
+	for _, token := range scan.Tokens {
+		d.add(token)
+		if d.now > MaxDepth {
+			return true
+		}
+	}
+	return false
+}
+
+// depth follows an upper bound of the depth of the tree along the tokens.
+type depth struct {
+	now    int   // links of the open chains on all levels
+	level  int   // links of the chain on the innermost level
+	levels []int // links on the levels around it
+}
+
+func (d *depth) add(token *pg.ScanToken) {
+	switch token.Token {
+	case pg.Token_ASCII_40, pg.Token_ASCII_91: // ( [
+		d.levels = append(d.levels, d.level)
+		d.level = 0
+		d.count()
+	case pg.Token_ASCII_41, pg.Token_ASCII_93: // ) ]
+		d.now -= d.level
+		d.level = 0
+		if n := len(d.levels); n > 0 {
+			d.level = d.levels[n-1]
+			d.levels = d.levels[:n-1]
+		}
+	case pg.Token_ASCII_44: // a comma ends the expressions of its level
+		d.now -= d.level
+		d.level = 0
+	case pg.Token_ASCII_59: // ; ends the statement
+		*d = depth{levels: d.levels[:0]}
+	case pg.Token_UNION, pg.Token_INTERSECT, pg.Token_EXCEPT:
+		// A chain of set operations goes on across commas, so its links are never taken back.
+		d.now++
+	case pg.Token_AND, pg.Token_OR, pg.Token_IDENT, pg.Token_ICONST, pg.Token_FCONST, pg.Token_SCONST,
+		pg.Token_BCONST, pg.Token_XCONST, pg.Token_PARAM, pg.Token_ASCII_46, pg.Token_SQL_COMMENT, pg.Token_C_COMMENT:
+		// The parser flattens AND and OR; the others are no links.
+	default:
+		d.count()
+	}
+}
+
+func (d *depth) count() {
+	d.level++
+	d.now++
+}
