controllog: let one of two candidates give way

Of two pre-candidates the one with the lower identity now goes on, and pauses without a leader in sight are shorter.

--- a/internal/controllog/election.go
+++ b/internal/controllog/election.go
@@ -12,6 +12,12 @@
 	v.deadline = now.Add(ElectionLeast + time.Duration(v.random.Int64N(span)))
 }
 
+// pause sets the next time to stand for election when nothing points to a leader: between least
+// and twice that.
+func (v *Voter) pause(now time.Time, least time.Duration) {
+	v.deadline = now.Add(least + time.Duration(v.random.Int64N(int64(least))))
+}
+
 // follow enters a term as a follower. An equal term keeps the vote.
 func (v *Voter) follow(now time.Time, term uint64, leader string) {
 	if v.role == Leader {
@@ -39,7 +45,7 @@
 	if !v.isVoter() {
 		return
 	}
-	v.deadline = now.Add(PollAgain + time.Duration(v.random.Int64N(int64(PollAgain))))
+	v.pause(now, PollAgain)
 	v.role = PreCandidate
 	v.leader = ""
 	v.votes = map[Identity]bool{v.id: true}
@@ -73,7 +79,7 @@
 	switch v.role {
 	case PreCandidate:
 		v.role = Candidate
-		v.rest(now)
+		v.pause(now, BallotAgain)
 		v.saveVote(v.term+1, v.id)
 		v.verified, v.owed = 0, nil
 		v.votes = map[Identity]bool{v.id: true}
@@ -96,7 +102,11 @@
 	}
 	upToDate := b.LastTerm > v.log.lastTerm() || (b.LastTerm == v.log.lastTerm() && b.Last >= v.log.last())
 	if b.Trial {
-		v.answer(m, b, upToDate && b.Term > v.term)
+		granted := upToDate && b.Term > v.term
+		if granted {
+			v.giveWay(now, Identity(m.From))
+		}
+		v.answer(m, b, granted)
 		return
 	}
 	if b.Term > v.term {
@@ -110,6 +120,18 @@
 	v.answer(m, b, granted)
 }
 
+// giveWay lets another candidate go first, so that two that stand at the same time do not split
+// the votes. Of two pre-candidates the one with the lower identity goes on.
+func (v *Voter) giveWay(now time.Time, candidate Identity) {
+	switch {
+	case v.role == Follower && v.deadline.Before(now.Add(PollAgain)):
+		v.pause(now, PollAgain)
+	case v.role == PreCandidate && candidate < v.id:
+		v.role, v.votes = Follower, nil
+		v.pause(now, PollAgain)
+	}
+}
+
 func (v *Voter) answer(m *wire.VoterMessage, b *wire.Ballot, granted bool) {
 	r := &wire.BallotReply{Trial: b.Trial, Term: b.Term, Granted: granted}
 	v.send(m.Address, m.From, &wire.VoterMessage{Body: &wire.VoterMessage_BallotReply{BallotReply: r}})
--- a/internal/controllog/event.go
+++ b/internal/controllog/event.go
@@ -62,7 +62,8 @@
 type Commit struct{ Records []*wire.LogRecord }
 
 // Compact asks for a snapshot of the state as of Index, which the shell has just applied. Rest are
-// the records after it. The shell answers with Compacted before any other event.
+// the records after it; they become durable with it. The shell answers with Compacted before any
+// other event.
 type Compact struct {
 	Index, Term uint64
 	Membership  *wire.Membership
@@ -108,6 +109,7 @@
 	ElectionLeast   = 600 * time.Millisecond
 	ElectionMost    = 900 * time.Millisecond
 	LeaderLease     = 495 * time.Millisecond // 500 ms less the 1% by which clocks may drift
+	BallotAgain     = 200 * time.Millisecond // least pause after an election without a winner; above twice the round trip of zones
 	HelloEvery      = 500 * time.Millisecond
 	Lonely          = 2 * time.Second        // silence of the leader after which a member introduces itself again
 	ReplaceAfter    = 30 * time.Second       // silence after which a spare replaces a voter
