controllog: count records as durable that a compaction wrote

A follower that compacted its log in the same step in which it appended records never learned that these were durable: the compaction flushed them, and no Synced event followed. It then owed its reply until the next change and counted as silent. Ruled out: a Synced event after each flush, since every shell would have to remember it.

--- /dev/null
+++ b/internal/controllog/cluster_test.go
@@ -0,0 +1,354 @@
+package controllog_test
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"fireflyrudder.example/fireflyrudder/internal/controllog"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+const step = 10 * time.Millisecond
+
+// machine is a VM of the simulated group: what its data folder holds survives a crash.
+type machine struct {
+	place    controllog.Place
+	speed    float64 // of its clock
+	id       controllog.Identity
+	durable  controllog.State
+	voter    *controllog.Voter // nil while crashed
+	frozen   time.Duration     // until this time
+	inbox    []*wire.VoterMessage
+	pending  [][]*wire.LogRecord // appended, not synced
+	outgoing []controllog.Send
+	applied  uint64
+	digest   string          // of everything applied
+	cutoff   bool            // no message passes
+	deaf     map[string]bool // addresses whose messages do not arrive
+}
+
+// letter is a message under way.
+type letter struct {
+	due     time.Duration
+	address string
+	message *wire.VoterMessage
+}
+
+// cluster runs machines in simulated time and checks what must always hold.
+type cluster struct {
+	t        require.TestingT
+	random   *rand.Rand
+	elapsed  time.Duration
+	machines []*machine
+	letters  []letter
+	loss     float64
+	repeat   float64
+	delay    time.Duration // most
+	crashing float64       // chance of a crash before a sync
+	digests  map[uint64]string
+	records  map[uint64]*wire.LogRecord
+	highest  uint64
+	leaders  map[uint64]controllog.Identity // by term
+	made     int                            // identities and entries made
+}
+
+func newCluster(t require.TestingT, seed uint64, voters, spares int) *cluster {
+	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), delay: 10 * time.Millisecond}
+	c.digests, c.records = map[uint64]string{}, map[uint64]*wire.LogRecord{}
+	c.leaders = map[uint64]controllog.Identity{}
+	var peers []string
+	for i := range voters {
+		peers = append(peers, fmt.Sprint("vm", i))
+	}
+	for i := range voters + spares {
+		m := &machine{speed: 0.995 + 0.01*c.random.Float64()}
+		m.place = controllog.Place{Address: fmt.Sprint("vm", i), Peers: peers, Spare: i >= voters, Compact: 20}
+		c.machines = append(c.machines, m)
+		c.format(m)
+		c.boot(m)
+	}
+	return c
+}
+
+// now is the time on a machine's clock.
+func (c *cluster) now(m *machine) time.Time {
+	return epoch.Add(time.Duration(float64(c.elapsed) * m.speed))
+}
+
+// format empties a data folder.
+func (c *cluster) format(m *machine) {
+	c.made++
+	m.id = controllog.Identity(fmt.Sprintf("id%03d", c.made))
+	m.durable = controllog.State{}
+}
+
+// boot starts a crashed machine from its data folder.
+func (c *cluster) boot(m *machine) {
+	if m.voter != nil {
+		return
+	}
+	m.applied, m.digest = 0, ""
+	if s := m.durable.Snapshot; s != nil {
+		m.applied, m.digest = s.Index, s.Book.Configuration.Change
+	}
+	random := rand.New(rand.NewPCG(c.random.Uint64(), 2))
+	m.voter = controllog.New(c.now(m), m.id, m.place, random, m.durable)
+}
+
+// crash stops a machine. What was not synced is lost.
+func (c *cluster) crash(m *machine) {
+	m.voter, m.inbox, m.pending, m.outgoing, m.frozen = nil, nil, nil, nil, 0
+}
+
+// handle hands an event to a machine and performs the effects as a shell does.
+func (c *cluster) handle(m *machine, e controllog.Event) {
+	if m.voter == nil {
+		return
+	}
+	c.perform(m, e)
+	if len(m.pending) > 0 && c.random.Float64() < c.crashing {
+		c.crash(m)
+		return
+	}
+	for len(m.pending) > 0 {
+		last := c.sync(m)
+		c.perform(m, controllog.Synced{Index: last.Index, Term: last.Term})
+	}
+	for _, s := range m.outgoing {
+		c.post(m, s)
+	}
+	m.outgoing = nil
+}
+
+func (c *cluster) perform(m *machine, e controllog.Event) {
+	for _, effect := range m.voter.Step(c.now(m), e) {
+		switch e := effect.(type) {
+		case controllog.Send:
+			if e.Message.GetAppend() != nil {
+				c.post(m, e)
+			} else {
+				m.outgoing = append(m.outgoing, e)
+			}
+		case controllog.SaveVote:
+			require.GreaterOrEqual(c.t, e.Term, m.durable.Term, "a term never decreases")
+			if e.Term == m.durable.Term && m.durable.Vote != "" {
+				require.Equal(c.t, m.durable.Vote, e.Vote, "one vote per term")
+			}
+			m.durable.Term, m.durable.Vote = e.Term, e.Vote
+		case controllog.Append:
+			m.pending = append(m.pending, e.Records)
+		case controllog.Commit:
+			c.commit(m, e.Records)
+		case controllog.Compact:
+			c.sync(m)
+			book := &wire.Book{Configuration: &wire.Configuration{Change: m.digest}}
+			s := &wire.VoterSnapshot{Index: e.Index, Term: e.Term, Membership: e.Membership, Book: book}
+			require.Equal(c.t, m.applied, e.Index)
+			m.durable.Snapshot, m.durable.Records = s, slices.Clone(e.Rest)
+			c.perform(m, controllog.Compacted{Snapshot: s})
+		case controllog.Install:
+			c.sync(m)
+			m.durable.Snapshot, m.durable.Records = e.Snapshot, slices.Clone(e.Rest)
+			m.applied, m.digest = e.Snapshot.Index, e.Snapshot.Book.Configuration.Change
+			require.Equal(c.t, c.digests[m.applied], m.digest, "a snapshot holds what was committed")
+			c.perform(m, controllog.Installed{Snapshot: e.Snapshot})
+		}
+	}
+}
+
+// sync makes pending records durable and returns the last one.
+func (c *cluster) sync(m *machine) *wire.LogRecord {
+	var last *wire.LogRecord
+	for _, batch := range m.pending {
+		for _, r := range batch {
+			at := r.Index - m.durable.Snapshot.GetIndex() - 1
+			require.LessOrEqual(c.t, at, uint64(len(m.durable.Records)), "no gap on disk")
+			m.durable.Records = append(m.durable.Records[:at:at], r)
+			last = r
+		}
+	}
+	m.pending = nil
+	return last
+}
+
+// commit checks that all machines commit the same records.
+func (c *cluster) commit(m *machine, records []*wire.LogRecord) {
+	for _, r := range records {
+		require.Equal(c.t, m.applied+1, r.Index, "commits have no gap")
+		if known := c.records[r.Index]; known != nil {
+			require.True(c.t, proto.Equal(known, r), "index %d: %v and %v", r.Index, known, r)
+		}
+		c.records[r.Index] = r
+		h := fnv.New64a()
+		fmt.Fprint(h, m.digest, r.Index, r.Term, r.GetEntry().GetForget())
+		m.applied, m.digest = r.Index, fmt.Sprint(h.Sum64())
+		c.digests[r.Index] = m.digest
+		c.highest = max(c.highest, r.Index)
+	}
+}
+
+// post sends a message over the simulated network.
+func (c *cluster) post(from *machine, s controllog.Send) {
+	copies := 1
+	if c.random.Float64() < c.repeat {
+		copies = 2
+	}
+	for range copies {
+		if from.cutoff || c.random.Float64() < c.loss {
+			continue
+		}
+		due := c.elapsed + time.Duration(c.random.Int64N(int64(c.delay)))
+		c.letters = append(c.letters, letter{due, s.Address, proto.CloneOf(s.Message)})
+	}
+}
+
+// run lets time pass.
+func (c *cluster) run(span time.Duration) {
+	for end := c.elapsed + span; c.elapsed < end; {
+		c.elapsed += step
+		c.deliver()
+		for _, m := range c.machines {
+			if m.voter == nil || c.elapsed < m.frozen {
+				continue
+			}
+			inbox := m.inbox
+			m.inbox = nil
+			for _, l := range inbox {
+				c.handle(m, controllog.Received{Message: l})
+			}
+			c.handle(m, controllog.Tick{})
+		}
+		c.check()
+	}
+}
+
+// deliver puts the messages that are due into inboxes.
+func (c *cluster) deliver() {
+	due := c.letters
+	c.letters = nil
+	sort.SliceStable(due, func(i, j int) bool { return due[i].due < due[j].due })
+	for _, l := range due {
+		if l.due > c.elapsed {
+			c.letters = append(c.letters, l)
+			continue
+		}
+		for _, m := range c.machines {
+			if m.place.Address == l.address && m.voter != nil && !m.cutoff && !m.deaf[l.message.Address] {
+				m.inbox = append(m.inbox, l.message)
+			}
+		}
+	}
+}
+
+// check looks for two leaders of one term, two lease holders and a lease holder with an older state.
+func (c *cluster) check() {
+	var holders []controllog.Identity
+	for _, m := range c.machines {
+		if m.voter != nil && m.voter.Role() == controllog.Leader {
+			term := m.voter.Term()
+			if first, ok := c.leaders[term]; ok {
+				require.Equal(c.t, first, m.id, "two leaders of term %d", term)
+			}
+			c.leaders[term] = m.id
+		}
+		if m.voter == nil || !m.voter.Lease(c.now(m)) {
+			continue
+		}
+		holders = append(holders, m.id)
+		require.GreaterOrEqual(c.t, m.voter.Committed(), c.highest, "lease holder %s does not know everything committed:\n%s", m.id, c)
+	}
+	require.LessOrEqual(c.t, len(holders), 1, "two lease holders: %v", holders)
+}
+
+// propose offers an entry to every machine that takes it.
+func (c *cluster) propose() {
+	c.made++
+	e := &wire.Entry{Entry: &wire.Entry_Forget{Forget: fmt.Sprint(c.made)}}
+	for _, m := range c.machines {
+		if c.elapsed >= m.frozen {
+			c.handle(m, controllog.Proposed{Tag: uint64(c.made), Entry: e})
+		}
+	}
+}
+
+// sever cuts the link between two machines.
+func (c *cluster) sever(a, b *machine) {
+	for _, pair := range [][2]*machine{{a, b}, {b, a}} {
+		if pair[0].deaf == nil {
+			pair[0].deaf = map[string]bool{}
+		}
+		pair[0].deaf[pair[1].place.Address] = true
+	}
+}
+
+// heal ends all faults.
+func (c *cluster) heal() {
+	c.loss, c.repeat, c.crashing, c.delay = 0, 0, 0, 10*time.Millisecond
+	for _, m := range c.machines {
+		m.cutoff, m.frozen, m.deaf = false, 0, nil
+		c.boot(m)
+	}
+}
+
+// leader returns the machine that holds the lease, or nil.
+func (c *cluster) leader() *machine {
+	for _, m := range c.machines {
+		if m.voter != nil && m.voter.Lease(c.now(m)) {
+			return m
+		}
+	}
+	return nil
+}
+
+// until lets time pass until done, and fails if it takes longer than limit.
+func (c *cluster) until(limit time.Duration, what string, done func() bool) {
+	for end := c.elapsed + limit; !done(); {
+		require.Less(c.t, c.elapsed, end, "%s takes longer than %s:\n%s", what, limit, c)
+		c.run(step)
+	}
+}
+
+// whole reports whether the intended number of voters answers, and everybody holds everything and
+// nothing that is not committed, such as a promotion of a learner.
+func (c *cluster) whole() bool {
+	l := c.leader()
+	if l == nil {
+		return false
+	}
+	voters := 0
+	for _, s := range l.voter.Members(c.now(l)) {
+		alive := slices.ContainsFunc(c.machines, func(m *machine) bool { return m.voter != nil && string(m.id) == s.Identity })
+		if !alive {
+			continue
+		}
+		if s.Matched != c.highest {
+			return false
+		}
+		if s.Role != "learner" {
+			voters++
+		}
+	}
+	return voters == int(l.voter.Membership().Voters)
+}
+
+// String writes the state of all machines for a failed check.
+func (c *cluster) String() string {
+	var out string
+	for _, m := range c.machines {
+		out += fmt.Sprintf("%s %s: ", m.place.Address, m.id)
+		if v := m.voter; v != nil {
+			out += fmt.Sprintf("%s term %d committed %d members %v", v.Role(), v.Term(), v.Committed(), v.Members(c.now(m)))
+		}
+		out += "\n"
+	}
+	return out
+}
--- a/internal/controllog/replication.go
+++ b/internal/controllog/replication.go
@@ -249,6 +249,7 @@
 		v.compacted = index
 		term, _ := v.log.term(index)
 		rest := v.log.between(index+1, v.log.last())
+		v.resting = Synced{v.log.last(), v.log.lastTerm()}
 		v.emit(Compact{index, term, v.log.membershipAt(index), rest})
 	}
 }
@@ -266,6 +267,12 @@
 	v.emit(Install{s.Snapshot, v.log.rest(s.Snapshot)})
 }
 
+// compactionDone notes a durable snapshot. The records behind it became durable with it.
+func (v *Voter) compactionDone(s *wire.VoterSnapshot) {
+	v.log.compact(s, min(KeptRecords, v.place.Compact/2))
+	v.sync(v.resting)
+}
+
 // installed continues from a durable snapshot.
 func (v *Voter) installed(s *wire.VoterSnapshot) {
 	if s.Index <= v.commit {
@@ -273,7 +280,7 @@
 	}
 	v.log.reset(s)
 	v.commit, v.compacted = s.Index, s.Index
-	v.synced = min(max(v.synced, s.Index), v.log.last())
+	v.synced = v.log.last()
 	v.verified = max(v.verified, s.Index)
 	if v.owed != nil {
 		v.reply(v.owed.address, v.owed.to, &wire.AppendReply{Matched: min(v.verified, v.synced), Sent: v.owed.sent})
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -72,6 +72,7 @@
 	forming   map[string]*wire.VoterMessage // founder: latest HelloReply by address
 	known     []string                      // leader addresses learned from Hello replies
 	compacted uint64                        // index at which a snapshot was last asked for
+	resting   Synced                        // last record handed over with that snapshot
 
 	led       time.Time // leader: when the term of office began
 	beat      time.Time // leader: when heartbeats were last sent
@@ -131,7 +132,7 @@
 	case Synced:
 		v.sync(e)
 	case Compacted:
-		v.log.compact(e.Snapshot, min(KeptRecords, v.place.Compact/2))
+		v.compactionDone(e.Snapshot)
 	case Installed:
 		v.installed(e.Snapshot)
 	}
