--- /dev/null
+++ b/internal/certificate/pair_test.go
@@ -0,0 +1,133 @@
+package certificate_test
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/certificate"
+	"fireflyrudder.example/fireflyrudder/internal/settings"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	t      *testing.T
+	key    *ecdsa.PrivateKey
+	cert   *x509.Certificate
+	serial int64
+}
+
+func newAuthority(t *testing.T) *authority {
+	a := &authority{t: t}
+	var err error
+	a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	a.cert = &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true, BasicConstraintsValid: true,
+		NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	return a
+}
+
+// issue writes certificate, key and authority files for an address.
+func (a *authority) issue(folder, ip string) settings.TLS {
+	a.serial++
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(a.t, err)
+	c := &x509.Certificate{
+		SerialNumber: big.NewInt(100 + a.serial), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.ParseIP(ip)},
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	own, err := x509.CreateCertificate(rand.Reader, c, a.cert, &key.PublicKey, a.key)
+	require.NoError(a.t, err)
+	root, err := x509.CreateCertificate(rand.Reader, a.cert, a.cert, &a.key.PublicKey, a.key)
+	require.NoError(a.t, err)
+	secret, err := x509.MarshalECPrivateKey(key)
+	require.NoError(a.t, err)
+	files := settings.TLS{
+		Certificate: filepath.Join(folder, "cert.pem"), Key: filepath.Join(folder, "key.pem"), Authority: filepath.Join(folder, "ca.pem"),
+	}
+	a.write(files.Certificate, "CERTIFICATE", own)
+	a.write(files.Key, "EC PRIVATE KEY", secret)
+	a.write(files.Authority, "CERTIFICATE", root)
+	return files
+}
+
+func (a *authority) write(file, kind string, content []byte) {
+	text := pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content})
+	require.NoError(a.t, os.WriteFile(file, text, 0o600))
+	// File times are coarse on some file systems; distinct ones make the reload certain.
+	stamp := time.Now().Add(time.Duration(a.serial) * time.Second)
+	require.NoError(a.t, os.Chtimes(file, stamp, stamp))
+}
+
+// shake makes a handshake and returns the serial number that the server presented.
+func shake(t *testing.T, server, client *tls.Config) (int64, error) {
+	l, err := tls.Listen("tcp", "127.0.0.1:0", server)
+	require.NoError(t, err)
+	defer l.Close()
+	refused := make(chan error, 1)
+	go func() {
+		c, err := l.Accept()
+		if err == nil {
+			err = c.(*tls.Conn).Handshake()
+			c.Close()
+		}
+		refused <- err
+	}()
+	c, err := tls.Dial("tcp", l.Addr().String(), client)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	return c.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), <-refused
+}
+
+// Guards against a renewed certificate that needs a restart, against a half-written file that stops
+// a process, and against strangers.
+func TestReload(t *testing.T) {
+	folder := t.TempDir()
+	a := newAuthority(t)
+	pair, err := certificate.Load(a.issue(folder, "127.0.0.1"))
+	require.NoError(t, err)
+	serial, err := shake(t, pair.Server(), pair.Client("127.0.0.1:1"))
+	require.NoError(t, err)
+	require.EqualValues(t, 101, serial)
+
+	files := a.issue(folder, "127.0.0.1")
+	serial, err = shake(t, pair.Server(), pair.Client("127.0.0.1:1"))
+	require.NoError(t, err)
+	require.EqualValues(t, 102, serial)
+
+	require.NoError(t, os.WriteFile(files.Key, []byte("half"), 0o600))
+	serial, err = shake(t, pair.Server(), pair.Client("127.0.0.1:1"))
+	require.NoError(t, err)
+	require.EqualValues(t, 102, serial)
+
+	a.issue(folder, "127.0.0.1")
+	_, err = shake(t, pair.Server(), pair.Client("127.0.0.2:1"))
+	require.ErrorContains(t, err, "127.0.0.2", "a certificate of another VM")
+	stranger, err := certificate.Load(newAuthority(t).issue(t.TempDir(), "127.0.0.1"))
+	require.NoError(t, err)
+	_, err = shake(t, stranger.Server(), pair.Client("127.0.0.1:1"))
+	require.Error(t, err)
+	blind := stranger.Client("127.0.0.1:1")
+	blind.VerifyConnection = nil
+	_, err = shake(t, pair.Server(), blind)
+	require.Error(t, err)
+	require.NoError(t, os.WriteFile(files.Authority, nil, 0o600))
+	_, err = certificate.Load(files)
+	require.Error(t, err)
+}
