controlvm: call the group functions of backend servers

Failovers and the termination of dead entry VMs' connections need them. A pool of two connections per instance, those kept for control, opened on use; the simple protocol, since each function is called rarely. An error of SQLSTATE 55000 is an answer and told apart from an instance out of reach.

--- /dev/null
+++ b/internal/controlvm/server.go
@@ -0,0 +1,162 @@
+package controlvm
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgxpool"
+
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// Limits of calls to backend servers.
+const (
+	serverConnections = 2 // of each instance are kept for control
+	callTimeout       = 500 * time.Millisecond
+	followTimeout     = time.Second // group_follow waits up to 300 ms for the primary's log
+	idleServer        = 30 * time.Second
+)
+
+// stateUndefined is the SQLSTATE of an instance that promised a higher term or may not change role.
+const stateUndefined = "55000"
+
+// instance is the state that a backend server reports.
+type instance struct {
+	Server      string
+	Group       string
+	Role        string
+	Term        uint64
+	LastTerm    uint64
+	Pos         uint64
+	History     position.History
+	Primary     string
+	Promised    uint64
+	Slots       int
+	Connections int
+}
+
+// backends calls the functions of backend servers. It is safe for concurrent use.
+type backends struct {
+	user     string
+	password string
+	name     string // application_name
+	metrics  *metrics
+
+	mu    sync.Mutex
+	pools map[string]*pgxpool.Pool // by address
+}
+
+func newBackends(user, password, identity string, m *metrics) *backends {
+	return &backends{
+		user: user, password: password, name: "control/" + identity, metrics: m, pools: map[string]*pgxpool.Pool{},
+	}
+}
+
+// close ends all connections.
+func (b *backends) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, p := range b.pools {
+		p.Close()
+	}
+	clear(b.pools)
+}
+
+// pool returns the connections to an address. None is opened before it is used.
+func (b *backends) pool(address string) (*pgxpool.Pool, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p := b.pools[address]; p != nil {
+		return p, nil
+	}
+	c, err := pgxpool.ParseConfig("postgres://" + address + "/postgres?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	c.ConnConfig.User, c.ConnConfig.Password = b.user, b.password
+	c.ConnConfig.ConnectTimeout = callTimeout
+	c.ConnConfig.RuntimeParams["application_name"] = b.name
+	c.ConnConfig.DefaultQueryExecMode = pgx.QueryExecModeSimpleProtocol
+	c.MaxConns = serverConnections
+	c.MaxConnIdleTime = idleServer
+	p, err := pgxpool.NewWithConfig(context.Background(), c)
+	if err != nil {
+		return nil, err
+	}
+	b.pools[address] = p
+	return p, nil
+}
+
+// status asks an instance for its state.
+func (b *backends) status(ctx context.Context, address string) (instance, error) {
+	return b.state(ctx, callTimeout, address, "SELECT * FROM group_status()")
+}
+
+// fence makes an instance promise a term.
+func (b *backends) fence(ctx context.Context, address string, term uint64) (instance, error) {
+	return b.state(ctx, callTimeout, address, "SELECT * FROM group_fence($1)", int64(term))
+}
+
+// promote makes an instance the primary of the term it promised.
+func (b *backends) promote(ctx context.Context, address string, term uint64) (instance, error) {
+	return b.state(ctx, callTimeout, address, "SELECT * FROM group_promote($1)", int64(term))
+}
+
+// follow makes an instance follow the primary of a term.
+func (b *backends) follow(ctx context.Context, address string, term uint64, primary string) (instance, error) {
+	return b.state(ctx, followTimeout, address, "SELECT * FROM group_follow($1, $2)", int64(term), primary)
+}
+
+// terminate closes all connections of an entry VM at an instance.
+func (b *backends) terminate(ctx context.Context, address, entry string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	p, err := b.pool(address)
+	if err != nil {
+		return err
+	}
+	var count int
+	err = p.QueryRow(ctx, "SELECT group_terminate($1)", entry+"/").Scan(&count)
+	return b.note(address, err)
+}
+
+// state calls a function that returns the state of the instance.
+func (b *backends) state(ctx context.Context, limit time.Duration, address, sql string, args ...any) (instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	p, err := b.pool(address)
+	if err != nil {
+		return instance{}, err
+	}
+	var i instance
+	var history string
+	var term, last, pos, promised int64
+	err = p.QueryRow(ctx, sql, args...).Scan(&i.Server, &i.Group, &i.Role, &term, &last, &pos, &history, &i.Primary, &promised, &i.Slots, &i.Connections)
+	if err = b.note(address, err); err != nil {
+		return instance{}, err
+	}
+	i.Term, i.LastTerm, i.Pos, i.Promised = uint64(term), uint64(last), uint64(pos), uint64(promised)
+	i.History, err = position.ParseHistory(history)
+	return i, err
+}
+
+// note counts a call.
+func (b *backends) note(address string, err error) error {
+	b.metrics.calls.Add(1)
+	if err != nil {
+		b.metrics.callErrors.Add(1)
+	}
+	return errors.Wrapf(err, "controlvm: backend server at %s", address)
+}
+
+// promisedHigher reports whether an instance refused because of its promise or role, which is an
+// answer, unlike an instance that cannot be reached.
+func promisedHigher(err error) bool {
+	var refused *pgconn.PgError
+	return errors.As(err, &refused) && strings.EqualFold(refused.Code, stateUndefined)
+}
