--- a/internal/controlvm/group_test.go
+++ b/internal/controlvm/group_test.go
@@ -179,3 +179,45 @@
 	}
 	return out
 }
+
+// Guards against a frozen leader that still answers entry VMs after another one was elected.
+func TestFrozenLeader(t *testing.T) {
+	sites := newSites(t, 3)
+	startAll(sites)
+	c, ctx := client(t, sites...)
+	version := accept(t, ctx, c, "one", 0)
+	frozen := leader(t, sites)
+	conn, err := controlvm.Dial(frozen.options.Control.Listen, nil)
+	require.NoError(t, err)
+	defer conn.Close()
+	frozen.vm.Freeze(3 * time.Second)
+	renewed := make(chan *wire.RenewReply, 1)
+	go func() {
+		request := &wire.RenewRequest{Registration: &wire.Registration{Entry: "e"}, Sequence: 1}
+		reply, err := wire.NewControlClient(conn).Renew(ctx, request)
+		if err != nil {
+			reply = nil
+		}
+		renewed <- reply
+	}()
+	accept(t, ctx, c, "two", version)
+	reply := <-renewed
+	require.False(t, reply.GetLeader(), "%v", reply)
+	require.Empty(t, reply.GetCredits())
+}
+
+// Guards against a spare that does not join the running group, or counts as a voter at once.
+func TestSpareJoins(t *testing.T) {
+	sites := newSites(t, 3)
+	startAll(sites)
+	c, ctx := client(t, sites...)
+	accept(t, ctx, c, "one", 0)
+	spare := newSite(t)
+	spare.options.Control.Peers = append(addresses(sites), spare.options.Control.Listen)
+	spare.options.Control.Join = true
+	spare.start()
+	require.Eventually(t, func() bool {
+		role, present := voters(ctx, c)[spare.vm.Identity()]
+		return present && !role
+	}, wait, 100*time.Millisecond)
+}
