lease: add issuer and holder of rate credits and connection budgets

Cause: rates and connections are counted across the fleet, and every entry VM must decide locally.

Decided: a Renew request states exactly what its sender holds, and the holder drops replies to all requests before its latest one. One request so settles everything granted before it; no per-grant ledger is kept. What was neither held nor spent goes back to the bucket; what expired unreported does not. Entry VMs ask for what waits; the issuer adds a stock for the measured use only while half of the bucket remains and only for accounts of at least 40 statements/s. Holders that wait longest are served first.

Ruled out: matching spent counts to grants first-in first-out (a late report would settle the wrong grant).

--- /dev/null
+++ b/internal/lease/bucket.go
@@ -0,0 +1,227 @@
+package lease
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// bucket is the ideal token bucket of an account. Level plus what is outstanding at holders never
+// exceeds the burst, so every window admits at most burst + rate x length.
+type bucket struct {
+	rate    float64 // credits per second
+	burst   float64
+	level   float64  // credits that may be granted
+	out     float64  // sum of out of all shares
+	unmet   float64  // sum of unmet of all shares
+	queue   []*share // shares with unmet, those that wait longest first
+	filled  time.Time
+	dropped bool // the account is not in the configuration
+}
+
+// share is what one holder has of one account.
+type share struct {
+	bucket *bucket
+	out    float64 // credits that the holder may still spend
+	unmet  float64 // credits that it wanted and did not get
+	spent  float64 // its count at the last report
+	use    meter
+	mark   uint64  // sequence of the last request that listed the account
+	level  float64 // Static only: its own bucket
+	filled time.Time
+}
+
+// hold sets what the holder may still spend.
+func (s *share) hold(out float64) {
+	s.bucket.out = max(0, s.bucket.out-s.out+out)
+	s.out = out
+}
+
+// end settles a share whose holder has nothing any more. What was earned before is added first, while
+// the share still counts.
+func (s *share) end(now time.Time, unknown int) {
+	s.bucket.refill(now, unknown)
+	s.hold(0)
+	s.miss(0)
+}
+
+// miss notes what the holder wanted and did not get.
+func (s *share) miss(unmet float64) {
+	b := s.bucket
+	at := slices.Index(b.queue, s)
+	switch {
+	case unmet > 0 && at < 0:
+		b.queue = append(b.queue, s)
+	case unmet == 0 && at >= 0:
+		b.queue = slices.Delete(b.queue, at, at+1)
+	}
+	b.unmet = max(0, b.unmet-s.unmet+unmet)
+	s.unmet = unmet
+}
+
+// ahead returns how many holders have waited longer for a credit.
+func (s *share) ahead() float64 {
+	at := slices.Index(s.bucket.queue, s)
+	if at < 0 {
+		at = len(s.bucket.queue)
+	}
+	return float64(at)
+}
+
+// most returns how many credits one entry VM may hold.
+func (b *bucket) most() float64 { return max(1, b.burst/2) }
+
+// hidden bounds what holders that have not reported may hold. All holders together have no more
+// than the burst.
+func (b *bucket) hidden(unknown int) float64 {
+	return min(float64(unknown)*b.most(), max(0, b.burst-b.out))
+}
+
+// refill adds the credits earned since the last call.
+func (b *bucket) refill(now time.Time, unknown int) {
+	if now.After(b.filled) {
+		b.level += b.rate * now.Sub(b.filled).Seconds()
+		b.filled = now
+	}
+	b.level = max(0, min(b.level, b.burst-b.out-b.hidden(unknown)))
+}
+
+// credit settles the demands of a holder and grants credits. The first report to a new issuer is
+// believed. Later ones are bounded by what was counted: what is no longer counted has expired at the
+// holder, and its return would make credit from nothing.
+func (i *Issuer) credit(now time.Time, h *holder, demands []*wire.Demand, first bool) []*wire.Credit {
+	credits := make([]*wire.Credit, 0, len(demands))
+	for _, d := range demands {
+		b, ok := i.accounts[AccountID(d.GetAccount())]
+		if !ok {
+			continue
+		}
+		s, ok := h.shares[AccountID(d.GetAccount())]
+		if !ok {
+			s = &share{bucket: b, spent: d.GetSpent()}
+			h.shares[AccountID(d.GetAccount())] = s
+		}
+		if s.mark == h.sequence {
+			continue
+		}
+		s.mark = h.sequence
+		b.refill(now, i.unknown)
+		s.report(now, d, first)
+		b.refill(now, i.unknown)
+		if b.dropped {
+			continue
+		}
+		c := &wire.Credit{Account: d.GetAccount()}
+		if i.policy == Static {
+			c.Amount = s.equal(now, d, len(i.holders))
+		} else {
+			c.Amount = s.pooled(d)
+			c.Retry = s.retry(d.GetWant()-c.Amount, i.unknown).Milliseconds()
+		}
+		credits = append(credits, c)
+	}
+	for name, s := range h.shares {
+		if s.mark != h.sequence {
+			// A holder lists every account that it holds credits of.
+			s.end(now, i.unknown)
+			delete(h.shares, name)
+		}
+	}
+	return credits
+}
+
+// report settles what the holder held when it sent the request. What it neither holds nor spent
+// was returned, expired or never arrived; it goes back to the bucket.
+func (s *share) report(now time.Time, d *wire.Demand, first bool) {
+	spent := max(0, d.GetSpent()-s.spent)
+	held := max(0, d.GetHeld())
+	if !first {
+		held = min(held, s.out)
+	}
+	s.spent = max(s.spent, d.GetSpent())
+	s.use.add(now, spent+d.GetWant())
+	s.bucket.level += max(0, s.out-held-spent)
+	s.hold(held)
+}
+
+// pooled grants what is wanted, divided by demand if it is scarce, and a stock for the measured use
+// while at least half of the bucket remains for other entry VMs.
+func (s *share) pooled(d *wire.Demand) float64 {
+	b := s.bucket
+	room := max(0, b.most()-s.out)
+	want := min(max(0, d.GetWant()), room)
+	others := b.unmet - s.unmet
+	grant := want
+	if want+others > b.level {
+		grant = s.part(want, others)
+	}
+	if others <= epsilon && grant >= want && b.rate >= stockRate {
+		stock := min(s.use.target()-s.out-grant, room-grant, b.level-grant-b.burst/2)
+		grant += max(0, math.Floor(stock))
+	}
+	s.grant(grant)
+	s.miss(max(0, d.GetWant()-grant))
+	return grant
+}
+
+// part divides a scarce level. Each holder that has waited longer is left one credit; the rest is
+// granted in proportion to demand, in whole credits, since parts of a credit at several entry VMs
+// admit nothing.
+func (s *share) part(want, others float64) float64 {
+	level := s.bucket.level - s.ahead()
+	if level < min(1, want) {
+		return 0
+	}
+	return min(want, max(1, math.Floor(level*want/(want+others))))
+}
+
+// grant moves credits from the bucket to the holder.
+func (s *share) grant(amount float64) {
+	s.bucket.level -= amount
+	s.bucket.out += amount
+	s.out += amount
+}
+
+// retry advises when to ask again: when a credit is there, or, if nothing is missing, before unreported
+// spending keeps the bucket from filling.
+func (s *share) retry(missing float64, unknown int) time.Duration {
+	b := s.bucket
+	if missing > epsilon {
+		wait := seconds((min(1, missing) + s.ahead() - b.level) / b.rate)
+		if b.out-s.out+b.hidden(unknown) > epsilon {
+			wait = min(wait, elsewhereRetry)
+		}
+		return max(wait, minRetry)
+	}
+	if s.out == 0 {
+		return 0
+	}
+	full := seconds((b.burst - b.level - b.out) / b.rate)
+	if full >= Interval || b.level >= b.burst/2 && b.rate >= stockRate {
+		return 0
+	}
+	return max(full, minRetry)
+}
+
+// equal grants from the holder's own 1/n of rate and burst.
+func (s *share) equal(now time.Time, d *wire.Demand, n int) float64 {
+	part := max(1, s.bucket.burst/float64(n))
+	if s.filled.IsZero() {
+		s.filled, s.level = now, part
+	}
+	s.level = min(part-min(part, s.out), s.level+s.bucket.rate/float64(n)*now.Sub(s.filled).Seconds())
+	s.filled = now
+	grant := math.Floor(min(s.level, max(d.GetWant(), s.use.target()-s.out)))
+	grant = max(0, grant)
+	s.level -= grant
+	s.bucket.out += grant
+	s.out += grant
+	return grant
+}
+
+// seconds converts to a duration of at least zero and at most an hour.
+func seconds(x float64) time.Duration {
+	return time.Duration(min(max(0, x), 3600) * float64(time.Second))
+}
--- /dev/null
+++ b/internal/lease/holder.go
@@ -0,0 +1,259 @@
+package lease
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Verdict is what a Holder says about a request.
+type Verdict int
+
+// Verdicts.
+const (
+	Admitted Verdict = iota // the cost is spent
+	Wait                    // ask again after the next Grant, or refuse at the deadline
+	Refused                 // no credit within the default deadline
+)
+
+// Result is the answer to Take.
+type Result struct {
+	Verdict Verdict
+	Retry   time.Duration // for Refused: when credits may be there
+}
+
+// Usage is what an entry VM does with a backend server.
+type Usage struct {
+	Server ServerID
+	Open   int // connections open or being opened
+	Want   int // connections of use now, the status link included
+}
+
+// Holder holds the credits and connection budgets of one entry VM. It is not safe for concurrent use.
+type Holder struct {
+	accounts map[AccountID]*purse
+	order    []*purse         // sorted by account
+	servers  map[ServerID]int // connection budgets, valid until expires
+	expires  time.Time        // everything held ends here
+	asked    time.Time        // time of the last Demands; replies to earlier requests are dropped
+	accepted uint64           // sequence of the last accepted reply
+	next     time.Time        // time at which the next request is due
+	urgent   bool             // a request waits for credits
+}
+
+// purse holds the credits of one account.
+type purse struct {
+	account  AccountID
+	held     float64 // unspent credits, never negative
+	spent    float64 // since the process started
+	returned float64 // since the process started
+	waiting  float64 // cost of requests told to wait since the last Grant
+	reported float64 // spent as last reported
+	want     float64 // as last reported
+	listed   bool    // credits were held at the last report
+	use      meter
+	low      float64   // a request is due when held falls below it
+	report   time.Time // but not before this time
+	ask      time.Time // a request is due when a statement waits, but not before this time
+	refuse   time.Time // requests before this time are refused
+	retry    time.Time // when credits may be there
+}
+
+// NewHolder returns a Holder without credits or budgets.
+func NewHolder() *Holder {
+	return &Holder{accounts: map[AccountID]*purse{}, servers: map[ServerID]int{}}
+}
+
+// Take spends the cost of a request from the credits of the account, or says to wait or refuse.
+// A waiting request takes again after each Grant.
+func (h *Holder) Take(now time.Time, account AccountID, cost float64) Result {
+	p, ok := h.accounts[account]
+	if !ok {
+		p = h.open(account)
+	}
+	if !now.Before(h.expires) {
+		p.held = 0
+	}
+	if p.held+epsilon >= cost {
+		p.held = max(0, p.held-cost)
+		p.spent += cost
+		if p.held < p.low {
+			h.due(later(now, p.report))
+		}
+		return Result{Verdict: Admitted}
+	}
+	if now.Before(p.refuse) {
+		return Result{Verdict: Refused, Retry: p.retry.Sub(now)}
+	}
+	p.waiting += cost
+	if now.Before(p.ask) {
+		h.due(p.ask)
+		return Result{Verdict: Wait}
+	}
+	h.urgent = true
+	h.due(now)
+	return Result{Verdict: Wait}
+}
+
+// open adds an account.
+func (h *Holder) open(account AccountID) *purse {
+	p := &purse{account: account}
+	h.accounts[account] = p
+	i, _ := slices.BinarySearchFunc(h.order, account, func(p *purse, a AccountID) int { return cmp.Compare(p.account, a) })
+	h.order = slices.Insert(h.order, i, p)
+	return p
+}
+
+// due moves the next request forward to the given time.
+func (h *Holder) due(at time.Time) {
+	if at.Before(h.next) {
+		h.next = at
+	}
+}
+
+// Demands states what is held and wanted, sorted by account, for a request that is sent now.
+// Credits far above the present use are given back. Replies to earlier requests are dropped from
+// here on, so no two calls may be made at one time.
+func (h *Holder) Demands(now time.Time) []*wire.Demand {
+	var demands []*wire.Demand
+	for _, p := range h.order {
+		if !now.Before(h.expires) {
+			p.held = 0
+		}
+		p.use.add(now, p.spent-p.reported+p.waiting)
+		if target := p.use.target(); p.held > 2*target {
+			// A part of a credit would admit nothing.
+			keep := math.Floor(target)
+			p.returned += p.held - keep
+			p.held = keep
+		}
+		quiet := p.held == 0 && p.waiting == 0 && p.spent == p.reported && !p.listed
+		p.reported = p.spent
+		p.listed = p.held > 0
+		p.want = max(0, p.waiting-p.held)
+		if quiet {
+			continue
+		}
+		demands = append(demands, &wire.Demand{
+			Account:  string(p.account),
+			Want:     p.want,
+			Held:     p.held,
+			Spent:    p.spent,
+			Returned: p.returned,
+		})
+	}
+	h.asked = now
+	h.next = now.Add(Interval)
+	h.urgent = false
+	return demands
+}
+
+// Needs states the connections that may be open and are wanted, in the order of the usages, for
+// the same request as Demands.
+func (h *Holder) Needs(now time.Time, usages []Usage) []*wire.Need {
+	needs := make([]*wire.Need, 0, len(usages))
+	for _, u := range usages {
+		needs = append(needs, &wire.Need{
+			Server: string(u.Server),
+			Want:   uint32(max(0, u.Want)),
+			Held:   uint32(max(u.Open, h.Connections(now, u.Server), 0)),
+		})
+	}
+	return needs
+}
+
+// Grant takes over the reply to the request that was sent at the given time. Replies to earlier
+// requests and repeated replies have no effect. Credits and budgets last for Life from the send time.
+func (h *Holder) Grant(sent, now time.Time, reply *wire.RenewReply) {
+	if !reply.GetLeader() || sent.Before(h.asked) || reply.GetSequence() <= h.accepted {
+		return
+	}
+	h.accepted = reply.GetSequence()
+	if !now.Before(h.expires) {
+		// The issuer may have stopped counting what has expired, so the reply must not extend it.
+		for _, p := range h.order {
+			p.held = 0
+		}
+	}
+	life := Life
+	if ms := reply.GetExpiry(); ms > 0 {
+		life = min(life, time.Duration(ms)*time.Millisecond)
+	}
+	h.expires = sent.Add(life)
+	for _, p := range h.order {
+		p.low, p.report, p.ask, p.refuse = 0, time.Time{}, time.Time{}, time.Time{}
+	}
+	for _, c := range reply.GetCredits() {
+		h.credit(now, c)
+	}
+	for _, p := range h.order {
+		p.waiting = 0
+	}
+	clear(h.servers)
+	for _, b := range reply.GetBudgets() {
+		h.servers[ServerID(b.GetServer())] = int(b.GetConnections())
+	}
+}
+
+// credit adds granted credits and notes when to ask for more.
+func (h *Holder) credit(now time.Time, c *wire.Credit) {
+	p, ok := h.accounts[AccountID(c.GetAccount())]
+	if !ok {
+		return
+	}
+	p.held += max(0, c.GetAmount())
+	p.low = p.held / 4
+	if p.held < 16 {
+		// A small stock would be low after each request; it is asked for when a request waits.
+		p.low = 0
+	}
+	if c.GetRetry() <= 0 {
+		return
+	}
+	wait := time.Duration(c.GetRetry()) * time.Millisecond
+	p.report = now.Add(wait)
+	p.low = p.held
+	if c.GetAmount()+epsilon >= p.want {
+		return
+	}
+	p.ask = p.report
+	if wait > patience {
+		p.retry = p.ask
+		p.refuse = p.ask.Add(-patience)
+	}
+}
+
+// Urgent reports whether a Renew should be sent now because a request waits for credits.
+func (h *Holder) Urgent() bool { return h.urgent }
+
+// Next returns when the next Renew is due: at once if Urgent, else earlier than Interval after the
+// last one if a stock runs low.
+func (h *Holder) Next() time.Time { return h.next }
+
+// Connections returns how many connections to the server may be open now, the status link
+// included. At 0 all of them must be closed.
+func (h *Holder) Connections(now time.Time, server ServerID) int {
+	if !now.Before(h.expires) {
+		return 0
+	}
+	return h.servers[server]
+}
+
+// Held returns the unspent credits of the account, for the state dump.
+func (h *Holder) Held(now time.Time, account AccountID) float64 {
+	p, ok := h.accounts[account]
+	if !ok || !now.Before(h.expires) {
+		return 0
+	}
+	return p.held
+}
+
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/lease/issuer.go
@@ -0,0 +1,264 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Policy is how the rates of accounts are divided.
+type Policy int
+
+// Policies.
+const (
+	// Pooled grants credits from one bucket per account to the entry VMs that have demand.
+	Pooled Policy = iota
+	// Static gives each entry VM an equal part of rate and burst. It is the baseline for measurement.
+	Static
+)
+
+// Issuer divides credits and connections among the entry VMs of the control group. A new leader
+// makes a new one. It is not safe for concurrent use.
+//
+// Renew must only be called for entry VMs whose registration is in the control log, and only for
+// requests that were sent to this leader in its term, since a new Issuer counts exactly the
+// registered ones and believes their first report.
+type Issuer struct {
+	policy   Policy
+	start    time.Time
+	holders  map[EntryID]*holder
+	queue    []visit // accepted requests in order of time, to find silent holders
+	unknown  int     // registered holders that have not reported since start
+	accounts map[AccountID]*bucket
+	servers  map[ServerID]*server
+}
+
+// visit notes that a holder was heard at a time.
+type visit struct {
+	at     time.Time
+	holder *holder
+}
+
+// holder is what the issuer knows of an entry VM.
+type holder struct {
+	id       EntryID
+	sequence uint64    // of the last accepted request
+	seen     time.Time // when it was accepted
+	known    bool      // it reported to this issuer
+	silent   bool      // its leases ended without a further request, or it left
+	gone     bool      // the shell was told to forget it
+	shares   map[AccountID]*share
+	slots    map[ServerID]*slot
+	credits  []*wire.Credit // answer to sequence, repeated for a duplicate
+	budgets  []*wire.Budget
+}
+
+// Expired names a dead holder whose connections must be terminated at a backend server.
+type Expired struct {
+	Entry  EntryID
+	Server ServerID
+}
+
+// NewIssuer returns the Issuer of a new leader. Every registered entry VM counts as holding its
+// maximum until it reports or the leases of the former leader have ended.
+func NewIssuer(now time.Time, c *wire.Configuration, rs []*wire.Registration) *Issuer {
+	i := &Issuer{
+		start:    now,
+		holders:  map[EntryID]*holder{},
+		accounts: map[AccountID]*bucket{},
+		servers:  map[ServerID]*server{},
+	}
+	for _, r := range rs {
+		i.open(EntryID(r.GetEntry()))
+		i.unknown++
+	}
+	for _, a := range c.GetAccounts() {
+		i.accounts[AccountID(a.GetName())] = &bucket{rate: a.GetRate(), burst: a.GetBurst(), filled: now}
+	}
+	return i
+}
+
+// Divide selects the policy. It is Pooled unless set before the first Renew.
+func (i *Issuer) Divide(p Policy) { i.policy = p }
+
+func (i *Issuer) open(id EntryID) *holder {
+	h := &holder{id: id, shares: map[AccountID]*share{}, slots: map[ServerID]*slot{}}
+	i.holders[id] = h
+	return h
+}
+
+// Configure takes over accounts, rates and members. An account added later starts with a full bucket.
+func (i *Issuer) Configure(now time.Time, c *wire.Configuration, views []*wire.View) {
+	i.expire(now)
+	for _, b := range i.accounts {
+		b.dropped = true
+	}
+	for _, a := range c.GetAccounts() {
+		b, ok := i.accounts[AccountID(a.GetName())]
+		if !ok {
+			b = &bucket{level: a.GetBurst(), filled: now}
+			i.accounts[AccountID(a.GetName())] = b
+		}
+		b.refill(now, i.unknown)
+		b.rate, b.burst, b.dropped = a.GetRate(), a.GetBurst(), false
+		b.refill(now, i.unknown)
+	}
+	i.members(c, views)
+}
+
+// Renew settles what the entry VM reports and grants what it wants within the invariants. A repeated
+// request gets the same answer, one that was overtaken gets none.
+func (i *Issuer) Renew(now time.Time, r *wire.RenewRequest) ([]*wire.Credit, []*wire.Budget) {
+	i.expire(now)
+	id := EntryID(r.GetRegistration().GetEntry())
+	h, ok := i.holders[id]
+	if !ok {
+		h = i.open(id)
+		h.known = true
+	}
+	if h.gone || h.known && r.GetSequence() < h.sequence {
+		return nil, nil
+	}
+	if h.known && h.sequence > 0 && r.GetSequence() == h.sequence {
+		return h.credits, h.budgets
+	}
+	first := !h.known
+	if first {
+		h.known = true
+		i.discover(now, i.unknown-1)
+	}
+	h.sequence = r.GetSequence()
+	h.seen = now
+	h.silent = false
+	i.queue = append(i.queue, visit{now, h})
+	h.credits = i.credit(now, h, r.GetDemands(), first)
+	h.budgets = i.budget(h, r.GetNeeds())
+	if r.GetLeaving() {
+		i.leave(now, h)
+	}
+	return h.credits, h.budgets
+}
+
+// leave frees all that a holder had. It says itself that it holds nothing any more.
+func (i *Issuer) leave(now time.Time, h *holder) {
+	for _, s := range h.shares {
+		out := s.out
+		s.end(now, i.unknown)
+		s.bucket.level += out
+	}
+	clear(h.shares)
+	for name, s := range h.slots {
+		if !s.ended {
+			i.servers[name].free(h.id)
+			delete(h.slots, name)
+		}
+	}
+	h.credits, h.budgets = nil, nil
+	h.silent = true
+}
+
+// expire ends the leases of holders that were not heard of while their leases last.
+func (i *Issuer) expire(now time.Time) {
+	if i.unknown > 0 && now.Sub(i.start) >= counted {
+		i.discover(now, 0)
+		for _, h := range i.holders {
+			if !h.known {
+				h.known = true
+				i.end(now, h)
+				for name, s := range i.servers {
+					h.slots[name] = s.block(h.id)
+				}
+			}
+		}
+	}
+	for len(i.queue) > 0 && now.Sub(i.queue[0].at) >= counted {
+		v := i.queue[0]
+		i.queue = i.queue[1:]
+		if v.holder.seen.Equal(v.at) && !v.holder.silent {
+			i.end(now, v.holder)
+		}
+	}
+}
+
+// discover lowers the number of unknown holders. What was earned before is added first, while they
+// still count.
+func (i *Issuer) discover(now time.Time, unknown int) {
+	for _, b := range i.accounts {
+		b.refill(now, i.unknown)
+	}
+	i.unknown = unknown
+}
+
+// end stops counting a holder's credits as held. They may have been spent, so they don't return to
+// the bucket. Its connections count until they are terminated.
+func (i *Issuer) end(now time.Time, h *holder) {
+	h.silent = true
+	for _, s := range h.shares {
+		s.end(now, i.unknown)
+	}
+	clear(h.shares)
+	for name, s := range h.slots {
+		if s.counted == 0 && !s.ended {
+			i.servers[name].free(h.id)
+			delete(h.slots, name)
+			continue
+		}
+		s.ended = true
+		i.servers[name].dirty = true
+	}
+}
+
+// Expire ends the leases of silent entry VMs and returns the connections to terminate, sorted by
+// entry VM and server. Each is returned again every second until Terminated is called.
+func (i *Issuer) Expire(now time.Time) []Expired {
+	i.expire(now)
+	var ended []Expired
+	for _, h := range i.holders {
+		for name, s := range h.slots {
+			if s.ended && (s.told.IsZero() || now.Sub(s.told) >= time.Second) {
+				s.told = now
+				ended = append(ended, Expired{h.id, name})
+			}
+		}
+	}
+	slices.SortFunc(ended, func(a, b Expired) int {
+		return cmp.Or(cmp.Compare(a.Entry, b.Entry), cmp.Compare(a.Server, b.Server))
+	})
+	return ended
+}
+
+// Terminated tells that the backend server has closed the connections of a dead entry VM.
+func (i *Issuer) Terminated(entry EntryID, server ServerID) {
+	h, ok := i.holders[entry]
+	if !ok {
+		return
+	}
+	if s, ok := h.slots[server]; ok && s.ended {
+		i.servers[server].free(entry)
+		delete(h.slots, server)
+	}
+}
+
+// Gone returns the entry VMs that hold nothing any more and were silent or left, sorted. The shell
+// proposes to forget them; they get no more grants until Forget.
+func (i *Issuer) Gone() []EntryID {
+	var gone []EntryID
+	for id, h := range i.holders {
+		if h.silent && len(h.slots) == 0 {
+			h.gone = true
+			gone = append(gone, id)
+		}
+	}
+	slices.Sort(gone)
+	return gone
+}
+
+// Forget drops an entry VM that the control log has forgotten. If it lives, it must be registered
+// before its next Renew.
+func (i *Issuer) Forget(entry EntryID) {
+	if h, ok := i.holders[entry]; ok && h.gone {
+		delete(i.holders, entry)
+	}
+}
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,74 @@
+// Package lease divides the rates of client accounts and the connections of backend servers among
+// entry VMs. The Issuer runs at the control leader, a Holder in each entry VM.
+//
+// Each Renew request states exactly what the holder has at its send time, and the holder drops
+// replies to all requests before its latest one. So one request settles everything granted before
+// it, whether the replies arrived or not.
+package lease
+
+import (
+	"math"
+	"time"
+)
+
+// AccountID names a client account.
+type AccountID string
+
+// ServerID names a backend server.
+type ServerID string
+
+// EntryID is the random identity of an entry VM process.
+type EntryID string
+
+const (
+	// Life is how long a holder may use what it holds, from the send time of its last answered request.
+	Life = 2 * time.Second
+	// Interval is the longest time between two requests of a holder.
+	Interval = 500 * time.Millisecond
+	// counted is how long the issuer counts a grant, from the receipt of the request. It is Life plus
+	// the drift bound of 1%.
+	counted = Life + Life/100
+	// patience is the default deadline of a request that waits for a credit. A holder refuses at once
+	// when the next credit comes later than that.
+	patience = 250 * time.Millisecond
+	// minRetry bounds the requests of a holder for a scarce account to 40 per second.
+	minRetry = 25 * time.Millisecond
+	// elsewhereRetry is the longest advised wait while other holders may return credits.
+	elsewhereRetry = 100 * time.Millisecond
+	// controlConnections is kept per backend server for fences, promotions and terminations.
+	controlConnections = 2
+	// stockRate is the least rate, per second, of accounts whose credits are stocked at entry VMs. Below
+	// it, a credit that idles at each of ten entry VMs takes longer than patience to earn again.
+	stockRate = 40
+	// smoothing is the time constant of measured demand. It forgets an ended burst in about two requests.
+	smoothing = 250 * time.Millisecond
+	// epsilon absorbs rounding when credits are compared with a cost.
+	epsilon = 1e-9
+)
+
+// meter measures a rate, smoothed over time.
+type meter struct {
+	rate float64 // per second
+	last time.Time
+}
+
+// add counts an amount since the last call.
+func (m *meter) add(now time.Time, amount float64) {
+	if m.last.IsZero() {
+		m.last = now.Add(-smoothing)
+	}
+	dt := now.Sub(m.last).Seconds()
+	if dt <= 0 {
+		// Requests at one instant count as a burst within the smoothing time.
+		m.rate += amount / smoothing.Seconds()
+		return
+	}
+	m.last = now
+	keep := math.Exp(-dt / smoothing.Seconds())
+	m.rate = m.rate*keep + amount/dt*(1-keep)
+}
+
+// target is the stock that lasts until what is held expires.
+func (m *meter) target() float64 {
+	return m.rate * Life.Seconds()
+}
