--- /dev/null
+++ b/internal/standin/random_test.go
@@ -0,0 +1,123 @@
+package standin_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/standin"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// Guards against a log that keeps a superseded branch, or loses a record that a majority held, over
+// random writes, isolations and failovers that obey the failover procedure.
+func TestRandomFailovers(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			r := &trial{T: t, Rand: rand.New(rand.NewPCG(seed, 1)), servers: group(t, nil), term: 1, acknowledged: map[string]bool{}}
+			run(t, connect(t, r.servers[0]), "CREATE TABLE t (k text PRIMARY KEY)")
+			caughtUp(t, r.servers[1], "1/1")
+			caughtUp(t, r.servers[2], "1/1")
+			for range 60 {
+				switch r.IntN(6) {
+				case 0:
+					r.failover()
+				case 1:
+					r.servers[r.IntN(len(r.servers))].Hooks().Isolate(r.IntN(2) == 0)
+				default:
+					r.write()
+				}
+			}
+			r.settle()
+		})
+	}
+}
+
+type trial struct {
+	*testing.T
+	*rand.Rand
+	servers      []*standin.Server
+	leader       int
+	term         position.Term
+	writes       int
+	acknowledged map[string]bool
+}
+
+// write sends one write and notes whether a majority confirmed it under the current term.
+func (r *trial) write() {
+	r.Helper()
+	r.writes++
+	key := fmt.Sprintf("%04d", r.writes)
+	c, err := dial(r.Context(), r.servers[r.leader], "")
+	require.NoError(r, err)
+	defer c.Close(r.Context())
+	run(r.T, c, "INSERT INTO t VALUES ($1)", key)
+	at, err := position.Parse(c.PgConn().ParameterStatus("group_position"))
+	require.NoError(r, err)
+	for range 20 {
+		holds := 0
+		for _, s := range r.servers {
+			if status := s.Status(); status.Term == at.Term && status.Offset >= at.Offset {
+				holds++
+			}
+		}
+		if holds > len(r.servers)/2 {
+			r.acknowledged[key] = true
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// failover promotes the best of a random majority; the third instance may miss everything.
+func (r *trial) failover() {
+	r.Helper()
+	r.term++
+	order := r.Perm(len(r.servers))
+	majority := order[:len(order)/2+1]
+	best := -1
+	var top position.Position
+	for _, i := range majority {
+		status, err := r.servers[i].Fence(r.term)
+		require.NoError(r, err)
+		if p := (position.Position{Term: status.LastTerm, Offset: status.Offset}); best < 0 || top.Less(p) {
+			best, top = i, p
+		}
+	}
+	_, err := r.servers[best].Promote(r.term)
+	require.NoError(r, err)
+	r.leader = best
+	for _, i := range order {
+		if i != best && (r.IntN(3) > 0) {
+			_, err := r.servers[i].Follow(r.Context(), r.term, r.servers[best].Address())
+			require.NoError(r, err)
+		}
+	}
+}
+
+// settle lets every instance follow the last primary and compares them.
+func (r *trial) settle() {
+	r.Helper()
+	for i, s := range r.servers {
+		s.Hooks().Isolate(false)
+		if i != r.leader {
+			_, err := s.Follow(r.Context(), r.term, r.servers[r.leader].Address())
+			require.NoError(r, err)
+		}
+	}
+	want := r.servers[r.leader].Status()
+	expected := values(r.T, r.servers[r.leader])
+	for _, s := range r.servers {
+		caughtUp(r.T, s, position.Position{Term: r.term, Offset: want.Offset}.String())
+		require.Equal(r, want.History, s.Status().History)
+		require.Equal(r, expected, values(r.T, s))
+	}
+	for key := range r.acknowledged {
+		require.Contains(r, expected, key, "a write that a majority held")
+	}
+	require.NotEmpty(r, r.acknowledged)
+}
