admission: Share slots by start-time fair queueing with an adaptive limit

Cause: an instance runs two or three statements at once for 10 to 11 entry VMs, and one client account at several times its rate must not slow the others.

Each entry VM keeps a queue per server: start-time fair queueing of slot time by account weight, with lanes for open transactions (first, since they hold locks), writes and reads that share one start tag per account. Reads at a primary can be bounded to a share of the slots while writes wait. A ticket is refused on arrival when the statements certain to precede it use up its time at 75% of the observed mean.

Ruled out: charging statements instead of slot time (slow statements would take more than their share); the least single latency as the baseline (short statements make all others look congested, so the limit would stay at 1); estimating the wait by the sum of active weights (flows may drain, so it is no bound and would refuse statements that could run).

Failures seen while testing: flows of departed accounts were never dropped, since the virtual time stood still between busy periods; it now moves to the largest start tag when the queue is idle.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,74 @@
+// Package admission shares the slots of a backend server between client accounts.
+package admission
+
+import "time"
+
+// AccountID names a client account.
+type AccountID string
+
+// Policy says in which order waiting statements run.
+type Policy uint8
+
+// Policies.
+const (
+	// Fair is start-time fair queueing of slot time by the weights of the client accounts.
+	Fair Policy = iota
+	// FIFO runs statements in order of arrival. It is the baseline of measurements.
+	FIFO
+)
+
+// DefaultLength is the default bound of waiting statements of one client account at one server.
+const DefaultLength = 256
+
+// Settings of a queue.
+type Settings struct {
+	Policy Policy
+	// Slots is the number of statements that the server runs at once, for all entry VMs; at least 1.
+	Slots int
+	// Fixed keeps the statements in flight at Slots. Otherwise their number follows the observed
+	// latency between 1 and Slots, because other entry VMs use the same slots.
+	Fixed bool
+	// Length bounds the waiting statements of one client account; 0 means DefaultLength.
+	Length int
+	// Reads is the share of the slots that reads may take while writes wait, at least one slot; 0 means
+	// no bound. It is set for primaries.
+	Reads float64
+}
+
+// Ticket is one statement that asks for a slot.
+type Ticket struct {
+	Account AccountID
+	// Weight is the share of the client account relative to others; 0 means 1.
+	Weight float64
+	Read   bool
+	// Continues says that the statement belongs to a transaction that is already open at the server.
+	// It goes first, since the transaction holds a connection and locks, and is charged all the same.
+	Continues bool
+	// Deadline is when the caller gives up; zero for none.
+	Deadline time.Time
+	// Tag is the caller's own mark; the queue hands it back.
+	Tag any
+}
+
+// Place identifies a waiting ticket.
+type Place struct {
+	index      int32
+	generation uint32
+}
+
+// Result says what became of a ticket.
+type Result uint8
+
+// Results of Push and Pop. A ticket with Full or Late did not run and never will.
+const (
+	// None: no ticket can be admitted now.
+	None Result = iota
+	// Waiting: the ticket is queued; Pop hands it back.
+	Waiting
+	// Admitted: the ticket holds a slot until Done.
+	Admitted
+	// Full: the client account has too many waiting statements (FR001).
+	Full
+	// Late: the deadline cannot be met (FR003).
+	Late
+)
--- /dev/null
+++ b/internal/admission/flow.go
@@ -0,0 +1,158 @@
+package admission
+
+// lane separates statements of one client account that are scheduled by different rules.
+type lane uint8
+
+const (
+	continuing lane = iota
+	writing
+	reading
+	lanes
+)
+
+const (
+	noNode  int32 = -1 // no index in Queue.nodes
+	notHeld int   = -1 // no index in a heap
+)
+
+// node is a waiting ticket in a list of its flow and lane.
+type node struct {
+	ticket     Ticket
+	order      uint64 // of arrival
+	flow       *flow
+	lane       lane
+	prev, next int32
+	generation uint32
+	used       bool
+}
+
+// line is the list of waiting tickets of one flow and lane, in order of arrival.
+type line struct {
+	head, tail int32
+	length     int
+	place      int // index in the heap of the lane, or notHeld
+}
+
+// flow is one client account at the server.
+type flow struct {
+	account AccountID
+	weight  float64
+	// start is the start tag of the next statement, in seconds of slot time per weight. All lanes share
+	// it, so that an account gains nothing by mixing reads and writes.
+	start   float64
+	waiting int
+	running int
+	service mean
+	lines   [lanes]line
+}
+
+func newFlow(account AccountID) *flow {
+	f := &flow{account: account, weight: 1}
+	for i := range f.lines {
+		f.lines[i] = line{head: noNode, tail: noNode, place: notHeld}
+	}
+	return f
+}
+
+// heapWidth is the number of children of a heap entry. Four make the heap half as deep as two, and
+// the keys of siblings share a cache line.
+const heapWidth = 4
+
+// entry holds the key next to the flow, so that a comparison does not touch the flow.
+type entry struct {
+	start float64
+	order uint64
+	flow  *flow
+}
+
+// heap orders the flows that wait in one lane by start tag; equal ones go by arrival. Under FIFO all
+// start tags are 0.
+type heap struct {
+	queue   *Queue
+	lane    lane
+	entries []entry
+}
+
+func (e *entry) less(x *entry) bool {
+	if e.start != x.start {
+		return e.start < x.start
+	}
+	return e.order < x.order
+}
+
+// key returns the entry of a flow that waits in the lane.
+func (h *heap) key(f *flow) entry {
+	e := entry{flow: f, order: h.queue.nodes[f.lines[h.lane].head].order}
+	if h.queue.policy == Fair {
+		e.start = f.start
+	}
+	return e
+}
+
+func (h *heap) push(f *flow) {
+	h.entries = append(h.entries, entry{})
+	h.up(len(h.entries)-1, h.key(f))
+}
+
+func (h *heap) remove(f *flow) {
+	i, last := f.lines[h.lane].place, len(h.entries)-1
+	moved := h.entries[last]
+	h.entries[last] = entry{}
+	h.entries = h.entries[:last]
+	f.lines[h.lane].place = notHeld
+	if i != last {
+		h.settle(i, moved)
+	}
+}
+
+// fix restores the order after the key of a flow changed.
+func (h *heap) fix(f *flow) {
+	h.settle(f.lines[h.lane].place, h.key(f))
+}
+
+// settle puts an entry at place i, or where the order wants it above or below.
+func (h *heap) settle(i int, e entry) {
+	if i > 0 && e.less(&h.entries[(i-1)/heapWidth]) {
+		h.up(i, e)
+		return
+	}
+	h.down(i, e)
+}
+
+func (h *heap) up(i int, e entry) {
+	for i > 0 {
+		parent := (i - 1) / heapWidth
+		if !e.less(&h.entries[parent]) {
+			break
+		}
+		h.put(i, h.entries[parent])
+		i = parent
+	}
+	h.put(i, e)
+}
+
+func (h *heap) down(i int, e entry) {
+	for {
+		first := heapWidth*i + 1
+		if first >= len(h.entries) {
+			break
+		}
+		least := first
+		for child := first + 1; child < min(first+heapWidth, len(h.entries)); child++ {
+			if h.entries[child].less(&h.entries[least]) {
+				least = child
+			}
+		}
+		if !h.entries[least].less(&e) {
+			break
+		}
+		h.put(i, h.entries[least])
+		i = least
+	}
+	h.put(i, e)
+}
+
+func (h *heap) put(i int, e entry) {
+	h.entries[i] = e
+	e.flow.lines[h.lane].place = i
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,360 @@
+package admission
+
+import "time"
+
+// optimism is the share of the observed mean that the statements ahead are assumed to take at least:
+// a refusal stays right even when service times fall by a quarter.
+const optimism = 0.75
+
+// Queue orders the statements of one entry VM for one backend server. It never holds back a
+// statement while fewer than the allowed number run. It is not safe for concurrent use.
+type Queue struct {
+	policy  Policy
+	length  int
+	reads   float64
+	limit   limit
+	service service
+
+	virtual float64 // start tag of the statement admitted last
+	latest  float64 // largest start tag given
+	arrived uint64
+	waiting int
+	running [lanes]int
+
+	flows map[AccountID]*flow
+	sweep int // number of flows at which idle ones are dropped
+	heaps [lanes]heap
+	nodes []node
+	free  int32 // list of unused nodes by next
+}
+
+// New returns a fair queue with an adaptive limit and default settings.
+func New(slots int) *Queue {
+	return NewWith(Settings{Slots: slots})
+}
+
+// NewWith returns a queue with the given settings.
+func NewWith(s Settings) *Queue {
+	q := &Queue{
+		policy: s.Policy, length: s.Length, reads: s.Reads, limit: newLimit(s.Slots, s.Fixed),
+		flows: make(map[AccountID]*flow), sweep: 64, free: noNode,
+	}
+	if q.length <= 0 {
+		q.length = DefaultLength
+	}
+	for i := range q.heaps {
+		q.heaps[i] = heap{queue: q, lane: lane(i)}
+	}
+	return q
+}
+
+// SetSlots takes a changed number of slots into account.
+func (q *Queue) SetSlots(slots int) {
+	slots = max(slots, 1)
+	q.limit.slots = float64(slots)
+	q.limit.now = min(q.limit.now, q.limit.slots)
+	if q.limit.fixed {
+		q.limit.now = q.limit.slots
+	}
+}
+
+// SetReads changes Settings.Reads, for a server that became primary or replica.
+func (q *Queue) SetReads(share float64) {
+	q.reads = share
+}
+
+// Waiting returns the number of queued statements.
+func (q *Queue) Waiting() int {
+	return q.waiting
+}
+
+// Running returns the number of statements that hold a slot.
+func (q *Queue) Running() int {
+	return q.running[continuing] + q.running[writing] + q.running[reading]
+}
+
+// Allowed returns the number of statements that may run at once now.
+func (q *Queue) Allowed() int {
+	return q.limit.allowed()
+}
+
+// Push queues a ticket, or refuses it when its deadline cannot be met behind the statements that
+// will certainly run before it.
+func (q *Queue) Push(now time.Time, t Ticket) (Place, Result) {
+	f := q.flow(&t)
+	if f.waiting >= q.length {
+		return Place{}, Full
+	}
+	if f.waiting == 0 {
+		f.start = max(f.start, q.virtual)
+	}
+	lane := laneOf(&t)
+	if !t.Deadline.IsZero() && q.cannotMeet(now, f, lane, t.Deadline) {
+		return Place{}, Late
+	}
+	return q.add(f, lane, t), Waiting
+}
+
+// Cancel takes back a ticket whose caller left or whose deadline passed. It reports whether the
+// ticket was still waiting; if so it never runs.
+func (q *Queue) Cancel(p Place) bool {
+	if p.index < 0 || int(p.index) >= len(q.nodes) {
+		return false
+	}
+	n := &q.nodes[p.index]
+	if !n.used || n.generation != p.generation {
+		return false
+	}
+	q.take(p.index)
+	return true
+}
+
+// Pop returns the next ticket with Admitted or Late, or None. It is called after each Push and Done
+// until it returns None.
+func (q *Queue) Pop(now time.Time) (Ticket, Result) {
+	if q.waiting == 0 || q.Running() >= q.limit.allowed() {
+		return Ticket{}, None
+	}
+	lane, ok := q.next()
+	if !ok {
+		return Ticket{}, None
+	}
+	f := q.heaps[lane].entries[0].flow
+	index := f.lines[lane].head
+	t := q.nodes[index].ticket
+	if q.isLate(now, t.Deadline) {
+		q.take(index)
+		return t, Late
+	}
+	q.virtual = max(q.virtual, f.start)
+	f.start += q.cost(f) / f.weight
+	q.latest = max(q.latest, f.start)
+	q.take(index)
+	q.refresh(f)
+	q.running[lane]++
+	f.running++
+	return t, Admitted
+}
+
+// Done gives the slot of an admitted ticket back. Elapsed is the time that the statement held it;
+// failed means that the server did not answer.
+func (q *Queue) Done(now time.Time, t Ticket, elapsed time.Duration, failed bool) {
+	busy := q.waiting > 0 || q.Running() >= q.limit.allowed()
+	lane := laneOf(&t)
+	q.running[lane] = max(q.running[lane]-1, 0)
+	seconds := max(elapsed.Seconds(), 0)
+	if f := q.flows[t.Account]; f != nil {
+		f.running = max(f.running-1, 0)
+		f.service.add(seconds)
+	}
+	if !failed {
+		q.service.add(now, seconds)
+	}
+	q.limit.done(now, seconds, failed, busy)
+	if q.waiting == 0 && q.Running() == 0 {
+		// A busy period ends. Nobody owes slot time into the next one, so idle flows can be dropped.
+		q.virtual = q.latest
+	}
+}
+
+func laneOf(t *Ticket) lane {
+	switch {
+	case t.Continues:
+		return continuing
+	case t.Read:
+		return reading
+	}
+	return writing
+}
+
+// next chooses the lane of the next statement.
+func (q *Queue) next() (lane, bool) {
+	if len(q.heaps[continuing].entries) > 0 {
+		return continuing, true
+	}
+	writes, reads := q.heaps[writing].entries, q.heaps[reading].entries
+	switch {
+	case len(writes) == 0:
+		return reading, len(reads) > 0
+	case len(reads) == 0 || q.readsAreBounded():
+		return writing, true
+	case reads[0].less(&writes[0]):
+		return reading, true
+	}
+	return writing, true
+}
+
+// readsAreBounded reports whether reads hold their share of the slots. It counts while writes wait.
+func (q *Queue) readsAreBounded() bool {
+	if q.reads <= 0 {
+		return false
+	}
+	share := max(int(q.reads*float64(q.limit.allowed())), 1)
+	return q.running[reading] >= share
+}
+
+// cost is the slot time charged for a statement of the flow, in seconds.
+func (q *Queue) cost(f *flow) float64 {
+	if f.service.samples >= minSamples {
+		return f.service.value
+	}
+	return q.service.expected()
+}
+
+// isLate reports whether even the fastest observed statement would miss the deadline.
+func (q *Queue) isLate(now time.Time, deadline time.Time) bool {
+	if deadline.IsZero() {
+		return false
+	}
+	left := deadline.Sub(now).Seconds()
+	if q.service.samples < minSamples {
+		return left <= 0
+	}
+	return left < q.service.floor()
+}
+
+// cannotMeet reports whether the waiting statements that certainly run before a new one of the flow
+// leave too little time. The sum over the flows is taken only when the whole queue would take too
+// long, and ends as soon as the time is used up.
+func (q *Queue) cannotMeet(now time.Time, f *flow, own lane, deadline time.Time) bool {
+	if q.isLate(now, deadline) {
+		return true
+	}
+	if q.service.samples < minSamples || own == continuing {
+		return false
+	}
+	left := deadline.Sub(now).Seconds() - q.service.floor()
+	budget := left * float64(q.limit.allowed()) / optimism
+	if float64(q.waiting)*q.service.value <= budget {
+		return false
+	}
+	tag := f.start + float64(f.lines[own].length)*q.cost(f)/f.weight
+	budget -= float64(f.lines[own].length) * q.cost(f)
+	for lane := range lanes {
+		// Waiting reads may be held back in favor of a write, so they are not certain to precede it.
+		if lane == reading && own == writing {
+			continue
+		}
+		if budget -= q.ahead(lane, f, tag, budget); budget < 0 {
+			return true
+		}
+	}
+	return budget < 0
+}
+
+// ahead sums the slot time of the other flows' waiting statements with start tags below tag, up to
+// the budget.
+func (q *Queue) ahead(lane lane, own *flow, tag, budget float64) float64 {
+	sum := 0.0
+	for i := range q.heaps[lane].entries {
+		f := q.heaps[lane].entries[i].flow
+		if f == own {
+			continue
+		}
+		work := float64(f.lines[lane].length) * q.cost(f)
+		if q.policy == Fair && lane != continuing {
+			work = min(work, max(tag-f.start, 0)*f.weight)
+		}
+		if sum += work; sum > budget {
+			break
+		}
+	}
+	return sum
+}
+
+// flow returns the flow of the ticket's client account with the weight of the ticket.
+func (q *Queue) flow(t *Ticket) *flow {
+	f := q.flows[t.Account]
+	if f == nil {
+		if len(q.flows) >= q.sweep {
+			q.dropIdle()
+		}
+		f = newFlow(t.Account)
+		q.flows[t.Account] = f
+	}
+	if t.Weight > 0 {
+		f.weight = t.Weight
+	}
+	return f
+}
+
+// dropIdle forgets flows that have no statement and no debt.
+func (q *Queue) dropIdle() {
+	for account, f := range q.flows {
+		if f.waiting == 0 && f.running == 0 && f.start <= q.virtual {
+			delete(q.flows, account)
+		}
+	}
+	q.sweep = 2*len(q.flows) + 64
+}
+
+// add appends a ticket to its line.
+func (q *Queue) add(f *flow, lane lane, t Ticket) Place {
+	index := q.node()
+	q.arrived++
+	n := &q.nodes[index]
+	l := &f.lines[lane]
+	*n = node{
+		ticket: t, order: q.arrived, flow: f, lane: lane,
+		prev: l.tail, next: noNode, generation: n.generation + 1, used: true,
+	}
+	if l.tail != noNode {
+		q.nodes[l.tail].next = index
+	} else {
+		l.head = index
+	}
+	l.tail = index
+	l.length++
+	f.waiting++
+	q.waiting++
+	if l.place == notHeld {
+		q.heaps[lane].push(f)
+	}
+	return Place{index: index, generation: n.generation}
+}
+
+func (q *Queue) node() int32 {
+	if q.free == noNode {
+		q.nodes = append(q.nodes, node{})
+		return int32(len(q.nodes) - 1)
+	}
+	index := q.free
+	q.free = q.nodes[index].next
+	return index
+}
+
+// take removes a waiting ticket from its line and keeps the heap of the lane in order.
+func (q *Queue) take(index int32) {
+	n := &q.nodes[index]
+	f, l := n.flow, &n.flow.lines[n.lane]
+	if l.length == 1 {
+		q.heaps[n.lane].remove(f)
+	}
+	if n.prev != noNode {
+		q.nodes[n.prev].next = n.next
+	} else {
+		l.head = n.next
+	}
+	if n.next != noNode {
+		q.nodes[n.next].prev = n.prev
+	} else {
+		l.tail = n.prev
+	}
+	l.length--
+	f.waiting--
+	q.waiting--
+	if l.place != notHeld {
+		q.heaps[n.lane].fix(f)
+	}
+	*n = node{next: q.free, generation: n.generation}
+	q.free = index
+}
+
+// refresh restores the order of the heaps after the start tag of a flow rose.
+func (q *Queue) refresh(f *flow) {
+	for lane := range lanes {
+		if f.lines[lane].place != notHeld {
+			q.heaps[lane].fix(f)
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/service.go
@@ -0,0 +1,63 @@
+package admission
+
+import "time"
+
+const (
+	// serviceWeight gives the last 32 samples most of the weight.
+	serviceWeight = 1.0 / 16
+	// firstService is assumed until a statement is done.
+	firstService = 5 * time.Millisecond
+	// minSamples are needed before an estimate may refuse a statement.
+	minSamples = 16
+	// floorWindow is how long the least service time is remembered at most twice over. It is long
+	// against a burst and short against a change of the server.
+	floorWindow = 5 * time.Second
+)
+
+// mean is an average of service times in seconds.
+type mean struct {
+	value   float64
+	samples int
+}
+
+func (m *mean) add(x float64) {
+	if m.samples == 0 {
+		m.value = x
+	}
+	m.value += serviceWeight * (x - m.value)
+	m.samples++
+}
+
+// service estimates the service times of a server in seconds.
+type service struct {
+	mean
+	least  float64 // of the current window
+	before float64 // of the window before
+	window time.Time
+}
+
+func (s *service) add(now time.Time, x float64) {
+	if now.Sub(s.window) >= floorWindow {
+		s.before = s.least
+		s.least = x
+		s.window = now
+	}
+	s.least = min(s.least, x)
+	if s.samples == 0 {
+		s.before = x
+	}
+	s.mean.add(x)
+}
+
+// floor returns the least service time of the last one to two windows.
+func (s *service) floor() float64 {
+	return min(s.least, s.before)
+}
+
+// expected returns the mean, or the first assumption.
+func (s *service) expected() float64 {
+	if s.samples == 0 {
+		return firstService.Seconds()
+	}
+	return s.value
+}
