retry: Retry within a budget of 10% of requests and with jittered backoff

Cause: retries after a failover must not multiply the load of the backend servers, and a write whose outcome is unknown must not run again.

Only outcomes that say "not run" and can end otherwise (FR001, FR005) and reads with an unknown outcome are tried again. Tries that never reached a backend server are not charged: the budget protects servers, and charging requests that wait for a new primary would refuse nearly all of them during a failover.

Ruled out: retrying FR002, FR003 and FR004, which ask the caller to slow down or to go to another entry VM; full jitter down to zero, which lets some tries return at once.

--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,90 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/retry"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// Guards R10: a write whose outcome is unknown must not run again, nor may a refusal be pressed.
+func TestOnlyNotRunAndReadsAreRepeated(t *testing.T) {
+	for _, policy := range []retry.Policy{retry.Budgeted, retry.Immediate} {
+		b := retry.New(1, policy)
+		for _, state := range []outcome.State{
+			outcome.NotRun, outcome.OverRate, outcome.Late, outcome.NoLease, outcome.NoPrimary, outcome.ReusedRequest,
+			outcome.Unknown, outcome.BadKey, outcome.NoAccess, outcome.Withdrawn, outcome.Unsupported, outcome.BadValue, "", "23505",
+		} {
+			_, write := b.Next(start, retry.Attempt{State: state, Sent: true, Tries: 1})
+			require.Equal(t, state == outcome.NotRun || state == outcome.NoPrimary, write, state)
+			_, read := b.Next(start, retry.Attempt{State: state, Sent: true, Tries: 1, Read: true})
+			require.Equal(t, write || state == outcome.Unknown, read, state)
+		}
+	}
+}
+
+// Guards against retries that multiply the load of a server that fails everything.
+func TestBudgetBoundsRetries(t *testing.T) {
+	b := retry.New(1, retry.Budgeted)
+	const requests = 10_000
+	retries := 0
+	for range requests {
+		b.Request()
+		for tries := 1; tries < 5; tries++ {
+			if _, ok := b.Next(start, retry.Attempt{State: outcome.NotRun, Sent: true, Tries: tries}); !ok {
+				break
+			}
+			retries++
+		}
+	}
+	require.LessOrEqual(t, retries, requests/10+retry.Depth)
+	require.GreaterOrEqual(t, retries, requests/10-1)
+}
+
+// Guards against refusing requests that wait for a failover because others wait too.
+func TestWaitingForPrimaryIsFree(t *testing.T) {
+	b := retry.New(1, retry.Budgeted)
+	for range 1000 {
+		_, ok := b.Next(start, retry.Attempt{State: outcome.NoPrimary, Tries: 3})
+		require.True(t, ok)
+	}
+	_, ok := b.Next(start, retry.Attempt{State: outcome.NotRun, Sent: true, Tries: 1})
+	require.True(t, ok)
+}
+
+// Guards against pauses that do not grow, do not spread, or pass the deadline.
+func TestBackoff(t *testing.T) {
+	b := retry.New(1, retry.Budgeted)
+	for tries := range 40 {
+		low, high := time.Hour, time.Duration(0)
+		for range 200 {
+			pause, ok := b.Next(start, retry.Attempt{State: outcome.NoPrimary, Tries: tries})
+			require.True(t, ok)
+			low, high = min(low, pause), max(high, pause)
+		}
+		most := min(10*time.Millisecond<<min(max(tries-1, 0), 10), 320*time.Millisecond)
+		require.LessOrEqual(t, high, most)
+		require.GreaterOrEqual(t, low, most/2)
+		require.Greater(t, high-low, most/4)
+	}
+	_, ok := b.Next(start, retry.Attempt{State: outcome.NoPrimary, Tries: 9, Deadline: start.Add(100 * time.Millisecond)})
+	require.False(t, ok)
+	_, ok = retry.New(1, retry.Immediate).Next(start, retry.Attempt{State: outcome.NotRun, Deadline: start})
+	require.False(t, ok)
+}
+
+// Guards against results that differ between runs with the same seed.
+func TestNextIsDeterministic(t *testing.T) {
+	a, b := retry.New(9, retry.Budgeted), retry.New(9, retry.Budgeted)
+	for tries := range 50 {
+		attempt := retry.Attempt{State: outcome.NoPrimary, Tries: tries}
+		first, _ := a.Next(start, attempt)
+		second, _ := b.Next(start, attempt)
+		require.Equal(t, first, second)
+	}
+}
