admission: Let accounts below their share use slots above the adaptive limit

Cause: with one statement in flight per entry VM, a statement of an account within its share waited for the whole stay of another account's statement at the crowded instance.

Ruled out by a trial: pacing accounts above their share below one statement in flight. It would also need a timer in the shell, and holds back statements while slots may be idle.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -12,7 +12,8 @@
 const credit = 4
 
 // Queue orders the statements of one entry VM for one backend server. It never holds back a
-// statement while fewer than the allowed number run. It is not safe for concurrent use.
+// statement while fewer than the allowed number run. Accounts that used less than their share may
+// exceed the allowed number up to the slots. It is not safe for concurrent use.
 type Queue struct {
 	policy  Policy
 	length  int
@@ -117,7 +118,7 @@
 // Pop returns the next ticket with Admitted or Late, or None. It is called after each Push and Done
 // until it returns None.
 func (q *Queue) Pop(now time.Time) (Ticket, Result) {
-	if q.waiting == 0 || q.Running() >= q.limit.allowed() {
+	if q.waiting == 0 || q.Running() >= int(q.limit.slots) {
 		return Ticket{}, None
 	}
 	lane, ok := q.next()
@@ -125,6 +126,10 @@
 		return Ticket{}, None
 	}
 	f := q.heaps[lane].entries[0].flow
+	if q.Running() >= q.limit.allowed() && f.start >= q.virtual {
+		// Above the limit there is room only for accounts that used less than their share.
+		return Ticket{}, None
+	}
 	index := f.lines[lane].head
 	t := q.nodes[index].ticket
 	if q.isLate(now, t.Deadline) {
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -142,6 +142,7 @@
 			require.Equal(t, len(waiting), q.Waiting())
 			require.Equal(t, len(running), q.Running())
 			require.True(t, q.Waiting() == 0 || q.Running() >= q.Allowed(), "an idle slot")
+			require.LessOrEqual(t, q.Running(), slots)
 			require.True(t, q.Allowed() >= 1 && q.Allowed() <= slots)
 		}
 	})
