admission: Bound reads at a primary by slot time instead of running statements

Cause: a bound on the reads in flight does nothing when the adaptive limit is one statement in flight, as in a lag storm, so writes waited behind reads.

Reads and writes that both wait now share the slot time like two accounts with the weights Reads and 1 - Reads. The bound of the existing test is unchanged and a case with one slot is added.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -20,6 +20,10 @@
 // DefaultLength is the default bound of waiting statements of one client account at one server.
 const DefaultLength = 256
 
+// PrimaryReads is the Settings.Reads of a primary. A quarter leaves writes more than they use at the
+// sizes of both users, so that a lag storm, which sends reads to the primary, delays writes little.
+const PrimaryReads = 0.25
+
 // Settings of a queue.
 type Settings struct {
 	Policy Policy
@@ -30,8 +34,8 @@
 	Fixed bool
 	// Length bounds the waiting statements of one client account; 0 means DefaultLength.
 	Length int
-	// Reads is the share of the slots that reads may take while writes wait, at least one slot; 0 means
-	// no bound. It is set for primaries.
+	// Reads is the share of the slot time that reads may take while writes wait; 0 means no bound. It
+	// is set for primaries.
 	Reads float64
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -26,6 +26,8 @@
 	arrived uint64
 	waiting int
 	running [lanes]int
+	lines   [lanes]float64 // start tag of the next write and the next read, as shares of Settings.Reads
+	line    float64        // start tag of the write or read admitted last
 
 	flows map[AccountID]*flow
 	sweep int // number of flows at which idle ones are dropped
@@ -42,7 +44,7 @@
 // NewWith returns a queue with the given settings.
 func NewWith(s Settings) *Queue {
 	q := &Queue{
-		policy: s.Policy, length: s.Length, reads: s.Reads, limit: newLimit(s.Slots, s.Fixed),
+		policy: s.Policy, length: s.Length, reads: clampReads(s.Reads), limit: newLimit(s.Slots, s.Fixed),
 		flows: make(map[AccountID]*flow), sweep: 64, free: noNode,
 	}
 	if q.length <= 0 {
@@ -66,7 +68,12 @@
 
 // SetReads changes Settings.Reads, for a server that became primary or replica.
 func (q *Queue) SetReads(share float64) {
-	q.reads = share
+	q.reads = clampReads(share)
+}
+
+// clampReads leaves writes a share of at least a tenth.
+func clampReads(share float64) float64 {
+	return min(max(share, 0), 0.9)
 }
 
 // Waiting returns the number of queued statements.
@@ -136,9 +143,7 @@
 		q.take(index)
 		return t, Late
 	}
-	q.virtual = max(q.virtual, f.start)
-	f.start += q.cost(f) / f.weight
-	q.latest = max(q.latest, f.start)
+	q.charge(f, lane)
 	q.take(index)
 	q.refresh(f)
 	q.running[lane]++
@@ -186,21 +191,40 @@
 	switch {
 	case len(writes) == 0:
 		return reading, len(reads) > 0
-	case len(reads) == 0 || q.readsAreBounded():
+	case len(reads) == 0:
 		return writing, true
-	case reads[0].less(&writes[0]):
+	}
+	first := reads[0].less(&writes[0])
+	if q.reads > 0 {
+		first = q.lineStart(reading) < q.lineStart(writing)
+	}
+	if first {
 		return reading, true
 	}
 	return writing, true
 }
 
-// readsAreBounded reports whether reads hold their share of the slots. It counts while writes wait.
-func (q *Queue) readsAreBounded() bool {
-	if q.reads <= 0 {
-		return false
+// lineStart returns the start tag of the next statement of a lane. Reads and writes share the slot
+// time like two accounts whose weights are Reads and 1 - Reads.
+func (q *Queue) lineStart(lane lane) float64 {
+	return max(q.lines[lane], q.line)
+}
+
+// charge adds the cost of an admitted statement to the start tags of its flow and its lane.
+func (q *Queue) charge(f *flow, lane lane) {
+	cost := q.cost(f)
+	q.virtual = max(q.virtual, f.start)
+	f.start += cost / f.weight
+	q.latest = max(q.latest, f.start)
+	if q.reads <= 0 || lane == continuing {
+		return
+	}
+	share := 1 - q.reads
+	if lane == reading {
+		share = q.reads
 	}
-	share := max(int(q.reads*float64(q.limit.allowed())), 1)
-	return q.running[reading] >= share
+	q.line = q.lineStart(lane)
+	q.lines[lane] = q.line + cost/share
 }
 
 // cost is the slot time charged for a statement of the flow, in seconds.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -230,6 +230,11 @@
 	require.LessOrEqual(t, reads, 2)
 	require.GreaterOrEqual(t, writes, 2)
 
+	one := admission.NewWith(admission.Settings{Slots: 1, Fixed: true, Reads: 0.25})
+	push(one, "read", 200, admission.Ticket{Read: true})
+	push(one, "write", 200, admission.Ticket{})
+	require.InDelta(t, 25, count(drain(one, start)[:100], "read"), 1, "also when only one statement runs at a time")
+
 	idle := admission.NewWith(admission.Settings{Slots: 4, Fixed: true, Reads: 0.5})
 	push(idle, "read", 10, admission.Ticket{Read: true})
 	for range 4 {
