route: Choose backend servers by cost among those that may serve a read

Cause: reads must go to replicas that hold the session floor and are young enough, without overloading the primary when replicas lag.

A replica that may serve a read is preferred to the primary whatever its cost, unless the primary is idle and at least 25 ms cheaper. Age counts as kept when the data is known to be current at the arrival of the request, so a maximum age of 0 asks for a majority round after arrival, also at the primary: a partitioned primary does not know of newer writes.

Ruled out: comparing costs with the primary on equal terms, which gives it about a third of the reads in a group of three; ejecting by latency at each sample, which needs the rest of the group at hand.

--- /dev/null
+++ b/internal/route/router.go
@@ -0,0 +1,329 @@
+package route
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+const (
+	// spill is how much cheaper an idle primary must be before it takes a read that a replica may
+	// serve. Without it about a third of the reads would go to the primary of a group of three.
+	spill = 25 * time.Millisecond
+	// Replicas whose costs differ by less than tieShare and tieMargin take turns at random, so that
+	// entry VMs that see the same figures do not all choose the same server.
+	tieShare  = 0.05
+	tieMargin = 200 * time.Microsecond
+)
+
+// Router chooses backend servers for one entry VM. It is not safe for concurrent use.
+type Router struct {
+	policy  Policy
+	random  *rand.Rand
+	servers map[ServerID]*health
+	options []option // scratch of Choose
+	sorted  []float64
+	ejected []int
+}
+
+// option is a candidate under consideration.
+type option struct {
+	health  *health
+	ejected bool
+	fit     bool // holds the floor and is young enough
+	cost    float64
+}
+
+// New returns a router. The seed decides ties.
+func New(seed uint64, policy Policy) *Router {
+	return &Router{
+		policy:  policy,
+		random:  rand.New(rand.NewPCG(seed, 0)),
+		servers: make(map[ServerID]*health),
+	}
+}
+
+// Observe takes the time from sending a statement to its answer into account. The distance is that
+// of the Candidate. Failed means a lost connection or no answer, not an SQL error.
+func (r *Router) Observe(now time.Time, server ServerID, distance, elapsed time.Duration, failed bool) {
+	r.health(server).observe(now, elapsed-2*distance, failed)
+}
+
+// Advance takes a reported position into account, from which the time to catch up is estimated.
+func (r *Router) Advance(now time.Time, server ServerID, p position.Position) {
+	r.health(server).advanceTo(now, p)
+}
+
+// Forget drops what is known of a server that left.
+func (r *Router) Forget(server ServerID) {
+	delete(r.servers, server)
+}
+
+func (r *Router) health(server ServerID) *health {
+	h := r.servers[server]
+	if h == nil {
+		h = new(health)
+		r.servers[server] = h
+	}
+	return h
+}
+
+// Choose places a request on one of the members of its database group.
+func (r *Router) Choose(now time.Time, q Request, candidates []Candidate) Choice {
+	primary := findPrimary(candidates)
+	if !q.Read {
+		return r.choosePrimary(now, candidates, primary)
+	}
+	r.prepare(now, &q, candidates)
+	best := -1
+	if r.policy == LeastCost {
+		best = r.bestReplica(candidates, false)
+	}
+	if best >= 0 && !r.spills(&q, now, candidates, best, primary) {
+		return r.chosen(candidates, best)
+	}
+	if primary >= 0 && r.options[primary].fit {
+		if c, ok := r.wait(now, &q, candidates, r.options[primary].cost); ok && best < 0 {
+			return c
+		}
+		return r.chosen(candidates, primary)
+	}
+	return r.without(now, &q, candidates)
+}
+
+// findPrimary returns the index of the reachable primary of the highest term, or -1.
+func findPrimary(candidates []Candidate) int {
+	found := -1
+	for i := range candidates {
+		c := &candidates[i]
+		if !c.Primary || c.Retired || c.Down {
+			continue
+		}
+		if found < 0 || candidates[found].Position.Term < c.Position.Term {
+			found = i
+		}
+	}
+	return found
+}
+
+func (r *Router) choosePrimary(now time.Time, candidates []Candidate, primary int) Choice {
+	if primary < 0 {
+		return Choice{Result: NoPrimary, Index: -1}
+	}
+	c := &candidates[primary]
+	return Choice{Result: Chosen, Server: c.Server, Index: primary, Cost: time.Duration(cost(now, r.health(c.Server), c))}
+}
+
+func (r *Router) chosen(candidates []Candidate, i int) Choice {
+	return Choice{Result: Chosen, Server: candidates[i].Server, Index: i, Cost: time.Duration(r.options[i].cost)}
+}
+
+// prepare computes the options for all candidates.
+func (r *Router) prepare(now time.Time, q *Request, candidates []Candidate) {
+	r.options = r.options[:0]
+	for i := range candidates {
+		c := &candidates[i]
+		o := option{health: r.health(c.Server)}
+		o.fit = !c.Retired && !c.Down && holds(c, q.Floor) && isYoung(now, q, c)
+		o.cost = cost(now, o.health, c)
+		r.options = append(r.options, o)
+	}
+	r.ejectSlow(now, candidates)
+	r.markEjected(now, candidates)
+}
+
+// holds reports whether the server has everything up to the floor. A primary's reported position
+// may be older than a commit that it has just acknowledged, but it holds every acknowledged write
+// of its own and of lower terms.
+func holds(c *Candidate, floor position.Position) bool {
+	if c.Primary && c.Position.Term >= floor.Term {
+		return true
+	}
+	return c.History.Covers(c.Position, floor)
+}
+
+func isYoung(now time.Time, q *Request, c *Candidate) bool {
+	if q.MaxAge < 0 {
+		return true
+	}
+	if c.AsOf.IsZero() {
+		return false
+	}
+	return now.Sub(c.AsOf) <= q.MaxAge || !c.AsOf.Before(q.Arrived)
+}
+
+// cost is the expected time to the answer in ns: the way there and back, the statements ahead, the
+// latency of the server and the spread of it.
+func cost(now time.Time, h *health, c *Candidate) float64 {
+	latency, spread := h.excess(now)
+	slots := max(c.Slots, 1)
+	ahead := max(c.Running+c.Queued+1-slots, 0)
+	queue := float64(ahead) * latency / float64(slots)
+	return float64(2*c.Distance) + queue + latency + spread
+}
+
+// ejectSlow ejects replicas that are far slower than the median of the group.
+func (r *Router) ejectSlow(now time.Time, candidates []Candidate) {
+	r.sorted = r.sorted[:0]
+	for i := range r.options {
+		if h := r.options[i].health; h.samples >= outlierSamples {
+			r.sorted = append(r.sorted, h.latency)
+		}
+	}
+	if len(r.sorted) < 2 {
+		return
+	}
+	slices.Sort(r.sorted)
+	median := r.sorted[(len(r.sorted)-1)/2]
+	limit := max(outlierFactor*median, median+float64(outlierMargin))
+	for i := range r.options {
+		h := r.options[i].health
+		if !candidates[i].Primary && h.samples >= outlierSamples && h.latency > limit {
+			h.eject(now)
+		}
+	}
+}
+
+// markEjected leaves out ejected servers, but keeps at least half of the usable ones: those whose
+// ejection ends first.
+func (r *Router) markEjected(now time.Time, candidates []Candidate) {
+	r.ejected = r.ejected[:0]
+	usable := 0
+	for i := range r.options {
+		if candidates[i].Retired || candidates[i].Down {
+			continue
+		}
+		usable++
+		if !candidates[i].Primary && r.options[i].health.isEjected(now) {
+			r.ejected = append(r.ejected, i)
+		}
+	}
+	slices.SortFunc(r.ejected, func(a, b int) int {
+		x, y := r.options[a].health, r.options[b].health
+		return cmp.Or(y.ejected.Compare(x.ejected), cmp.Compare(candidates[b].Server, candidates[a].Server))
+	})
+	for _, i := range r.ejected[:min(len(r.ejected), usable/2)] {
+		r.options[i].ejected = true
+	}
+}
+
+// bestReplica returns the index of a replica of least cost that may serve the read, or -1. It looks
+// either at the ejected ones or at the others.
+func (r *Router) bestReplica(candidates []Candidate, ejected bool) int {
+	least := math.Inf(1)
+	for i := range r.options {
+		if o := &r.options[i]; o.fit && o.ejected == ejected && !candidates[i].Primary {
+			least = min(least, o.cost)
+		}
+	}
+	limit := least*(1+tieShare) + float64(tieMargin)
+	best, ties := -1, 0
+	for i := range r.options {
+		o := &r.options[i]
+		if !o.fit || o.ejected != ejected || candidates[i].Primary || o.cost > limit {
+			continue
+		}
+		// Each of the ties is kept with the same chance.
+		ties++
+		if ties == 1 || r.random.IntN(ties) == 0 {
+			best = i
+		}
+	}
+	return best
+}
+
+// spills reports whether a read that a replica may serve goes to the primary all the same: only to
+// an idle one that is cheaper by the margin, and within the share of its slots that reads may take.
+func (r *Router) spills(q *Request, now time.Time, candidates []Candidate, replica, primary int) bool {
+	if primary < 0 || !r.options[primary].fit {
+		return false
+	}
+	c := &candidates[primary]
+	if c.Queued > 0 || c.Running >= readShare(c.Slots) {
+		return false
+	}
+	there, here := r.options[primary].cost, r.options[replica].cost
+	if here > there+float64(spill) {
+		return true
+	}
+	left := float64(q.Deadline.Sub(now))
+	return !q.Deadline.IsZero() && here > left && there <= left
+}
+
+// readShare is the number of slots of a primary that reads may take while writes wait.
+func readShare(slots int) int {
+	return max(slots/2, 1)
+}
+
+// wait looks for a replica that is expected to catch up soon enough to answer before the primary.
+func (r *Router) wait(now time.Time, q *Request, candidates []Candidate, limit float64) (Choice, bool) {
+	left := min(MaxWait-q.Waited, MaxWait)
+	if !q.Deadline.IsZero() {
+		left = min(left, q.Deadline.Sub(now))
+	}
+	if r.policy != LeastCost || left <= 0 {
+		return Choice{}, false
+	}
+	best, found := Choice{Result: Wait, Index: -1}, false
+	for i := range candidates {
+		c, o := &candidates[i], &r.options[i]
+		if c.Primary || c.Retired || c.Down || o.ejected {
+			continue
+		}
+		pause, ok := catchUp(o.health, q, c)
+		total := float64(pause) + o.cost
+		if !ok || pause > left || total >= limit {
+			continue
+		}
+		if !found || time.Duration(total) < best.Cost {
+			best = Choice{Result: Wait, Server: c.Server, Index: i, Wait: pause, Cost: time.Duration(total)}
+			found = true
+		}
+	}
+	return best, found
+}
+
+// catchUp estimates when a replica of the floor's term reaches the floor. Age is not waited for,
+// since it needs a further majority round.
+func catchUp(h *health, q *Request, c *Candidate) (time.Duration, bool) {
+	if q.MaxAge >= 0 || c.Position.Term != q.Floor.Term || c.Position.Offset >= q.Floor.Offset || h.advance <= 0 {
+		return 0, false
+	}
+	seconds := float64(q.Floor.Offset-c.Position.Offset) / h.advance
+	if seconds > MaxWait.Seconds() {
+		return 0, false
+	}
+	return max(time.Duration(seconds*float64(time.Second)), time.Millisecond), true
+}
+
+// without places a read that neither the primary nor a replica in good standing may serve now. An
+// ejected replica is better than a refusal.
+func (r *Router) without(now time.Time, q *Request, candidates []Candidate) Choice {
+	if r.policy == LeastCost {
+		if i := r.bestReplica(candidates, true); i >= 0 {
+			return r.chosen(candidates, i)
+		}
+	}
+	if c, ok := r.wait(now, q, candidates, math.Inf(1)); ok {
+		return c
+	}
+	reachable := false
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Retired || c.Down || (r.policy == PrimaryOnly && !c.Primary) {
+			continue
+		}
+		reachable = true
+		if holds(c, q.Floor) {
+			return Choice{Result: Stale, Index: -1}
+		}
+	}
+	if !reachable || findPrimary(candidates) < 0 {
+		return Choice{Result: NoPrimary, Index: -1}
+	}
+	return Choice{Result: NoServer, Index: -1}
+}
