--- /dev/null
+++ b/internal/caller/startup.go
@@ -0,0 +1,360 @@
+package caller
+
+import (
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+)
+
+// Prefix starts the names of the run-time parameters of the proxy.
+const Prefix = "fireflyrudder."
+
+// PublicUser is the user of routes that are open to all.
+const PublicUser = "public"
+
+// defaultKey is the name of the key when the user names an account only.
+const defaultKey = "main"
+
+// Bounds of a connection.
+const (
+	// DefaultMaxMessage is the largest message accepted from a caller, in bytes.
+	DefaultMaxMessage = 16 << 20
+	// DefaultStartupTimeout bounds TLS and authentication, so that silent connections do not pile up.
+	DefaultStartupTimeout = 10 * time.Second
+	// DefaultWriteTimeout bounds one write to a caller that does not read.
+	DefaultWriteTimeout = 30 * time.Second
+	// maxBeforeAuthentication is the largest message before the key is proved, in bytes.
+	maxBeforeAuthentication = 4 << 10
+)
+
+// Startup is what a caller asked for.
+type Startup struct {
+	Account    string
+	Key        string
+	Route      string
+	Parameters map[string]string // run-time parameters of the proxy, without the prefix
+	Proved     Verifier          // what the key was checked against; zero without a key
+}
+
+// Open reports whether the caller came without a key, for a route that is open to all.
+func (s *Startup) Open() bool {
+	return s.Account == PublicUser
+}
+
+// Cancel is a request to cancel the statement of another connection.
+type Cancel struct {
+	ProcessID uint32
+	Secret    uint32
+}
+
+// Authorizer decides who may connect. It is called from many goroutines.
+type Authorizer interface {
+	// Find returns the verifier of the key, or false if there is none. It is not called for
+	// callers without a key.
+	Find(account, key string) (Verifier, bool)
+	// Admit decides once the key is proved. It returns nil if the caller may use the route.
+	Admit(s *Startup) *outcome.Error
+}
+
+// Acceptor performs the startup of connections. Its fields do not change after the first Accept.
+type Acceptor struct {
+	TLS            *tls.Config // nil: TLS is declined
+	Authorizer     Authorizer
+	Cancel         func(Cancel)
+	MaxMessage     int           // bytes; 0 means DefaultMaxMessage
+	StartupTimeout time.Duration // 0 means DefaultStartupTimeout
+	WriteTimeout   time.Duration // 0 means DefaultWriteTimeout
+
+	secret [32]byte // for the salts of unknown users
+}
+
+// NewAcceptor returns an Acceptor with the default bounds.
+func NewAcceptor(a Authorizer, cancel func(Cancel), t *tls.Config) *Acceptor {
+	acceptor := &Acceptor{
+		TLS:            t,
+		Authorizer:     a,
+		Cancel:         cancel,
+		MaxMessage:     DefaultMaxMessage,
+		StartupTimeout: DefaultStartupTimeout,
+		WriteTimeout:   DefaultWriteTimeout,
+	}
+	rand.Read(acceptor.secret[:]) //nolint:errcheck // never fails by its contract
+	return acceptor
+}
+
+// Accept performs the startup up to AuthenticationOk. It returns nil without an error for a
+// connection that only carried a cancel request. On errors the connection is closed.
+func (a *Acceptor) Accept(n net.Conn) (*Conn, error) {
+	c, err := a.accept(n)
+	if err != nil || c == nil {
+		n.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (a *Acceptor) accept(n net.Conn) (*Conn, error) {
+	if err := n.SetDeadline(time.Now().Add(a.StartupTimeout)); err != nil {
+		return nil, errors.Wrap(err, "caller: startup")
+	}
+	c := &Conn{net: n, in: pgproto3.NewBackend(n, nil), writeTimeout: a.WriteTimeout}
+	message, err := a.packet(c)
+	if err != nil || message == nil {
+		return nil, err
+	}
+	if err := a.negotiate(c, message); err != nil {
+		return nil, err
+	}
+	if refusal := parseStartup(&c.Startup, message.Parameters); refusal != nil {
+		c.Fatal(refusal)
+		return nil, refusal
+	}
+	if err := a.authenticate(c, message.Parameters["user"]); err != nil {
+		return nil, err
+	}
+	c.in.SetMaxBodyLen(a.MaxMessage)
+	if err := c.Send(&pgproto3.AuthenticationOk{}); err != nil {
+		return nil, err
+	}
+	return c, errors.Wrap(c.net.SetDeadline(time.Time{}), "caller: startup")
+}
+
+// packet reads until the startup packet. It answers requests for encryption and hands on a cancel
+// request, after which it returns nil.
+func (a *Acceptor) packet(c *Conn) (*pgproto3.StartupMessage, error) {
+	for range 3 { // GSS request, TLS request, startup packet
+		message, err := c.in.ReceiveStartupMessage()
+		if err != nil {
+			return nil, errors.Wrap(err, "caller: startup packet")
+		}
+		switch m := message.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.CancelRequest:
+			if len(m.SecretKey) == 4 {
+				a.Cancel(Cancel{ProcessID: m.ProcessID, Secret: binary.BigEndian.Uint32(m.SecretKey)})
+			}
+			return nil, nil
+		case *pgproto3.GSSEncRequest:
+			if _, err := c.net.Write([]byte{'N'}); err != nil {
+				return nil, errors.Wrap(err, "caller: startup")
+			}
+		case *pgproto3.SSLRequest:
+			if err := a.encrypt(c); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return nil, errors.New("caller: no startup packet after requests for encryption")
+}
+
+// encrypt answers a request for TLS. Bytes that followed the request in clear are dropped with the
+// old reader, so nothing sent before the handshake counts as sent under TLS.
+func (a *Acceptor) encrypt(c *Conn) error {
+	if a.TLS == nil {
+		_, err := c.net.Write([]byte{'N'})
+		return errors.Wrap(err, "caller: startup")
+	}
+	if _, ok := c.net.(*tls.Conn); ok {
+		return errors.New("caller: second request for TLS")
+	}
+	if _, err := c.net.Write([]byte{'S'}); err != nil {
+		return errors.Wrap(err, "caller: startup")
+	}
+	t := tls.Server(c.net, a.TLS)
+	if err := t.Handshake(); err != nil {
+		return errors.Wrap(err, "caller: TLS")
+	}
+	c.net = t
+	c.in = pgproto3.NewBackend(t, nil)
+	return nil
+}
+
+// negotiate answers protocol versions and options that are not spoken.
+func (a *Acceptor) negotiate(c *Conn, m *pgproto3.StartupMessage) error {
+	var unknown []string
+	for name := range m.Parameters {
+		if strings.HasPrefix(name, "_pq_.") {
+			unknown = append(unknown, name)
+		}
+	}
+	if m.ProtocolVersion == pgproto3.ProtocolVersion30 && len(unknown) == 0 {
+		return nil
+	}
+	return c.Send(&pgproto3.NegotiateProtocolVersion{NewestMinorProtocol: 0, UnrecognizedOptions: unknown})
+}
+
+// parseStartup reads the parameters of a startup packet.
+func parseStartup(s *Startup, parameters map[string]string) *outcome.Error {
+	user := parameters["user"]
+	s.Account, s.Key, _ = strings.Cut(user, "/")
+	if s.Key == "" {
+		s.Key = defaultKey
+	}
+	s.Route = parameters["database"]
+	if s.Route == "" {
+		s.Route = s.Account
+	}
+	if s.Account == "" {
+		return outcome.New(outcome.NoAccess, "no user was given", "connect as account/key")
+	}
+	if r := parameters["replication"]; r != "" && r != "false" && r != "off" && r != "0" && r != "no" {
+		return outcome.New(outcome.Unsupported, "replication connections are not carried", "connect to the backend server")
+	}
+	if e := parameters["client_encoding"]; e != "" && !isUTF8(e) {
+		return outcome.New(outcome.BadValue, "client_encoding must be UTF8", "set client_encoding to UTF8")
+	}
+	s.Parameters = make(map[string]string)
+	for name, value := range parameters {
+		if short, ok := strings.CutPrefix(name, Prefix); ok {
+			s.Parameters[short] = value
+		}
+	}
+	for name, value := range parseOptions(parameters["options"]) {
+		if short, ok := strings.CutPrefix(name, Prefix); ok {
+			s.Parameters[short] = value
+		}
+	}
+	return nil
+}
+
+func isUTF8(encoding string) bool {
+	e := strings.ToUpper(strings.Trim(encoding, "'\""))
+	return e == "UTF8" || e == "UTF-8" || e == "UNICODE"
+}
+
+// parseOptions reads "-c name=value" and "--name=value". A backslash keeps the next character, as
+// PostgreSQL has it.
+func parseOptions(text string) map[string]string {
+	options := make(map[string]string)
+	words := splitOptions(text)
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		switch {
+		case word == "-c" && i+1 < len(words):
+			i++
+			word = words[i]
+		case strings.HasPrefix(word, "-c"):
+			word = word[2:]
+		case strings.HasPrefix(word, "--"):
+			word = word[2:]
+		default:
+			continue
+		}
+		if name, value, ok := strings.Cut(word, "="); ok {
+			options[name] = value
+		}
+	}
+	return options
+}
+
+func splitOptions(text string) []string {
+	var words []string
+	var word strings.Builder
+	started := false
+	for i := 0; i < len(text); i++ {
+		ch := text[i]
+		if ch == ' ' || ch == '\t' || ch == '\n' {
+			if started {
+				words = append(words, word.String())
+				word.Reset()
+				started = false
+			}
+			continue
+		}
+		if ch == '\\' && i+1 < len(text) {
+			i++
+			ch = text[i]
+		}
+		started = true
+		word.WriteByte(ch)
+	}
+	if started {
+		words = append(words, word.String())
+	}
+	return words
+}
+
+// authenticate proves the key by SCRAM, unless the route is open to all, and asks for admission.
+func (a *Acceptor) authenticate(c *Conn, user string) error {
+	c.in.SetMaxBodyLen(maxBeforeAuthentication)
+	if !c.Startup.Open() {
+		verifier, known := a.Authorizer.Find(c.Startup.Account, c.Startup.Key)
+		if !known {
+			verifier = unknownVerifier(a.secret[:], user)
+		}
+		ok, err := prove(c, verifier)
+		if err != nil {
+			return err
+		}
+		if !ok || !known {
+			refusal := outcome.New(outcome.BadKey, "the key was not accepted", "check account, key name and key")
+			c.Fatal(refusal)
+			return refusal
+		}
+		c.Startup.Proved = verifier
+	}
+	if refusal := a.Authorizer.Admit(&c.Startup); refusal != nil {
+		c.Fatal(refusal)
+		return refusal
+	}
+	return nil
+}
+
+// prove runs one SCRAM exchange.
+func prove(c *Conn, v Verifier) (bool, error) {
+	conversation, err := v.conversation()
+	if err != nil {
+		return false, err
+	}
+	if err := request(c, &pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}}, pgproto3.AuthTypeSASL); err != nil {
+		return false, err
+	}
+	message, err := c.in.Receive()
+	if err != nil {
+		return false, errors.Wrap(err, "caller: authentication")
+	}
+	initial, ok := message.(*pgproto3.SASLInitialResponse)
+	if !ok || initial.AuthMechanism != mechanism {
+		return false, nil
+	}
+	challenge, err := conversation.Step(string(initial.Data))
+	if err != nil {
+		return false, nil
+	}
+	if err := request(c, &pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)}, pgproto3.AuthTypeSASLContinue); err != nil {
+		return false, err
+	}
+	message, err = c.in.Receive()
+	if err != nil {
+		return false, errors.Wrap(err, "caller: authentication")
+	}
+	final, ok := message.(*pgproto3.SASLResponse)
+	if !ok {
+		return false, nil
+	}
+	signature, err := conversation.Step(string(final.Data))
+	if err != nil || !conversation.Valid() {
+		return false, nil
+	}
+	return true, c.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(signature)})
+}
+
+// request sends a step of the authentication and prepares for its answer.
+func request(c *Conn, m pgproto3.BackendMessage, kind uint32) error {
+	if err := c.Send(m); err != nil {
+		return err
+	}
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	return c.in.SetAuthType(kind)
+}
