watermark: add majority rounds, data age and commit confirmation

A commit of an earlier term is confirmed only once a majority holds it in the log of the newest term. Ruled out: the surviving log of the new primary alone. If that primary is lost before others copied the record, a later promotion may take a log without it, and an acknowledged write would be gone.

--- /dev/null
+++ b/internal/watermark/event.go
@@ -0,0 +1,147 @@
+package watermark
+
+import (
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// ServerID is the name of a backend server.
+type ServerID string
+
+// RoundID numbers the rounds of a group.
+type RoundID uint64
+
+// WaitID names a request of a session; the shell chooses it.
+type WaitID uint64
+
+// Role is what an instance says of itself.
+type Role string
+
+// Roles of an instance.
+const (
+	Primary Role = "primary"
+	Replica Role = "replica"
+	Fenced  Role = "fenced"
+)
+
+// Report is what an instance answered to a status request.
+type Report struct {
+	Role     Role
+	Follows  position.Term     // term that it follows or leads
+	At       position.Position // term and offset of its last log record
+	Promised position.Term
+	History  position.History
+}
+
+// Event is an input of a Group.
+type Event interface{ event() }
+
+// Viewed tells what the control log knows of the group.
+type Viewed struct {
+	Term    position.Term
+	History position.History
+	Primary ServerID // empty while there is none
+	Members []ServerID
+	Count   int // configured number of members; a majority is counted of this
+}
+
+// Answered is the answer of an instance to the request of a round.
+type Answered struct {
+	Server ServerID
+	Round  RoundID
+	Report Report
+}
+
+// Notified tells that the position of an instance advanced while it followed At.Term.
+type Notified struct {
+	Server ServerID
+	At     position.Position
+}
+
+// Lost tells that the status link of an instance ended.
+type Lost struct {
+	Server ServerID
+}
+
+// Connected asks for a floor that no write acknowledged before now is above.
+type Connected struct {
+	Wait WaitID
+}
+
+// Committed asks whether a commit is held by a majority.
+type Committed struct {
+	Wait   WaitID
+	Server ServerID // primary that answered
+	At     position.Position
+}
+
+// Abandoned tells that nobody waits any more.
+type Abandoned struct {
+	Wait WaitID
+}
+
+// Tick tells that time passed.
+type Tick struct{}
+
+func (Viewed) event()    {}
+func (Answered) event()  {}
+func (Notified) event()  {}
+func (Lost) event()      {}
+func (Connected) event() {}
+func (Committed) event() {}
+func (Abandoned) event() {}
+func (Tick) event()      {}
+
+// Effect is an output of a Group.
+type Effect interface{ effect() }
+
+// Ask sends a status request to every server on its status link.
+type Ask struct {
+	Round   RoundID
+	Servers []ServerID
+}
+
+// Floored answers Connected.
+type Floored struct {
+	Wait  WaitID
+	Floor position.Position
+}
+
+// Verdict is what is known of a commit.
+type Verdict uint8
+
+// Verdicts of a commit.
+const (
+	Held    Verdict = iota + 1 // a majority holds it
+	Unknown                    // superseded, or nothing was known within the commit wait
+)
+
+// Settled answers Committed.
+type Settled struct {
+	Wait    WaitID
+	Verdict Verdict
+}
+
+func (Ask) effect()     {}
+func (Floored) effect() {}
+func (Settled) effect() {}
+
+// Member is what is known of one instance. It does not change once published.
+type Member struct {
+	Server   ServerID
+	Known    bool // an instance that never answered is not known
+	Linked   bool // the status link works as far as is known
+	Role     Role
+	Follows  position.Term
+	At       position.Position
+	Promised position.Term
+	History  position.History
+	Answered time.Time // last answer
+	Fresh    time.Time // the data is no older than this; zero: nothing is known
+}
+
+// Covers reports whether the instance holds everything up to floor.
+func (m *Member) Covers(floor position.Position) bool {
+	return m.Known && m.History.Covers(m.At, floor)
+}
