--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,138 @@
+// Package session keeps the floors of a session, one per database group, and carries them between
+// entry VMs in signed tokens. It is deterministic.
+package session
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// GroupID is the name of a database group.
+type GroupID string
+
+// Bounds of a token.
+const (
+	// maxToken is the longest token read, in bytes. A startup packet holds 10,000.
+	maxToken = 8 << 10
+	// maxGroups bounds the floors in one token, so that it stays below maxToken with names of up to
+	// 63 bytes.
+	maxGroups = 64
+	// version starts each token, so that a later format can be told apart.
+	version = "v1"
+)
+
+// ErrToken tells that a token was not made by this system, or was changed.
+var ErrToken = errors.WithHint(errors.New("session: the token is not valid"),
+	"connect without fireflyrudder.session, or with the last value that was received")
+
+// Session holds the floors of one caller session. One goroutine uses it.
+type Session struct {
+	floors map[GroupID]position.Position
+}
+
+// New returns a session without floors.
+func New() *Session {
+	return &Session{}
+}
+
+// Floor returns the highest position that was acknowledged to the session. It is zero if none was.
+func (s *Session) Floor(g GroupID) position.Position {
+	return s.floors[g]
+}
+
+// Raise notes an acknowledged position. A lower one changes nothing.
+func (s *Session) Raise(g GroupID, p position.Position) {
+	if !s.floors[g].Less(p) {
+		return
+	}
+	if s.floors == nil {
+		s.floors = make(map[GroupID]position.Position, 1)
+	}
+	if _, known := s.floors[g]; !known && len(s.floors) >= maxGroups {
+		return // the caller reaches one group by one connection; only a made-up token gets here
+	}
+	s.floors[g] = p
+}
+
+// Signer signs and checks tokens. It is immutable and safe for concurrent use.
+type Signer struct {
+	secret []byte
+}
+
+// NewSigner returns a Signer. The secret is the same on all entry VMs; at least 16 bytes are asked for.
+func NewSigner(secret []byte) (*Signer, error) {
+	if len(secret) < 16 {
+		return nil, errors.WithHint(errors.New("session: the secret for tokens is shorter than 16 bytes"),
+			"write 32 random bytes to the token file of every entry VM")
+	}
+	return &Signer{secret: append([]byte(nil), secret...)}, nil
+}
+
+// Token writes the floors of a session, bound to its account.
+func (k *Signer) Token(s *Session, account string) string {
+	names := make([]string, 0, len(s.floors))
+	for g := range s.floors {
+		names = append(names, string(g))
+	}
+	sort.Strings(names)
+	parts := make([]string, len(names))
+	for i, name := range names {
+		parts[i] = base64.RawURLEncoding.EncodeToString([]byte(name)) + "=" + s.floors[GroupID(name)].String()
+	}
+	body := version + "." + strings.Join(parts, ";")
+	return body + "." + k.sign(body, account)
+}
+
+func (k *Signer) sign(body, account string) string {
+	mac := hmac.New(sha256.New, k.secret)
+	mac.Write([]byte(body))
+	mac.Write([]byte{0})
+	mac.Write([]byte(account))
+	return base64.RawURLEncoding.EncodeToString(mac.Sum(nil))
+}
+
+// Parse reads a token that was made for the account. Any other text gives ErrToken.
+func (k *Signer) Parse(token, account string) (*Session, error) {
+	if len(token) > maxToken {
+		return nil, ErrToken
+	}
+	cut := strings.LastIndexByte(token, '.')
+	if cut < 0 {
+		return nil, ErrToken
+	}
+	body, signature := token[:cut], token[cut+1:]
+	if !hmac.Equal([]byte(signature), []byte(k.sign(body, account))) {
+		return nil, ErrToken
+	}
+	list, ok := strings.CutPrefix(body, version+".")
+	if !ok {
+		return nil, ErrToken
+	}
+	s := New()
+	if list == "" {
+		return s, nil
+	}
+	for _, part := range strings.Split(list, ";") {
+		name, at, ok := strings.Cut(part, "=")
+		if !ok {
+			return nil, ErrToken
+		}
+		g, err := base64.RawURLEncoding.DecodeString(name)
+		if err != nil {
+			return nil, ErrToken
+		}
+		p, err := position.Parse(at)
+		if err != nil {
+			return nil, ErrToken
+		}
+		s.Raise(GroupID(g), p)
+	}
+	return s, nil
+}
