backend: add pools, statement connections and status links

A connection is given to another request only if every answer was read up to ReadyForQuery, nothing waits and no transaction is open. An idle connection is looked at before use without reading, so that a server's close is noticed before a byte of the request goes out and "not run" stays true.

--- /dev/null
+++ b/internal/backend/conn.go
@@ -0,0 +1,352 @@
+// Package backend holds the connections of an entry VM to backend servers: pools of statement
+// connections within a leased budget, and one status link per server.
+package backend
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"fireflyrudder.example/fireflyrudder/internal/watermark"
+)
+
+// Bounds of a connection to a backend server.
+const (
+	// connectTimeout bounds opening a connection; it takes 12 ms at today's users.
+	connectTimeout = 2 * time.Second
+	// writeTimeout bounds one write to a server that does not read.
+	writeTimeout = 10 * time.Second
+	// cancelTimeout bounds the delivery of a cancel request.
+	cancelTimeout = time.Second
+	// maxMessage is the largest message accepted from a backend server, in bytes.
+	maxMessage = 64 << 20
+)
+
+// Credentials are the system's own at every backend server. Nothing that a caller sent is used to
+// log in.
+type Credentials struct {
+	User     string
+	Password string
+}
+
+// ServerID is the name of a backend server.
+type ServerID = watermark.ServerID
+
+// Target names where a connection goes.
+type Target struct {
+	Server   ServerID
+	Address  string // IP:port
+	Database string
+}
+
+// Conn is one connection to a backend server. One goroutine uses it at a time; only Cancel and
+// Close may be called by others.
+type Conn struct {
+	Target Target
+	// Status is the transaction status of the last ReadyForQuery: I, T or E.
+	Status byte
+	// Owner is the session that used the connection last; 0 for a new one.
+	Owner uint64
+	// Touched tells that statements ran since the last DISCARD ALL which may have left state behind.
+	Touched bool
+	// Replayed counts the settings of the owner that were applied to the connection.
+	Replayed int
+
+	net    net.Conn
+	front  *pgproto3.Frontend
+	out    []byte
+	pid    uint32
+	secret []byte
+
+	pending  int         // ReadyForQuery answers that are due
+	doubtful atomic.Bool // the connection must not be used again
+	wrote    atomic.Bool // bytes went out since the last call of ResetSent
+
+	prepared map[string]string // statement name on the server by key
+	names    uint64            // counts names given out
+	opened   time.Time
+}
+
+// Open logs in and takes over the connection from pgconn.
+func Open(ctx context.Context, t Target, c Credentials, application string) (*Conn, error) {
+	ctx, stop := context.WithTimeout(ctx, connectTimeout)
+	defer stop()
+	config, err := configuration(t, c, application)
+	if err != nil {
+		return nil, err
+	}
+	p, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, errors.Wrapf(err, "backend: connect to %s", t.Server)
+	}
+	if err := p.SyncConn(ctx); err != nil {
+		return nil, errors.Wrapf(err, "backend: connect to %s", t.Server)
+	}
+	h, err := p.Hijack()
+	if err != nil {
+		return nil, errors.Wrapf(err, "backend: connect to %s", t.Server)
+	}
+	if err := h.Conn.SetDeadline(time.Time{}); err != nil {
+		h.Conn.Close()
+		return nil, errors.Wrapf(err, "backend: connect to %s", t.Server)
+	}
+	h.Frontend.SetMaxBodyLen(maxMessage)
+	return &Conn{
+		Target: t, Status: h.TxStatus, net: h.Conn, front: h.Frontend, pid: h.PID, secret: h.SecretKey,
+		prepared: make(map[string]string), opened: time.Now(),
+	}, nil
+}
+
+// configuration builds the settings of pgconn without the environment of the process.
+func configuration(t Target, c Credentials, application string) (*pgconn.Config, error) {
+	host, port, err := net.SplitHostPort(t.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "backend: address of %s", t.Server)
+	}
+	config, err := pgconn.ParseConfig("host=" + host + " port=" + port + " sslmode=disable")
+	if err != nil {
+		return nil, errors.Wrapf(err, "backend: address of %s", t.Server)
+	}
+	config.User = c.User
+	config.Password = c.Password
+	config.Database = t.Database
+	config.RuntimeParams = map[string]string{"application_name": application, "client_encoding": "UTF8"}
+	config.Fallbacks = nil
+	return config, nil
+}
+
+// Send encodes a message; Flush writes it.
+func (c *Conn) Send(m pgproto3.FrontendMessage) error {
+	out, err := m.Encode(c.out)
+	if err != nil {
+		return errors.Wrap(err, "backend: encode")
+	}
+	c.out = out
+	switch m.(type) {
+	case *pgproto3.Query, *pgproto3.Sync:
+		c.pending++
+	}
+	return nil
+}
+
+// Flush writes the encoded messages. After an error the connection is doubtful.
+func (c *Conn) Flush() error {
+	if len(c.out) == 0 {
+		return nil
+	}
+	if err := c.net.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		c.doubtful.Store(true)
+		return errors.Wrap(err, "backend: write")
+	}
+	n, err := c.net.Write(c.out)
+	if n > 0 {
+		c.wrote.Store(true)
+	}
+	if cap(c.out) > 64<<10 {
+		c.out = nil
+	} else {
+		c.out = c.out[:0]
+	}
+	if err != nil {
+		c.doubtful.Store(true)
+		return errors.Wrap(err, "backend: write")
+	}
+	return nil
+}
+
+// Receive returns the next message, which is valid until the next call. After an error the
+// connection is doubtful.
+func (c *Conn) Receive() (pgproto3.BackendMessage, error) {
+	m, err := c.front.Receive()
+	if err != nil {
+		c.doubtful.Store(true)
+		return nil, errors.Wrapf(err, "backend: read from %s", c.Target.Server)
+	}
+	switch m := m.(type) {
+	case *pgproto3.ReadyForQuery:
+		c.pending--
+		c.Status = m.TxStatus
+	case *pgproto3.ErrorResponse:
+		if m.Severity == "FATAL" || m.Severity == "PANIC" {
+			c.doubtful.Store(true)
+		}
+	}
+	return m, nil
+}
+
+// SetDeadline bounds reads; the zero time removes the bound.
+func (c *Conn) SetDeadline(t time.Time) {
+	if err := c.net.SetReadDeadline(t); err != nil {
+		c.doubtful.Store(true)
+	}
+}
+
+// ResetSent starts a new request.
+func (c *Conn) ResetSent() {
+	c.wrote.Store(false)
+}
+
+// Sent reports whether a byte of the request may have reached the server.
+func (c *Conn) Sent() bool {
+	return c.wrote.Load()
+}
+
+// Doubt marks the connection as one that must not be used again.
+func (c *Conn) Doubt() {
+	c.doubtful.Store(true)
+}
+
+// Clean reports whether the connection may serve another request: every answer was read up to
+// ReadyForQuery, nothing waits to be written, and no transaction is open.
+func (c *Conn) Clean() bool {
+	return !c.doubtful.Load() && c.pending == 0 && len(c.out) == 0 && c.Status == 'I' && c.front.ReadBufferLen() == 0
+}
+
+// alive reports whether an idle connection is still open and silent. It reads nothing. A server that
+// closed it or sent a last message would otherwise be noticed only after the request was sent.
+func (c *Conn) alive() bool {
+	t, ok := c.net.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := t.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && silent
+}
+
+// Close ends the connection at once.
+func (c *Conn) Close() {
+	c.net.Close()
+}
+
+// adopt gives a clean connection to a session.
+func (c *Conn) adopt(owner uint64) {
+	if c.Owner != owner {
+		c.Owner = owner
+		c.Replayed = 0
+	}
+	c.ResetSent()
+}
+
+// Discard resets the session state of the server before another user gets the connection.
+func (c *Conn) Discard() error {
+	if !c.Touched {
+		return nil
+	}
+	c.SetDeadline(time.Now().Add(connectTimeout))
+	defer c.SetDeadline(time.Time{})
+	if err := c.Send(&pgproto3.Query{String: "DISCARD ALL"}); err != nil {
+		return err
+	}
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			c.doubtful.Store(true)
+			return errors.Newf("backend: DISCARD ALL on %s: %s", c.Target.Server, m.Message)
+		case *pgproto3.ReadyForQuery:
+			c.Touched = false
+			clear(c.prepared)
+			return nil
+		}
+	}
+}
+
+// maxPrepared bounds the statements that one connection keeps prepared. Above it the connection is
+// reset before its next use.
+const maxPrepared = 256
+
+// Prepared returns the name under which a statement is prepared on this connection.
+func (c *Conn) Prepared(key string) (string, bool) {
+	name, ok := c.prepared[key]
+	return name, ok
+}
+
+// Name chooses a new statement name and records it for key.
+func (c *Conn) Name(key string) string {
+	c.names++
+	name := "fr" + itoa(c.names)
+	c.prepared[key] = name
+	if len(c.prepared) > maxPrepared {
+		c.Touched = true
+		c.Owner = 0
+	}
+	return name
+}
+
+// Forget drops a statement whose preparation failed.
+func (c *Conn) Forget(key string) {
+	delete(c.prepared, key)
+}
+
+// Cancel asks the server to cancel what the connection runs. The server may act later, so the
+// connection is not used for another session afterwards; the caller of Cancel sees to that.
+func (c *Conn) Cancel(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	var d net.Dialer
+	n, err := d.DialContext(ctx, "tcp", c.Target.Address)
+	if err != nil {
+		return errors.Wrap(err, "backend: cancel")
+	}
+	defer n.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := n.SetDeadline(deadline); err != nil {
+			return errors.Wrap(err, "backend: cancel")
+		}
+	}
+	b, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}).Encode(nil)
+	if err != nil {
+		return errors.Wrap(err, "backend: cancel")
+	}
+	if _, err := n.Write(b); err != nil {
+		return errors.Wrap(err, "backend: cancel")
+	}
+	// The server closes the connection once it has taken the request.
+	var end [1]byte
+	n.Read(end[:]) //nolint:errcheck // only the end of the connection matters
+	return nil
+}
+
+// Identity returns the process id and the first word of the secret, for state dumps and tests.
+func (c *Conn) Identity() (pid, secret uint32) {
+	if len(c.secret) >= 4 {
+		secret = binary.BigEndian.Uint32(c.secret)
+	}
+	return c.pid, secret
+}
+
+func itoa(n uint64) string {
+	var b strings.Builder
+	const digits = "0123456789abcdefghijklmnopqrstuvwxyz"
+	for {
+		b.WriteByte(digits[n%36])
+		n /= 36
+		if n == 0 {
+			return b.String()
+		}
+	}
+}
--- /dev/null
+++ b/internal/backend/link.go
@@ -0,0 +1,242 @@
+package backend
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"fireflyrudder.example/fireflyrudder/internal/watermark"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// Times of a status link.
+const (
+	// relinkWait is the pause before a lost link is opened again.
+	relinkWait = 100 * time.Millisecond
+	// linkSilence ends a link whose requests stay without an answer, so that a new one is tried. It is
+	// above several retransmissions of TCP.
+	linkSilence = 3 * time.Second
+	// maxAsked bounds the requests without an answer; a server that does not answer gets no more.
+	maxAsked = 8
+)
+
+// Link is the status link to one backend server. It is not used for statements.
+type Link struct {
+	target      Target
+	credentials Credentials
+	application string
+	emit        func(watermark.Event)
+	asks        chan watermark.RoundID
+}
+
+// NewLink returns a Link that is not open. emit receives watermark.Answered, watermark.Notified and
+// watermark.Lost from the goroutines of the link.
+func NewLink(t Target, c Credentials, application string, emit func(watermark.Event)) *Link {
+	return &Link{
+		target: t, credentials: c, application: application, emit: emit,
+		asks: make(chan watermark.RoundID, maxAsked),
+	}
+}
+
+// Ask sends a status request. It does nothing if the server does not answer earlier ones.
+func (l *Link) Ask(r watermark.RoundID) {
+	select {
+	case l.asks <- r:
+	default:
+	}
+}
+
+// Run keeps the link open until ctx ends.
+func (l *Link) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c, err := Open(ctx, l.target, l.credentials, l.application); err == nil {
+			l.serve(ctx, c)
+			l.emit(watermark.Lost{Server: l.target.Server})
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(relinkWait):
+		}
+	}
+}
+
+// serve uses one connection until it fails.
+func (l *Link) serve(ctx context.Context, c *Conn) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	go func() {
+		<-ctx.Done()
+		c.Close()
+	}()
+	l.drain()
+	if err := l.listen(c); err != nil {
+		return
+	}
+	expected := make(chan watermark.RoundID, maxAsked)
+	go func() {
+		defer stop()
+		l.write(ctx, c, expected)
+	}()
+	l.read(c, expected)
+}
+
+// drain drops requests of rounds that began before the link was open.
+func (l *Link) drain() {
+	for {
+		select {
+		case <-l.asks:
+		default:
+			return
+		}
+	}
+}
+
+// listen subscribes to the positions of the server.
+func (l *Link) listen(c *Conn) error {
+	c.SetDeadline(time.Now().Add(linkSilence))
+	if err := c.Send(&pgproto3.Query{String: "LISTEN group_position"}); err != nil {
+		return err
+	}
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			return errors.Newf("backend: LISTEN on %s: %s", l.target.Server, m.Message)
+		case *pgproto3.ReadyForQuery:
+			return nil
+		}
+	}
+}
+
+// write sends requests as they are asked for.
+func (l *Link) write(ctx context.Context, c *Conn, expected chan<- watermark.RoundID) {
+	query := &pgproto3.Query{String: "SELECT * FROM group_status()"}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-l.asks:
+			select {
+			case expected <- r:
+			default:
+				continue // too many without an answer
+			}
+			b, err := query.Encode(nil)
+			if err != nil {
+				return
+			}
+			if err := c.net.SetWriteDeadline(time.Now().Add(linkSilence)); err != nil {
+				return
+			}
+			if _, err := c.net.Write(b); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// read turns answers and notifications into events. Answers come in the order of the requests.
+func (l *Link) read(c *Conn, expected <-chan watermark.RoundID) {
+	var columns []string
+	var report watermark.Report
+	answered := false
+	for {
+		c.SetDeadline(time.Now().Add(linkSilence))
+		m, err := c.Receive()
+		if err != nil {
+			return
+		}
+		switch m := m.(type) {
+		case *pgproto3.NotificationResponse:
+			if at, err := position.Parse(m.Payload); err == nil && m.Channel == "group_position" {
+				l.emit(watermark.Notified{Server: l.target.Server, At: at})
+			}
+		case *pgproto3.RowDescription:
+			columns = names(columns[:0], m)
+		case *pgproto3.DataRow:
+			report, err = parseReport(columns, m.Values)
+			if err != nil {
+				return
+			}
+			answered = true
+		case *pgproto3.ReadyForQuery:
+			select {
+			case r := <-expected:
+				if answered {
+					l.emit(watermark.Answered{Server: l.target.Server, Round: r, Report: report})
+				}
+			default:
+				return // an answer to no request: the order is lost
+			}
+			answered = false
+		}
+	}
+}
+
+func names(columns []string, m *pgproto3.RowDescription) []string {
+	for _, f := range m.Fields {
+		columns = append(columns, string(f.Name))
+	}
+	return columns
+}
+
+// parseReport reads the row of group_status.
+func parseReport(columns []string, values [][]byte) (watermark.Report, error) {
+	var r watermark.Report
+	for i, column := range columns {
+		if i >= len(values) {
+			break
+		}
+		text := string(values[i])
+		var err error
+		switch column {
+		case "role":
+			r.Role = watermark.Role(text)
+		case "history":
+			r.History, err = position.ParseHistory(text)
+		case "term":
+			err = number(text, (*uint64)(&r.Follows))
+		case "last_term":
+			err = number(text, (*uint64)(&r.At.Term))
+		case "pos":
+			err = number(text, (*uint64)(&r.At.Offset))
+		case "promised":
+			err = number(text, (*uint64)(&r.Promised))
+		}
+		if err != nil {
+			return r, errors.Wrapf(err, "backend: group_status, column %s", column)
+		}
+	}
+	return r, nil
+}
+
+func number(text string, to *uint64) error {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return err
+	}
+	*to = n
+	return nil
+}
+
+// ParsePosition reads the position from a row of group_status.
+func ParsePosition(columns, values []string) (position.Position, error) {
+	raw := make([][]byte, len(values))
+	for i, value := range values {
+		raw[i] = []byte(value)
+	}
+	r, err := parseReport(columns, raw)
+	if err == nil && r.At.IsZero() {
+		err = errors.New("backend: group_status without a position")
+	}
+	return r.At, err
+}
