--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -75,6 +75,7 @@
 	if err := l.listen(c); err != nil {
 		return
 	}
+	l.emit(watermark.Opened{Server: l.target.Server})
 	expected := make(chan watermark.RoundID, maxAsked)
 	go func() {
 		defer stop()
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -17,8 +17,11 @@
 type Pool struct {
 	credentials Credentials
 	application string
+	starved     func()
 
 	mu      sync.Mutex
+	peak    int // most connections in use or waited for since the last Wanted
+	wanted  int // last answer of Wanted
 	limit   int // leased budget without the status link
 	open    int // connections in use, idle or being opened
 	idle    []*Conn
@@ -40,9 +43,25 @@
 	err  error
 }
 
-// NewPool returns an empty pool. Nothing is opened until SetLimit gives it a budget.
-func NewPool(c Credentials, application string) *Pool {
-	return &Pool{credentials: c, application: application, used: make(map[*Conn]struct{})}
+// NewPool returns an empty pool. Nothing is opened until SetLimit gives it a budget. starved is
+// called when a request waits because the budget is used up; it must not block.
+func NewPool(c Credentials, application string, starved func()) *Pool {
+	return &Pool{credentials: c, application: application, starved: starved, used: make(map[*Conn]struct{})}
+}
+
+// Wanted returns the connections that the pool would use. It follows a rise at once and a fall by one
+// at each call, since connections that were given back cost time to open again. One is always wanted.
+func (p *Pool) Wanted() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wanted = max(p.peak, p.wanted-1, 1)
+	p.peak = p.demand()
+	return p.wanted
+}
+
+// demand counts connections in use or being opened and requests that wait. The lock is held.
+func (p *Pool) demand() int {
+	return p.open - len(p.idle) + len(p.waiters)
 }
 
 // SetLimit sets how many connections may be open. Idle ones above it are closed at once.
@@ -99,7 +118,12 @@
 	}
 	w := &waiter{target: t, owner: owner, ready: make(chan grant, 1)}
 	p.waiters = append(p.waiters, w)
+	p.peak = max(p.peak, p.demand())
+	starved := p.open >= p.limit && p.demand() > p.wanted
 	p.mu.Unlock()
+	if starved {
+		p.starved()
+	}
 	select {
 	case g := <-w.ready:
 		return g.conn, g.err
@@ -120,6 +144,7 @@
 	}
 	if p.open < p.limit {
 		p.open++
+		p.peak = max(p.peak, p.demand())
 		return grant{}, true
 	}
 	return grant{}, false
@@ -147,6 +172,7 @@
 	c := p.idle[i]
 	p.idle = append(p.idle[:i], p.idle[i+1:]...)
 	p.used[c] = struct{}{}
+	p.peak = max(p.peak, p.demand())
 	return c
 }
 
--- /dev/null
+++ b/internal/entryvm/acquire.go
@@ -0,0 +1,215 @@
+package entryvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/admission"
+	"fireflyrudder.example/fireflyrudder/internal/backend"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// Waits of a statement before it runs.
+const (
+	// creditWait bounds the wait for rate credits, unless the deadline of the statement is nearer.
+	creditWait = 250 * time.Millisecond
+	// redialWait is the pause after a server refused a connection.
+	redialWait = 20 * time.Millisecond
+)
+
+// lane is a connection with a slot on a backend server, on which one request runs.
+type lane struct {
+	conn    *backend.Conn
+	server  *serverState
+	replica bool // the request runs in a read-only transaction
+	slot    bool // a slot is held; an open transaction holds none between its statements
+	ticket  admission.Ticket
+	lost    bool // the connection failed
+	term    position.Term
+	begun   time.Time
+}
+
+// wait is the wait of one request until it runs. One goroutine uses it.
+type wait struct {
+	session  *callerSession
+	deadline time.Time
+	ctx      context.Context // ends at the deadline or by a cancel request; nil until it is needed
+	stop     context.CancelFunc
+	tries    int
+}
+
+// context returns the context of the wait. It is made on first use, since most requests run at once.
+func (w *wait) context() context.Context {
+	if w.ctx == nil {
+		w.ctx, w.stop = context.WithDeadline(w.session.vm.ctx, w.deadline)
+		w.session.mu.Lock()
+		w.session.waiting = w.stop
+		w.session.mu.Unlock()
+	}
+	return w.ctx
+}
+
+// end gives the context back.
+func (w *wait) end() {
+	if w.ctx == nil {
+		return
+	}
+	w.session.mu.Lock()
+	w.session.waiting = nil
+	w.session.mu.Unlock()
+	w.stop()
+}
+
+// until waits for the channel or the pause. It returns false if the deadline or a cancel request
+// came first.
+func (w *wait) until(c <-chan struct{}, pause time.Duration) bool {
+	ctx := w.context()
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-c:
+		return ctx.Err() == nil
+	case <-timer.C:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refusal explains a wait that ended before the request ran.
+func (w *wait) refusal(state outcome.State, why, remedy string) *outcome.Error {
+	if w.ctx != nil && errors.Is(w.ctx.Err(), context.Canceled) {
+		return outcome.New(stateCanceled, "canceling statement due to user request; it did not run", "send it again if it is wanted")
+	}
+	return outcome.New(state, why, remedy)
+}
+
+// authorize checks that account, key and route still hold and that the configuration lease does.
+// fatal tells that the session must end.
+func (s *callerSession) authorize(now time.Time) (refusal *outcome.Error, fatal bool) {
+	if !s.vm.leased(now) {
+		return outcome.New(outcome.NoLease, "this entry VM holds no configuration lease; the statement did not run",
+			"connect to another entry VM"), false
+	}
+	r, refusal := s.vm.table.Load().admit(&s.conn.Startup, s.conn.Startup.Proved)
+	if refusal != nil {
+		return outcome.New(outcome.Withdrawn, refusal.Message, refusal.Remedy), true
+	}
+	if r.group == nil {
+		return outcome.New(outcome.NoPrimary, "the group of the route is not known yet", "send the statement again"), false
+	}
+	if r.group != s.route.group || r.database != s.route.database {
+		if s.status != idle {
+			return outcome.New(outcome.NotRun, "the route changed; the transaction rolled back", "run the transaction again"), false
+		}
+		s.abandonFloor()
+		s.route = r
+		s.startFloor()
+	}
+	s.route = r
+	return nil, false
+}
+
+// pay takes rate credits. It waits for a grant, so that credits on another VM are no reason to refuse.
+func (s *callerSession) pay(w *wait, cost float64) *outcome.Error {
+	if cost == 0 || s.conn.Startup.Open() {
+		return nil
+	}
+	account := lease.AccountID(s.conn.Startup.Account)
+	limit := time.Now().Add(creditWait)
+	for {
+		now := time.Now()
+		result, granted := s.vm.credits.take(now, account, cost)
+		switch result.Verdict {
+		case lease.Admitted:
+			return nil
+		case lease.Refused:
+			return overRate(result.Retry)
+		}
+		left := min(limit.Sub(now), w.deadline.Sub(now))
+		if left <= 0 || !w.until(granted, left) {
+			return w.refusal(outcome.OverRate, "the account is above its rate; the statement did not run", "send it again later")
+		}
+	}
+}
+
+func overRate(retry time.Duration) *outcome.Error {
+	return outcome.New(outcome.OverRate, "the account is above its rate; the statement did not run",
+		"send it again in "+retry.Round(time.Millisecond).String())
+}
+
+// writeLane waits for the primary, a slot and a connection.
+func (s *callerSession) writeLane(w *wait) (*lane, *outcome.Error) {
+	g := s.route.group
+	for {
+		state := g.state.Load()
+		primary, why := state.writable(time.Now())
+		if primary == nil {
+			if !w.until(state.next, redialWait) {
+				return nil, w.refusal(outcome.NoPrimary, why+"; the statement did not run", "send it again")
+			}
+			continue
+		}
+		l, again, refusal := s.board(w, primary, false)
+		if refusal != nil {
+			return nil, refusal
+		}
+		if again {
+			continue
+		}
+		l.term = state.term
+		now := g.state.Load()
+		if p, _ := now.writable(time.Now()); p != nil && p.server == primary.server && now.term == state.term {
+			return l, nil
+		}
+		s.vm.leaveLane(l)
+	}
+}
+
+// board waits for a slot and a connection of a server. again tells that the server should be chosen
+// anew.
+func (s *callerSession) board(w *wait, server *serverState, read bool) (l *lane, again bool, refusal *outcome.Error) {
+	if refusal := s.enterSlot(w, server, read); refusal != nil {
+		return nil, false, refusal
+	}
+	ticket := s.ticket.Ticket
+	target := backend.Target{Server: server.id, Address: server.address, Database: s.route.database}
+	conn, err := server.pool.TryAcquire(target, s.id)
+	if conn == nil && err == nil {
+		conn, err = server.pool.Acquire(w.context(), target, s.id)
+	}
+	if err == nil {
+		return &lane{conn: conn, server: server, slot: true, ticket: ticket, begun: time.Now()}, false, nil
+	}
+	server.slots.leave(time.Now(), ticket, 0, true)
+	if w.context().Err() != nil {
+		return nil, false, w.refusal(outcome.Late, "no connection within the deadline; the statement did not run", "send it again later or give a longer deadline")
+	}
+	s.vm.metrics.dialFailures.Add(1)
+	if !w.until(nil, redialWait) {
+		return nil, false, w.refusal(outcome.Late, "no connection within the deadline; the statement did not run", "send it again")
+	}
+	return nil, true, nil
+}
+
+// leaveSlot gives the slot of a lane back.
+func (vm *VM) leaveSlot(l *lane) {
+	if !l.slot {
+		return
+	}
+	l.slot = false
+	now := time.Now()
+	elapsed := now.Sub(l.begun)
+	l.server.slots.leave(now, l.ticket, elapsed, l.lost)
+	l.server.router.observe(now, l.server.server, elapsed, l.lost)
+}
+
+// leaveLane gives the slot and the connection back.
+func (vm *VM) leaveLane(l *lane) {
+	vm.leaveSlot(l)
+	l.server.pool.Release(l.conn)
+}
--- /dev/null
+++ b/internal/entryvm/dump.go
@@ -0,0 +1,103 @@
+package entryvm
+
+import (
+	"context"
+	"expvar"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/backend"
+)
+
+// State is what a VM shows of itself at /dump. It holds no keys and no statements of callers.
+type State struct {
+	Identity string       `json:"identity"`
+	Version  uint64       `json:"version"`
+	Leased   bool         `json:"leased"`
+	Draining bool         `json:"draining"`
+	Sessions int          `json:"sessions"`
+	Groups   []GroupDump  `json:"groups"`
+	Servers  []ServerDump `json:"servers"`
+}
+
+// GroupDump is the state of a group.
+type GroupDump struct {
+	Group    string `json:"group"`
+	Term     uint64 `json:"term"`
+	Phase    string `json:"phase"`
+	Primary  string `json:"primary"`
+	Writable string `json:"writable"` // why no write can be sent; empty if one can
+	Floors   int    `json:"waiting_floors"`
+	Commits  int    `json:"waiting_commits"`
+}
+
+// ServerDump is the state of a backend server.
+type ServerDump struct {
+	Group    string        `json:"group"`
+	Server   string        `json:"server"`
+	Role     string        `json:"role"`
+	Term     uint64        `json:"term"`
+	Position string        `json:"position"`
+	History  string        `json:"history"`
+	Alive    bool          `json:"alive"`
+	Retired  bool          `json:"retired"`
+	Age      float64       `json:"age_seconds"` // of the data; negative: not known
+	Pool     backend.Usage `json:"pool"`
+}
+
+// Dump returns the state.
+func (vm *VM) Dump(ctx context.Context) (State, error) {
+	answer := make(chan State, 1)
+	vm.post(func(now time.Time) { answer <- vm.dump(now) })
+	select {
+	case s := <-answer:
+		return s, nil
+	case <-ctx.Done():
+		return State{}, errors.Wrap(ctx.Err(), "entryvm: dump")
+	}
+}
+
+// dump collects the state. Only the owner goroutine calls it.
+func (vm *VM) dump(now time.Time) State {
+	s := State{
+		Identity: vm.identity,
+		Version:  vm.book.Version(),
+		Leased:   vm.leased(now),
+		Draining: vm.draining.Load(),
+		Sessions: vm.sessions.count(),
+	}
+	for name, g := range vm.groups {
+		state := g.state.Load()
+		_, why := state.writable(now)
+		floors, commits := g.mark.Waiting()
+		s.Groups = append(s.Groups, GroupDump{
+			Group: name, Term: uint64(state.term), Phase: state.phase.String(), Primary: g.view.GetPrimary(),
+			Writable: why, Floors: floors, Commits: commits,
+		})
+		for i := range state.servers {
+			s.Servers = append(s.Servers, dumpServer(now, name, &state.servers[i]))
+		}
+	}
+	sort.Slice(s.Groups, func(i, j int) bool { return s.Groups[i].Group < s.Groups[j].Group })
+	sort.Slice(s.Servers, func(i, j int) bool { return s.Servers[i].Server < s.Servers[j].Server })
+	return s
+}
+
+func dumpServer(now time.Time, group string, s *serverState) ServerDump {
+	age := -1.0
+	if !s.member.Fresh.IsZero() {
+		age = now.Sub(s.member.Fresh).Seconds()
+	}
+	return ServerDump{
+		Group: group, Server: string(s.id), Role: string(s.member.Role), Term: uint64(s.member.Follows),
+		Position: s.member.At.String(), History: s.member.History.String(), Alive: s.alive(now), Retired: s.retired,
+		Age: age, Pool: s.pool.Usage(),
+	}
+}
+
+// Vars returns the metrics.
+func (vm *VM) Vars() *expvar.Map {
+	return vm.metrics.vars
+}
--- /dev/null
+++ b/internal/entryvm/floor.go
@@ -0,0 +1,127 @@
+package entryvm
+
+import (
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/session"
+	"fireflyrudder.example/fireflyrudder/internal/watermark"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// groupID returns the name of the group in tokens.
+func (r *callerRoute) groupID() session.GroupID {
+	if r.group == nil {
+		return ""
+	}
+	return session.GroupID(r.group.name)
+}
+
+// startFloor binds the session to its floor: that of its token, or that of a majority round which is
+// sent now. The round goes on while the caller sends its first statement.
+func (s *callerSession) startFloor() {
+	if s.floor.session == nil {
+		s.floor.session = session.New()
+	}
+	s.floor.known, s.floor.fresh = s.floor.token, nil
+	if !s.floor.known && s.route.group != nil {
+		s.floor.fresh = s.vm.askFloor(s.route.group)
+	}
+}
+
+// abandonFloor gives up a round that nobody waits for.
+func (s *callerSession) abandonFloor() {
+	s.floor.fresh = nil // the channel is buffered; an answer is dropped with it
+}
+
+// waitFloor returns the floor of the session.
+func (s *callerSession) waitFloor(w *wait) (position.Position, *outcome.Error) {
+	for !s.floor.known {
+		if s.floor.fresh == nil {
+			s.floor.fresh = s.vm.askFloor(s.route.group)
+		}
+		p, ok := s.receiveFloor(w, s.floor.fresh)
+		if !ok {
+			return position.Position{}, noMajority(w)
+		}
+		s.floor.fresh = nil
+		s.floor.known = true
+		s.floor.session.Raise(s.route.groupID(), p)
+	}
+	return s.floor.session.Floor(s.route.groupID()), nil
+}
+
+func (s *callerSession) receiveFloor(w *wait, c chan position.Position) (position.Position, bool) {
+	select {
+	case p := <-c:
+		return p, true
+	default:
+	}
+	select {
+	case p := <-c:
+		return p, true
+	case <-w.context().Done():
+		return position.Position{}, false
+	}
+}
+
+func noMajority(w *wait) *outcome.Error {
+	return w.refusal(outcome.NotRun, "no majority of the group answers; the statement did not run", "send it again")
+}
+
+// raise notes an acknowledged write and tells the caller its new token.
+func (s *callerSession) raise(p position.Position) {
+	s.floor.session.Raise(s.route.groupID(), p)
+}
+
+// token writes the session's floors for the caller.
+func (s *callerSession) token() string {
+	if s.vm.options.Signer == nil {
+		return ""
+	}
+	return s.vm.options.Signer.Token(s.floor.session, s.conn.Startup.Account)
+}
+
+// adopt takes the token of the startup packet.
+func (s *callerSession) adopt(token string) *outcome.Error {
+	if token == "" || s.vm.options.Signer == nil {
+		return nil
+	}
+	known, err := s.vm.options.Signer.Parse(token, s.conn.Startup.Account)
+	if err != nil {
+		return outcome.New(outcome.BadValue, "the session token is not valid", "connect without fireflyrudder.session, or with the last value received")
+	}
+	s.floor.session, s.floor.token = known, true
+	return nil
+}
+
+// askFloor starts or joins a majority round of the group.
+func (vm *VM) askFloor(g *group) chan position.Position {
+	c := make(chan position.Position, 1)
+	vm.post(func(now time.Time) {
+		id := vm.nextWait()
+		g.floors[id] = c
+		vm.stepGroup(now, g, watermark.Connected{Wait: id})
+	})
+	return c
+}
+
+// confirm waits until a majority holds a commit. It returns false if that is not known in time.
+func (vm *VM) confirm(g *group, server watermark.ServerID, at position.Position) bool {
+	c := make(chan watermark.Verdict, 1)
+	vm.post(func(now time.Time) {
+		id := vm.nextWait()
+		g.verdicts[id] = c
+		vm.stepGroup(now, g, watermark.Committed{Wait: id, Server: server, At: at})
+	})
+	// The owner answers within the commit wait; the longer bound covers one that is stuck.
+	timer := time.NewTimer(watermark.CommitWait + time.Second)
+	defer timer.Stop()
+	select {
+	case v := <-c:
+		return v == watermark.Held
+	case <-timer.C:
+	case <-vm.done:
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entryvm/harness_test.go
@@ -0,0 +1,294 @@
+package entryvm_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"fireflyrudder.example/fireflyrudder/internal/backend"
+	"fireflyrudder.example/fireflyrudder/internal/caller"
+	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/entryvm"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/session"
+	"fireflyrudder.example/fireflyrudder/internal/settings"
+	"fireflyrudder.example/fireflyrudder/internal/standin"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// controlGroup answers entry VMs from a real book and a real issuer, without a log.
+type controlGroup struct {
+	wire.UnimplementedControlServer
+	mu       sync.Mutex
+	book     *contract.Book
+	issuer   *lease.Issuer
+	index    uint64
+	watchers map[chan struct{}]bool
+	silent   bool // answers no Renew
+	left     []string
+	sights   []*wire.Sight
+	address  string
+}
+
+func startControl(t testing.TB) *controlGroup {
+	t.Helper()
+	c := &controlGroup{book: contract.New(), watchers: map[chan struct{}]bool{}}
+	c.issuer = lease.NewIssuer(time.Now(), c.book.Configuration(), nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c.address = l.Addr().String()
+	server := grpc.NewServer()
+	wire.RegisterControlServer(server, c)
+	go server.Serve(l)
+	t.Cleanup(server.Stop)
+	return c
+}
+
+// apply appends an entry of the control log.
+func (c *controlGroup) apply(t testing.TB, e *wire.Entry) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.index++
+	if d := c.book.Apply(c.index, e); d != nil {
+		require.Equal(t, wire.Verdict_VERDICT_ACCEPTED, d.Verdict, d.Remedy)
+	}
+	c.issuer.Configure(time.Now(), c.book.Configuration(), c.book.Views())
+	for w := range c.watchers {
+		select {
+		case w <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// change applies edits on the present version.
+func (c *controlGroup) change(t testing.TB, edits ...*wire.Edit) {
+	t.Helper()
+	c.mu.Lock()
+	change := &wire.Change{Id: fmt.Sprint("change-", c.index), Base: c.book.Version(), Operator: "test", Edits: edits}
+	c.mu.Unlock()
+	c.apply(t, &wire.Entry{Entry: &wire.Entry_Change{Change: change}})
+}
+
+func (c *controlGroup) silence(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = on
+}
+
+func (c *controlGroup) leavers() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.left
+}
+
+func (c *controlGroup) Renew(_ context.Context, r *wire.RenewRequest) (*wire.RenewReply, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.silent {
+		return nil, fmt.Errorf("silent")
+	}
+	if r.Leaving {
+		c.left = append(c.left, r.Registration.Entry)
+	}
+	c.sights = r.Sights
+	credits, budgets := c.issuer.Renew(time.Now(), r)
+	return &wire.RenewReply{
+		Leader: true, Version: c.book.Version(), Sequence: r.Sequence, Lease: 2500, Expiry: 2000, Credits: credits, Budgets: budgets,
+	}, nil
+}
+
+func (c *controlGroup) Watch(r *wire.WatchRequest, stream grpc.ServerStreamingServer[wire.Update]) error {
+	wake := make(chan struct{}, 1)
+	c.mu.Lock()
+	c.watchers[wake] = true
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.watchers, wake)
+		c.mu.Unlock()
+	}()
+	version, index := r.Version, r.Index
+	for {
+		c.mu.Lock()
+		u, ok := c.book.Since(version, index, r.Groups)
+		if !ok {
+			u = c.book.Full(r.Groups)
+		}
+		c.mu.Unlock()
+		if err := stream.Send(u); err != nil {
+			return err
+		}
+		version, index = u.Version, u.Index
+		select {
+		case <-wake:
+		case <-stream.Context().Done():
+			return nil
+		}
+	}
+}
+
+// world is a control group, one database group of stand-ins and entry VMs.
+type world struct {
+	t       testing.TB
+	control *controlGroup
+	servers []*standin.Server
+	term    uint64
+}
+
+const (
+	testKey    = "secret of the account"
+	testGroup  = "class"
+	testRoute  = "enroll"
+	testSigner = "0123456789abcdef0123456789abcdef"
+)
+
+func newWorld(t testing.TB, servers int, change func(i int, c *standin.Config)) *world {
+	t.Helper()
+	w := &world{t: t, control: startControl(t)}
+	verifier, err := caller.NewVerifier(testKey, "salt of the test", 4096)
+	require.NoError(t, err)
+	keys := []*wire.Key{{Name: "main", Verifier: verifier}, {Name: "second", Verifier: verifier}}
+	w.control.change(t,
+		&wire.Edit{Edit: &wire.Edit_PutGroup{PutGroup: &wire.Group{Name: testGroup, Members: uint32(servers), Slots: 3, Connections: 24}}},
+		&wire.Edit{Edit: &wire.Edit_PutAccount{PutAccount: &wire.Account{Name: "tide", Rate: 1e6, Burst: 1e6, Keys: keys}}},
+		&wire.Edit{Edit: &wire.Edit_PutAccount{PutAccount: &wire.Account{Name: "slow", Rate: 1, Burst: 2, Keys: keys}}},
+		&wire.Edit{Edit: &wire.Edit_PutRoute{PutRoute: &wire.Route{Name: testRoute, Group: testGroup, Database: "db", Accounts: []string{"tide", "slow"}, Age: 10_000}}},
+		&wire.Edit{Edit: &wire.Edit_PutRoute{PutRoute: &wire.Route{Name: "current", Group: testGroup, Database: "db", Accounts: []string{"tide"}}}},
+		&wire.Edit{Edit: &wire.Edit_PutRoute{PutRoute: &wire.Route{Name: "open", Group: testGroup, Database: "db", Open: true, Age: 10_000}}},
+	)
+	for i := range servers {
+		c := standin.Config{Server: string(rune('a' + i)), Group: testGroup, Zone: "zone-a", Listen: "127.0.0.1:0", Slots: 3, Connections: 24, User: "system"}
+		if change != nil {
+			change(i, &c)
+		}
+		s, err := standin.Start(context.Background(), c)
+		require.NoError(t, err)
+		t.Cleanup(s.Close)
+		w.servers = append(w.servers, s)
+		member := &wire.Member{Server: c.Server, Address: s.Address(), Zone: c.Zone}
+		w.control.apply(t, &wire.Entry{Entry: &wire.Entry_Admit{Admit: &wire.Admit{Group: testGroup, Member: member}}})
+	}
+	w.promote(0)
+	return w
+}
+
+// promote makes a server the primary of the next term, as the control group does.
+func (w *world) promote(primary int) {
+	w.t.Helper()
+	w.raise()
+	w.finish(primary, nil)
+}
+
+// raise makes the next term durable and fences every server that answers.
+func (w *world) raise() {
+	w.t.Helper()
+	w.term++
+	w.control.apply(w.t, &wire.Entry{Entry: &wire.Entry_Raise{Raise: &wire.RaiseTerm{Group: testGroup, Term: w.term, Phase: wire.Phase_PHASE_RAISING}}})
+}
+
+// finish fences, promotes and has the others follow, except those left out.
+func (w *world) finish(primary int, except map[int]bool) {
+	w.t.Helper()
+	for i, s := range w.servers {
+		if !except[i] {
+			_, err := s.Fence(position.Term(w.term))
+			require.NoError(w.t, err)
+		}
+	}
+	status, err := w.servers[primary].Promote(position.Term(w.term))
+	require.NoError(w.t, err)
+	w.control.apply(w.t, &wire.Entry{Entry: &wire.Entry_Promoted{Promoted: &wire.Promoted{
+		Group: testGroup, Term: w.term, Server: string(rune('a' + primary)), Offset: uint64(status.Offset)}}})
+	for i, s := range w.servers {
+		if i != primary && !except[i] {
+			_, err := s.Follow(context.Background(), position.Term(w.term), w.servers[primary].Address())
+			require.NoError(w.t, err)
+		}
+	}
+}
+
+// entry is a running entry VM.
+type entry struct {
+	*entryvm.VM
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+func (w *world) entry(change func(*entryvm.Options)) *entry {
+	w.t.Helper()
+	signer, err := session.NewSigner([]byte(testSigner))
+	require.NoError(w.t, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(w.t, err)
+	o := entryvm.Options{
+		Node:        settings.Node{Name: "entry", Zone: "zone-a"},
+		Entry:       &settings.Entry{Controls: []string{w.control.address}, Drain: 5 * time.Second, Wait: 5 * time.Second},
+		Credentials: backend.Credentials{User: "system"},
+		Signer:      signer,
+		Listener:    l,
+		Dial:        dialControl,
+	}
+	if change != nil {
+		change(&o)
+	}
+	vm, err := entryvm.New(o)
+	require.NoError(w.t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	e := &entry{VM: vm, stop: stop, ended: make(chan struct{})}
+	go func() {
+		defer close(e.ended)
+		vm.Run(ctx)
+	}()
+	w.t.Cleanup(func() {
+		stop()
+		<-e.ended
+	})
+	require.Eventually(w.t, func() bool { return vm.Ready(ctx) == nil }, 10*time.Second, 5*time.Millisecond)
+	return e
+}
+
+func dialControl(address string) (wire.ControlClient, io.Closer, error) {
+	c, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, nil, err
+	}
+	return wire.NewControlClient(c), c, nil
+}
+
+// url returns the address of a caller's connection.
+func (e *entry) url(user, password, route string) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", user, password, e.Address(), route)
+}
+
+func (e *entry) dial(ctx context.Context, user, password, route string, change func(*pgx.ConnConfig)) (*pgx.Conn, error) {
+	c, err := pgx.ParseConfig("postgres://" + e.Address() + "/?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	c.User, c.Password, c.Database = user, password, route
+	if change != nil {
+		change(c)
+	}
+	return pgx.ConnectConfig(ctx, c)
+}
+
+// connect opens a connection of the account tide.
+func (e *entry) connect(t testing.TB, change func(*pgx.ConnConfig)) *pgx.Conn {
+	t.Helper()
+	c, err := e.dial(context.Background(), "tide", testKey, testRoute, change)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
--- /dev/null
+++ b/internal/entryvm/metrics.go
@@ -0,0 +1,49 @@
+package entryvm
+
+import "expvar"
+
+// metrics are the counters of an entry VM, shown at /debug/vars.
+type metrics struct {
+	vars         *expvar.Map
+	connections  *expvar.Int // accepted
+	refused      *expvar.Int // startups that failed
+	sessions     *expvar.Int // open now
+	statements   *expvar.Int
+	replicaReads *expvar.Int
+	primaryReads *expvar.Int
+	writes       *expvar.Int
+	retries      *expvar.Int
+	lost         *expvar.Int // requests whose connection to a server failed
+	unconfirmed  *expvar.Int // commits without a majority in time
+	repeats      *expvar.Int // requests answered from their record
+	dialFailures *expvar.Int
+	renewals     *expvar.Int
+	renewFailed  *expvar.Int
+	outcomes     *expvar.Map // refusals and faults by SQLSTATE
+}
+
+func newMetrics() *metrics {
+	m := &metrics{vars: new(expvar.Map).Init()}
+	number := func(name string) *expvar.Int {
+		v := new(expvar.Int)
+		m.vars.Set(name, v)
+		return v
+	}
+	m.connections = number("connections")
+	m.refused = number("refused_connections")
+	m.sessions = number("sessions")
+	m.statements = number("statements")
+	m.replicaReads = number("replica_reads")
+	m.primaryReads = number("primary_reads")
+	m.writes = number("writes")
+	m.retries = number("retries")
+	m.lost = number("lost_connections")
+	m.unconfirmed = number("unconfirmed_commits")
+	m.repeats = number("repeated_requests")
+	m.dialFailures = number("dial_failures")
+	m.renewals = number("renewals")
+	m.renewFailed = number("failed_renewals")
+	m.outcomes = new(expvar.Map).Init()
+	m.vars.Set("outcomes", m.outcomes)
+	return m
+}
--- /dev/null
+++ b/internal/entryvm/once.go
@@ -0,0 +1,402 @@
+package entryvm
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"hash"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"fireflyrudder.example/fireflyrudder/internal/backend"
+	"fireflyrudder.example/fireflyrudder/internal/caller"
+	"fireflyrudder.example/fireflyrudder/internal/statement"
+	"fireflyrudder.example/fireflyrudder/internal/watermark"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// Statements on the table of request ids. The record commits with the request, so either both are
+// there or none.
+var (
+	insertRecord = ownStatement("INSERT INTO "+statement.RequestTable+" (account, id, digest, tag) VALUES ($1, $2, $3, $4)", 4)
+	updateRecord = ownStatement("UPDATE "+statement.RequestTable+" SET tag = $3 WHERE account = $1 AND id = $2", 3)
+	selectRecord = ownStatement("SELECT digest, tag FROM "+statement.RequestTable+" WHERE account = $1 AND id = $2", 2)
+	askStatus    = ownStatement("SELECT * FROM group_status()", 0)
+)
+
+const createRecords = "CREATE TABLE IF NOT EXISTS " + statement.RequestTable +
+	" (account text NOT NULL, id text NOT NULL, digest text NOT NULL, tag text NOT NULL, PRIMARY KEY (account, id))"
+
+// ownStatement makes a statement of the VM with text parameters.
+func ownStatement(sql string, parameters int) *prepared {
+	p := &prepared{sql: sql, key: "own\x00" + sql}
+	for range parameters {
+		p.oids = append(p.oids, textOID)
+	}
+	return p
+}
+
+// digest identifies what a request id stands for.
+type digest struct {
+	hash hash.Hash
+}
+
+// add takes a request in.
+func (d *digest) add(r *request) {
+	if d.hash == nil {
+		d.hash = sha256.New()
+	}
+	if r.text != "" {
+		d.write([]byte(r.text))
+	}
+	// Preparing a statement is left out: drivers do it only the first time.
+	for i := range r.steps {
+		switch m := r.steps[i].message.(type) {
+		case *pgproto3.Bind:
+			d.write([]byte(r.steps[i].prepared.sql))
+			for _, value := range m.Parameters {
+				d.write(value)
+			}
+		case *pgproto3.Execute:
+			d.write([]byte(r.steps[i].prepared.sql))
+		}
+	}
+}
+
+// write adds one value with its length, so that neighbours do not run together.
+func (d *digest) write(b []byte) {
+	var size [8]byte
+	binary.BigEndian.PutUint64(size[:], uint64(len(b)))
+	d.hash.Write(size[:])
+	d.hash.Write(b)
+}
+
+func (d *digest) String() string {
+	if d.hash == nil {
+		return ""
+	}
+	return hex.EncodeToString(d.hash.Sum(nil))
+}
+
+// call adds a statement of the VM with text values and keeps its answer from the caller.
+func (x *exchange) call(p *prepared, values ...string) error {
+	name, err := x.ensure(p)
+	if err != nil {
+		return err
+	}
+	bind := &pgproto3.Bind{PreparedStatement: name}
+	for _, value := range values {
+		bind.Parameters = append(bind.Parameters, []byte(value))
+	}
+	x.expects = append(x.expects, expect{kind: 'B', swallow: true}, expect{kind: 'D', swallow: true},
+		expect{kind: 'E', swallow: true}, expect{kind: 'Z', swallow: true})
+	for _, m := range []pgproto3.FrontendMessage{bind, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Sync{}} {
+		if err := x.conn.Send(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// side runs statements of the VM on a lane, none of whose answers the caller sees. It returns the
+// SQLSTATE of the first error and, from the last row, its columns and values.
+func (s *callerSession) side(l *lane, add func(x *exchange) error) (row sideRow, err error) {
+	x := newExchange(s, l, false)
+	defer x.release()
+	x.collects = &row
+	if err = add(x); err == nil {
+		err = x.run(0)
+	}
+	if err == nil && x.fatal {
+		err = errUnexpected
+	}
+	row.code, row.tag, row.position = x.code, x.sideTag, x.position
+	return row, err
+}
+
+// sideRow is the last row of the VM's own statements and how they ended.
+type sideRow struct {
+	columns  []string
+	values   []string
+	code     string
+	tag      string // last command tag
+	position position.Position
+}
+
+// performOnce runs a request with its id in one transaction.
+func (s *callerSession) performOnce(w *wait, r *request) error {
+	if refusal := refuseOnce(r); refusal != nil {
+		return s.answer(refusal)
+	}
+	id := s.parameters.request
+	s.parameters.request = ""
+	var d digest
+	d.add(r)
+	mark := s.conn.Mark()
+	for {
+		l, refusal := s.writeLane(w)
+		if refusal != nil {
+			return s.answer(refusal)
+		}
+		again, err := s.attemptOnce(w, l, r, id, d.String())
+		if !again {
+			return err
+		}
+		if !s.conn.Rewind(mark) || !s.mayRetry(w, outcome.NotRun, false, true) {
+			return s.answer(outcome.New(outcome.NotRun, "the backend server failed before the commit; the statement did not run", "send it again with the same request id"))
+		}
+	}
+}
+
+// refuseOnce refuses what cannot run within a transaction of the VM.
+func refuseOnce(r *request) *outcome.Error {
+	for _, kind := range r.runs {
+		for i := range kind.Parts {
+			switch kind.Parts[i].Kind {
+			case statement.Begin, statement.Commit, statement.Rollback:
+				return outcome.New(outcome.Unsupported, "a request id is not carried with BEGIN, COMMIT or ROLLBACK among other statements",
+					"send BEGIN, the statements and COMMIT one by one")
+			}
+		}
+	}
+	return nil
+}
+
+// attemptOnce runs the request once: the record, the request, the commit. again tells that nothing
+// can have committed.
+func (s *callerSession) attemptOnce(w *wait, l *lane, r *request, id, sum string) (again bool, err error) {
+	if s.replay(l) != nil {
+		s.vm.leaveLane(l)
+		return true, nil
+	}
+	if !s.ensureRecords(l) {
+		return true, nil
+	}
+	account := s.conn.Startup.Account
+	row, err := s.side(l, func(x *exchange) error {
+		if err := x.query("BEGIN", true); err != nil {
+			return err
+		}
+		return x.call(insertRecord, account, id, sum, "")
+	})
+	l.conn.Touched = true
+	switch {
+	case err != nil, outcome.State(row.code) == stateReadOnly:
+		s.giveUp(l)
+		return true, nil
+	case outcome.State(row.code) == stateDuplicate:
+		return s.repeated(l, r, id, sum)
+	case outcome.State(row.code) == stateUndefinedTable:
+		s.missingRecords()
+		s.giveUp(l)
+		return true, nil
+	case row.code != "":
+		s.giveUp(l)
+		return false, s.answer(outcome.New(outcome.NotRun, "the request id could not be recorded (SQLSTATE "+row.code+"); the statement did not run", "send it again"))
+	}
+	return s.finishOnce(w, l, r, id)
+}
+
+// giveUp closes the connection; what is open on it rolls back.
+func (s *callerSession) giveUp(l *lane) {
+	l.conn.Doubt()
+	s.vm.leaveLane(l)
+}
+
+// ensureRecords makes the table of request ids on the first use of a database. It returns false if
+// the lane was given back and another attempt is due.
+func (s *callerSession) ensureRecords(l *lane) bool {
+	place := recordPlace{group: s.route.group, database: s.route.database}
+	if _, known := s.vm.records.Load(place); known {
+		return true
+	}
+	row, err := s.side(l, func(x *exchange) error { return x.query(createRecords, true) })
+	if err != nil || row.code != "" {
+		s.giveUp(l)
+		return false
+	}
+	s.vm.records.Store(place, struct{}{})
+	return true
+}
+
+// recordPlace names a database that has the table of request ids.
+type recordPlace struct {
+	group    *group
+	database string
+}
+
+// missingRecords forgets that the database has the table, as after a failover that lost its creation.
+func (s *callerSession) missingRecords() {
+	s.vm.records.Delete(recordPlace{group: s.route.group, database: s.route.database})
+}
+
+// finishOnce runs the request after its record was inserted, and commits both.
+func (s *callerSession) finishOnce(w *wait, l *lane, r *request, id string) (again bool, err error) {
+	x := newExchange(s, l, true)
+	defer x.release()
+	x.tentative = true
+	size, err := x.send(r)
+	if err == nil {
+		err = x.run(size)
+	}
+	var gone callerError
+	switch {
+	case errors.As(err, &gone):
+		s.giveUp(l)
+		return false, errEnd
+	case err != nil, x.fatal, x.hidden:
+		s.giveUp(l)
+		return true, nil
+	case l.conn.Status != open:
+		// The statement failed and its error was shown, or it ended the transaction itself.
+		s.giveUp(l)
+		if x.code == "" {
+			return false, s.answer(unknown("the statement ended the transaction of its request id"))
+		}
+		if err := s.conn.SendEncoded(x.held); err != nil {
+			return false, err
+		}
+		return false, s.ready()
+	}
+	account := s.conn.Startup.Account
+	row, err := s.side(l, func(y *exchange) error {
+		if err := y.call(updateRecord, account, id, x.tag); err != nil {
+			return err
+		}
+		return y.query("COMMIT", true)
+	})
+	if err != nil {
+		s.giveUp(l)
+		return false, s.answer(unknown("the connection to the primary was lost during the commit"))
+	}
+	if row.code != "" || row.tag != "COMMIT" {
+		s.giveUp(l)
+		return false, s.answer(outcome.New(outcome.NotRun, "the commit was refused (SQLSTATE "+row.code+"); nothing was changed", "send it again with the same request id"))
+	}
+	group, server := s.route.group, l.server.id
+	s.vm.leaveLane(l)
+	return false, s.acknowledge(group, server, row.position, x.held)
+}
+
+// acknowledge shows an answer once a majority holds the commit.
+func (s *callerSession) acknowledge(g *group, server watermark.ServerID, at position.Position, held []byte) error {
+	if !s.vm.confirm(g, server, at) {
+		s.vm.metrics.unconfirmed.Add(1)
+		return s.answer(unknown("the commit was not confirmed by a majority of the group"))
+	}
+	s.raise(at)
+	if err := s.conn.Send(&pgproto3.ParameterStatus{Name: caller.Prefix + parameterSession, Value: s.token()}); err != nil {
+		return err
+	}
+	if err := s.conn.SendEncoded(held); err != nil {
+		return err
+	}
+	return s.ready()
+}
+
+// repeated answers a request whose record is there already with the first outcome.
+func (s *callerSession) repeated(l *lane, r *request, id, sum string) (again bool, err error) {
+	account := s.conn.Startup.Account
+	row, err := s.side(l, func(x *exchange) error {
+		if err := x.query("ROLLBACK", true); err != nil {
+			return err
+		}
+		return x.call(selectRecord, account, id)
+	})
+	if err != nil || row.code != "" || len(row.values) != 2 {
+		s.giveUp(l) // the first run may just have rolled back
+		return true, nil
+	}
+	first, tag := row.values[0], row.values[1]
+	// The record may be on the primary only. Its position is not known, but is no higher than the
+	// present one.
+	row, err = s.side(l, func(x *exchange) error { return x.call(askStatus) })
+	group, server := s.route.group, l.server.id
+	s.vm.leaveLane(l)
+	if err != nil || row.code != "" {
+		return true, nil
+	}
+	at, err := backend.ParsePosition(row.columns, row.values)
+	if err != nil {
+		return true, nil
+	}
+	if first != sum {
+		return false, s.answer(outcome.New(outcome.ReusedRequest, "the request id belongs to another statement; this one did not run", "use a new request id"))
+	}
+	s.vm.metrics.repeats.Add(1)
+	x := newExchange(s, l, false)
+	defer x.release()
+	x.holding = true
+	if err := x.sendTag(r, tag); err != nil {
+		return false, err
+	}
+	return false, s.acknowledge(group, server, at, x.held)
+}
+
+// sendTag answers a request that ran earlier. Its rows are not kept.
+func (x *exchange) sendTag(r *request, tag string) error {
+	for i := range r.steps {
+		var m pgproto3.BackendMessage
+		switch d := r.steps[i].message.(type) {
+		case *pgproto3.Parse:
+			m = &pgproto3.ParseComplete{}
+		case *pgproto3.Bind:
+			m = &pgproto3.BindComplete{}
+		case *pgproto3.Close:
+			m = &pgproto3.CloseComplete{}
+		case *pgproto3.Describe:
+			if d.ObjectType == 'S' {
+				if err := x.emit(&pgproto3.ParameterDescription{ParameterOIDs: r.steps[i].prepared.oids}); err != nil {
+					return err
+				}
+			}
+			m = &pgproto3.NoData{}
+		case *pgproto3.Execute:
+			m = &pgproto3.CommandComplete{CommandTag: []byte(tag)}
+		}
+		if err := x.emit(m); err != nil {
+			return err
+		}
+		x.session.applied(&r.steps[i])
+	}
+	if r.text == "" {
+		return nil
+	}
+	return x.emit(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+// commitOnce ends a transaction that carries a request id: the record, then COMMIT.
+func (s *callerSession) commitOnce(w *wait, l *lane, r *request) error {
+	account, id, sum := s.conn.Startup.Account, s.transaction.request, s.transaction.digest.String()
+	row, err := s.side(l, func(x *exchange) error { return x.call(insertRecord, account, id, sum, "COMMIT") })
+	l.conn.Touched = true
+	switch {
+	case err != nil || outcome.State(row.code) == stateReadOnly:
+		s.fail()
+		return s.answer(rolledBack("the connection to the backend server was lost before the commit"))
+	case outcome.State(row.code) == stateDuplicate:
+		return s.repeatedCommit(l, r, id, sum)
+	case outcome.State(row.code) == stateUndefinedTable:
+		s.missingRecords()
+		s.fail()
+		return s.answer(rolledBack("the table of request ids was missing"))
+	case row.code != "":
+		s.fail()
+		return s.answer(rolledBack("the request id could not be recorded (SQLSTATE " + row.code + ")"))
+	}
+	s.transaction.request = ""
+	return s.performInside(w, r)
+}
+
+// repeatedCommit ends a transaction that committed before: this run rolls back.
+func (s *callerSession) repeatedCommit(l *lane, r *request, id, sum string) error {
+	s.held, s.server = nil, nil
+	s.finish(false)
+	again, err := s.repeated(l, r, id, sum)
+	if again {
+		return s.answer(unknown("the record of the request id could not be read"))
+	}
+	return err
+}
--- /dev/null
+++ b/internal/entryvm/owner.go
@@ -0,0 +1,332 @@
+package entryvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"fireflyrudder.example/fireflyrudder/internal/backend"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/watermark"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// batch bounds the events handled before the states are published, so that readers do not wait long.
+const batch = 256
+
+// spareTime is the time after which an idle statement connection above the first is closed.
+const spareTime = time.Minute
+
+// offer is a configuration lease for a version that is perhaps not applied yet.
+type offer struct {
+	version uint64
+	until   time.Duration // after VM.started
+}
+
+// own runs the owner goroutine.
+func (vm *VM) own() {
+	defer close(vm.done)
+	defer vm.closeServers()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-vm.ctx.Done():
+			return
+		case f := <-vm.events:
+			f(time.Now())
+			vm.more()
+		case <-ticker.C:
+			vm.tick(time.Now())
+		}
+		for _, g := range vm.groups {
+			if g.dirty {
+				g.publish()
+			}
+		}
+	}
+}
+
+// more handles the events that wait already.
+func (vm *VM) more() {
+	for range batch {
+		select {
+		case f := <-vm.events:
+			f(time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// tick lets time pass.
+func (vm *VM) tick(now time.Time) {
+	for _, g := range vm.groups {
+		vm.stepGroup(now, g, watermark.Tick{})
+		for _, s := range g.servers {
+			vm.budget(now, s)
+		}
+	}
+}
+
+// budget keeps the connections to a server within its lease. The status link comes first.
+func (vm *VM) budget(now time.Time, s *server) {
+	n := vm.credits.connections(now, lease.ServerID(s.id))
+	if n > 0 && s.linked != nil {
+		s.linked()
+		s.linked = nil
+	}
+	s.pool.SetLimit(max(0, n-1))
+	s.pool.Trim(now.Add(-spareTime), 1)
+}
+
+func (vm *VM) nextWait() watermark.WaitID {
+	vm.waits++
+	return watermark.WaitID(vm.waits)
+}
+
+// stepGroup applies an event to the rounds of a group and carries out what follows.
+func (vm *VM) stepGroup(now time.Time, g *group, e watermark.Event) {
+	for _, effect := range g.mark.Step(now, e) {
+		switch f := effect.(type) {
+		case watermark.Ask:
+			for _, id := range f.Servers {
+				if s, ok := g.servers[id]; ok {
+					s.link.Ask(f.Round)
+				}
+			}
+		case watermark.Floored:
+			g.floors[f.Wait] <- f.Floor
+			delete(g.floors, f.Wait)
+		case watermark.Settled:
+			g.verdicts[f.Wait] <- f.Verdict
+			delete(g.verdicts, f.Wait)
+		}
+	}
+	switch e := e.(type) {
+	case watermark.Answered:
+		g.advance(now, e.Server, e.Report.At)
+	case watermark.Notified:
+		g.advance(now, e.Server, e.At)
+	case watermark.Lost, watermark.Viewed:
+		g.dirty = true
+	}
+}
+
+// advance notes a position.
+func (g *group) advance(now time.Time, id watermark.ServerID, at position.Position) {
+	g.dirty = true
+	if s, ok := g.servers[id]; ok {
+		g.router.advance(now, s, at)
+	}
+}
+
+// update takes a message of the control group.
+func (vm *VM) update(now time.Time, u *wire.Update) {
+	before := vm.book.Version()
+	vm.book.Follow(u)
+	configuration := vm.book.Configuration()
+	for _, c := range configuration.GetGroups() {
+		if _, known := vm.groups[c.GetName()]; !known && vm.serves(c.GetName()) {
+			vm.groups[c.GetName()] = newGroup(c.GetName())
+		}
+	}
+	views := make(map[string]*wire.View)
+	for _, v := range vm.book.Views() {
+		views[v.GetGroup()] = v
+	}
+	retired := make(map[string]bool)
+	for _, name := range configuration.GetRetired() {
+		retired[name] = true
+	}
+	configured := make(map[string]bool)
+	for _, c := range configuration.GetGroups() {
+		configured[c.GetName()] = true
+		if g, ok := vm.groups[c.GetName()]; ok {
+			vm.updateGroup(now, g, c, views[c.GetName()], retired)
+		}
+	}
+	for name, g := range vm.groups {
+		if !configured[name] {
+			vm.dropGroup(g)
+		}
+	}
+	if vm.book.Version() != before || u.GetFull() != nil {
+		vm.table.Store(newTable(configuration, vm.groups))
+		vm.expel()
+		log.WithField("version", vm.book.Version()).Info("configuration applied")
+	}
+	vm.extend()
+}
+
+func (vm *VM) serves(name string) bool {
+	if len(vm.options.Entry.Groups) == 0 {
+		return true
+	}
+	for _, one := range vm.options.Entry.Groups {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+// updateGroup brings servers and rounds of a group up to its view.
+func (vm *VM) updateGroup(now time.Time, g *group, c *wire.Group, v *wire.View, retired map[string]bool) {
+	if v == nil {
+		v = &wire.View{Group: g.name}
+	}
+	changed := g.view.GetRevision() != v.GetRevision() || g.view == nil || g.members != c.GetMembers()
+	old := g.view
+	g.view, g.members = v, c.GetMembers()
+	g.retired = make(map[string]bool)
+	present := make(map[watermark.ServerID]bool)
+	for _, m := range v.GetMembers() {
+		id := watermark.ServerID(m.GetServer())
+		present[id] = true
+		g.retired[m.GetServer()] = m.GetRetired() || retired[m.GetServer()]
+		if s, ok := g.servers[id]; ok && (s.address != m.GetAddress() || s.allowed != int(max(c.GetSlots(), 1))) {
+			vm.closeServer(s)
+			delete(g.servers, id)
+		}
+		if _, ok := g.servers[id]; !ok {
+			g.servers[id] = vm.newServer(g, c, m)
+			vm.control.wake() // asks for its connections
+		}
+	}
+	for id, s := range g.servers {
+		if !present[id] {
+			vm.closeServer(s)
+			g.router.forget(s)
+			delete(g.servers, id)
+		}
+	}
+	g.dirty = true
+	if !changed {
+		return
+	}
+	members := make([]watermark.ServerID, 0, len(v.GetMembers()))
+	for _, m := range v.GetMembers() {
+		members = append(members, watermark.ServerID(m.GetServer()))
+	}
+	vm.stepGroup(now, g, watermark.Viewed{
+		Term: position.Term(v.GetTerm()), History: history(v), Primary: watermark.ServerID(v.GetPrimary()),
+		Members: members, Count: int(c.GetMembers()),
+	})
+	vm.superseded(g, old, v)
+}
+
+// superseded closes the connections to a former primary, so that a statement on a frozen one ends.
+func (vm *VM) superseded(g *group, old, v *wire.View) {
+	if old.GetPrimary() == v.GetPrimary() || old.GetPrimary() == "" && old.GetTerm() == 0 {
+		if old.GetTerm() == v.GetTerm() {
+			return
+		}
+	}
+	log.WithField("group", g.name).WithField("term", v.GetTerm()).WithField("primary", v.GetPrimary()).Info("view changed")
+	if v.GetPrimary() == "" {
+		return
+	}
+	for id, s := range g.servers {
+		if string(id) != v.GetPrimary() && g.last == id {
+			time.AfterFunc(severWait, s.pool.Sever)
+		}
+	}
+	g.last = watermark.ServerID(v.GetPrimary())
+}
+
+// newServer makes the connections of a backend server, none of which opens before its budget.
+func (vm *VM) newServer(g *group, c *wire.Group, m *wire.Member) *server {
+	s := &server{
+		id:      watermark.ServerID(m.GetServer()),
+		address: m.GetAddress(),
+		zone:    m.GetZone(),
+		pool:    backend.NewPool(vm.options.Credentials, vm.identity+"/statement", vm.control.wake),
+		allowed: int(max(c.GetSlots(), 1)),
+		slots:   newSlots(int(max(c.GetSlots(), 1))),
+		router:  g.router,
+	}
+	if s.zone != vm.options.Node.Zone {
+		s.distance = zoneDistance
+	}
+	target := backend.Target{Server: s.id, Address: s.address, Database: vm.database(g)}
+	s.link = backend.NewLink(target, vm.options.Credentials, vm.identity+"/status", func(e watermark.Event) {
+		vm.post(func(now time.Time) { vm.stepGroup(now, g, e) })
+	})
+	ctx, stop := context.WithCancel(vm.ctx)
+	s.stop = stop
+	s.linked = func() { go s.link.Run(ctx) }
+	return s
+}
+
+// database returns a database of the group for status links.
+func (vm *VM) database(g *group) string {
+	for _, r := range vm.book.Configuration().GetRoutes() {
+		if r.GetGroup() == g.name {
+			return r.GetDatabase()
+		}
+	}
+	return "postgres"
+}
+
+func (vm *VM) closeServer(s *server) {
+	s.stop()
+	s.pool.Close()
+}
+
+// dropGroup ends a group that is no longer configured.
+func (vm *VM) dropGroup(g *group) {
+	for _, s := range g.servers {
+		vm.closeServer(s)
+	}
+	delete(vm.groups, g.name)
+	g.servers = nil
+	g.view = nil
+	g.publish()
+}
+
+func (vm *VM) closeServers() {
+	for _, g := range vm.groups {
+		for _, s := range g.servers {
+			vm.closeServer(s)
+		}
+	}
+}
+
+// expel closes the sessions whose key or route was withdrawn.
+func (vm *VM) expel() {
+	t := vm.table.Load()
+	for _, s := range vm.sessions.list() {
+		if _, refusal := t.admit(&s.conn.Startup, s.conn.Startup.Proved); refusal != nil {
+			s.shut(outcome.New(outcome.Withdrawn, refusal.Message, refusal.Remedy), true)
+		}
+	}
+}
+
+// offered takes a configuration lease from a reply to Renew. Before the version is applied it does
+// not count.
+func (vm *VM) offered(o offer) {
+	vm.offers = append(vm.offers, o)
+	if len(vm.offers) > 16 {
+		vm.offers = vm.offers[1:]
+	}
+	vm.extend()
+}
+
+// extend makes the offers count whose version is applied.
+func (vm *VM) extend() {
+	kept := vm.offers[:0]
+	for _, o := range vm.offers {
+		if o.version > vm.book.Version() {
+			kept = append(kept, o)
+			continue
+		}
+		if int64(o.until) > vm.until.Load() {
+			vm.until.Store(int64(o.until))
+		}
+	}
+	vm.offers = kept
+}
--- /dev/null
+++ b/internal/entryvm/parameters.go
@@ -0,0 +1,109 @@
+package entryvm
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/caller"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+)
+
+// Names of the run-time parameters without their prefix.
+const (
+	parameterAge      = "age"
+	parameterDeadline = "deadline"
+	parameterRequest  = "request"
+	parameterSession  = "session"
+)
+
+// maxRequestID is the longest request id, in bytes.
+const maxRequestID = 200
+
+// parameters are the run-time parameters of a session.
+type parameters struct {
+	age      time.Duration
+	aged     bool // age was stated; otherwise that of the route holds
+	deadline time.Duration
+	request  string // id of the next statement or transaction that writes
+}
+
+// own reports whether a run-time parameter is the proxy's, and its name without the prefix.
+func own(name string) (string, bool) {
+	return strings.CutPrefix(strings.ToLower(name), caller.Prefix)
+}
+
+// set changes a parameter. standard is the deadline of the settings.
+func (p *parameters) set(name, value string, standard time.Duration) *outcome.Error {
+	switch name {
+	case parameterAge:
+		age, refusal := duration(name, value)
+		if refusal != nil {
+			return refusal
+		}
+		p.age, p.aged = age, value != ""
+	case parameterDeadline:
+		deadline, refusal := duration(name, value)
+		if refusal != nil {
+			return refusal
+		}
+		if deadline == 0 {
+			deadline = standard
+		}
+		p.deadline = deadline
+	case parameterRequest:
+		if len(value) > maxRequestID {
+			return outcome.New(outcome.BadValue, "the request id is longer than "+strconv.Itoa(maxRequestID)+" bytes", "use a shorter id")
+		}
+		p.request = value
+	case parameterSession:
+		return outcome.New(outcome.BadValue, "fireflyrudder.session is taken at connect only",
+			"give it as a startup option: -c fireflyrudder.session=...")
+	default:
+		return unknownParameter(name)
+	}
+	return nil
+}
+
+func unknownParameter(name string) *outcome.Error {
+	return outcome.New(outcome.BadValue, "there is no parameter "+caller.Prefix+name,
+		"the parameters are fireflyrudder.age, fireflyrudder.deadline, fireflyrudder.request and fireflyrudder.session")
+}
+
+// duration reads "250ms", "5s" or a number of milliseconds. Nothing means zero.
+func duration(name, value string) (time.Duration, *outcome.Error) {
+	if value == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(value)
+	if n, err2 := strconv.ParseInt(value, 10, 32); err2 == nil {
+		d, err = time.Duration(n)*time.Millisecond, nil
+	}
+	if err != nil || d < 0 {
+		return 0, outcome.New(outcome.BadValue, "bad value of "+caller.Prefix+name, "give a duration such as 250ms or 5s")
+	}
+	return d, nil
+}
+
+// ageOn returns the stated age on a route.
+func (p *parameters) ageOn(r *callerRoute) time.Duration {
+	if p.aged {
+		return p.age
+	}
+	return r.age
+}
+
+// show returns a parameter as text.
+func (s *callerSession) show(name string) (string, *outcome.Error) {
+	switch name {
+	case parameterAge:
+		return s.parameters.ageOn(s.route).String(), nil
+	case parameterDeadline:
+		return s.parameters.deadline.String(), nil
+	case parameterRequest:
+		return s.parameters.request, nil
+	case parameterSession:
+		return s.token(), nil
+	}
+	return "", unknownParameter(name)
+}
--- /dev/null
+++ b/internal/entryvm/plan.go
@@ -0,0 +1,316 @@
+package entryvm
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"fireflyrudder.example/fireflyrudder/internal/statement"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+)
+
+// Bounds of what one session may ask for.
+const (
+	// maxPending bounds the extended messages that wait for Sync, in bytes.
+	maxPending = 32 << 20
+	// maxStatements bounds the prepared statements of one session.
+	maxStatements = 10_000
+)
+
+// SQLSTATEs of faults that are found before anything runs.
+const (
+	stateSyntax          outcome.State = "42601"
+	stateNoStatement     outcome.State = "26000"
+	stateSameStatement   outcome.State = "42P05"
+	stateNoPortal        outcome.State = "34000"
+	stateFailed          outcome.State = "25P02"
+	stateReadOnly        outcome.State = "25006"
+	stateCanceled        outcome.State = "57014"
+	stateTooMany         outcome.State = "54000"
+	stateTooManyConns    outcome.State = "53300"
+	stateAdminShutdown   outcome.State = "57P01"
+	stateCannotConnect   outcome.State = "57P03"
+	stateDuplicate       outcome.State = "23505"
+	stateUndefinedTable  outcome.State = "42P01"
+	stateChangedResult   outcome.State = "0A000"
+	stateActiveStatement outcome.State = "25001"
+)
+
+// step is one extended message, copied from the read buffer.
+type step struct {
+	message  pgproto3.FrontendMessage
+	prepared *prepared // of Parse, Bind, Describe and Execute
+}
+
+// request is what runs up to the next ReadyForQuery, or up to a Flush.
+type request struct {
+	text  string // simple query
+	kind  *statement.Statement
+	steps []step
+	sync  bool // the caller waits for ReadyForQuery
+
+	runs    []*statement.Statement // what is executed, in order
+	read    bool                   // everything executed is a proved read
+	commits bool                   // a commit may happen
+	charge  float64                // rate credits
+	id      string                 // request id; empty for none
+}
+
+// collect copies an extended message until Sync or Flush.
+func (s *callerSession) collect(m pgproto3.FrontendMessage) error {
+	if s.skipping {
+		return nil
+	}
+	one, size := copied(m)
+	s.bytes += size
+	if s.bytes > maxPending {
+		s.conn.Fatal(outcome.New(stateTooMany, "more than 32 MB of messages wait for Sync", "send Sync more often"))
+		return errEnd
+	}
+	s.pending = append(s.pending, step{message: one})
+	return nil
+}
+
+// copied returns a copy that outlives the read buffer, and its size in bytes.
+func copied(m pgproto3.FrontendMessage) (pgproto3.FrontendMessage, int) {
+	const overhead = 64
+	switch m := m.(type) {
+	case *pgproto3.Parse:
+		return &pgproto3.Parse{Name: m.Name, Query: m.Query, ParameterOIDs: slices.Clone(m.ParameterOIDs)},
+			overhead + len(m.Query) + 4*len(m.ParameterOIDs)
+	case *pgproto3.Bind:
+		return copiedBind(m)
+	case *pgproto3.Describe:
+		one := *m
+		return &one, overhead
+	case *pgproto3.Execute:
+		one := *m
+		return &one, overhead
+	case *pgproto3.Close:
+		one := *m
+		return &one, overhead
+	}
+	return m, overhead
+}
+
+// copiedBind copies the values into one buffer.
+func copiedBind(m *pgproto3.Bind) (pgproto3.FrontendMessage, int) {
+	size := 0
+	for _, value := range m.Parameters {
+		size += len(value)
+	}
+	buffer := make([]byte, 0, size)
+	values := make([][]byte, len(m.Parameters))
+	for i, value := range m.Parameters {
+		if value == nil {
+			continue
+		}
+		from := len(buffer)
+		buffer = append(buffer, value...)
+		values[i] = buffer[from:len(buffer):len(buffer)]
+	}
+	return &pgproto3.Bind{
+		DestinationPortal:    m.DestinationPortal,
+		PreparedStatement:    m.PreparedStatement,
+		ParameterFormatCodes: slices.Clone(m.ParameterFormatCodes),
+		Parameters:           values,
+		ResultFormatCodes:    slices.Clone(m.ResultFormatCodes),
+	}, 64 + size + 32*len(values)
+}
+
+// newPrepared classifies the statement of a Parse message.
+func (vm *VM) newPrepared(m *pgproto3.Parse) *prepared {
+	p := &prepared{sql: m.Query, oids: m.ParameterOIDs}
+	key := make([]byte, 0, len(m.Query)+1+4*len(m.ParameterOIDs))
+	key = append(key, m.Query...)
+	key = append(key, 0)
+	for _, oid := range m.ParameterOIDs {
+		key = binary.BigEndian.AppendUint32(key, oid)
+	}
+	p.key = string(key)
+	p.kind, p.refuse = vm.classify(m.Query)
+	return p
+}
+
+// classify returns the classification of a text, or why it is not carried.
+func (vm *VM) classify(sql string) (*statement.Statement, *outcome.Error) {
+	kind, err := vm.cache.Classify(sql)
+	var syntax *statement.SyntaxError
+	if errors.As(err, &syntax) {
+		o := outcome.New(stateSyntax, syntax.Message, "correct the statement")
+		return kind, o
+	}
+	if err != nil {
+		return kind, outcome.New(stateSyntax, err.Error(), "correct the statement")
+	}
+	if refusal := kind.Refusal(); refusal != nil {
+		return kind, refusal
+	}
+	return kind, refusePart(kind)
+}
+
+// refusePart refuses what a pooled connection cannot carry although the statement itself is sound.
+func refusePart(kind *statement.Statement) *outcome.Error {
+	switch kind.Kind {
+	case statement.Prepare, statement.Execute:
+		return outcome.New(outcome.Unsupported, "PREPARE and EXECUTE are not carried as SQL",
+			"use the prepared statements of the protocol, as drivers do")
+	case statement.Multiple:
+		for i := range kind.Parts {
+			part := &kind.Parts[i]
+			if refusal := refusePart(part); refusal != nil {
+				return refusal
+			}
+			if local(part) || sessionSet(part) {
+				return outcome.New(outcome.Unsupported, "SET, SHOW, RESET, DISCARD and DEALLOCATE are not carried among other statements",
+					"send them on their own")
+			}
+		}
+	}
+	return nil
+}
+
+// local reports whether the VM answers the statement itself.
+func local(kind *statement.Statement) bool {
+	switch kind.Kind {
+	case statement.Set, statement.Show, statement.Reset:
+		_, is := own(kind.Name)
+		return is
+	case statement.Deallocate, statement.Discard, statement.Empty:
+		return true
+	}
+	return false
+}
+
+// sessionSet reports whether the statement sets a parameter of the session at the server.
+func sessionSet(kind *statement.Statement) bool {
+	switch kind.Kind {
+	case statement.Set:
+		return !kind.Local
+	case statement.Reset:
+		return true
+	}
+	return false
+}
+
+// weigh fills in what follows from the statements that a request runs.
+func (r *request) weigh(inTransaction bool) {
+	r.read = true
+	for _, kind := range r.runs {
+		r.weighOne(kind, inTransaction)
+	}
+}
+
+func (r *request) weighOne(kind *statement.Statement, inTransaction bool) {
+	switch kind.Kind {
+	case statement.Multiple:
+		inside := inTransaction
+		for i := range kind.Parts {
+			r.weighOne(&kind.Parts[i], inside)
+			switch kind.Parts[i].Kind {
+			case statement.Begin:
+				inside = true
+			case statement.Commit, statement.Rollback:
+				inside = kind.Parts[i].Chain
+			}
+		}
+		return
+	case statement.Read, statement.Show:
+		r.charge++
+		return
+	case statement.Commit:
+		r.commits = true
+	case statement.Rollback:
+		r.commits = r.commits || kind.Chain
+	case statement.Begin, statement.Savepoint, statement.Release, statement.RollbackTo, statement.SetTransaction:
+		r.charge++
+	case statement.Set, statement.Reset:
+		r.charge++
+		if !inTransaction {
+			return // runs anywhere and is replayed elsewhere
+		}
+	default:
+		r.charge++
+		r.commits = r.commits || !inTransaction
+	}
+	r.read = false
+}
+
+// resolve finds the statement of each step. It returns why the request cannot run; then nothing of
+// it runs, as an error aborts everything up to Sync.
+func (s *callerSession) resolve(r *request) *outcome.Error {
+	names := make(map[string]*prepared)
+	portals := make(map[string]*prepared)
+	for i := range r.steps {
+		if refusal := s.resolveStep(r, &r.steps[i], names, portals); refusal != nil {
+			return refusal
+		}
+	}
+	return nil
+}
+
+func (s *callerSession) resolveStep(r *request, one *step, names, portals map[string]*prepared) *outcome.Error {
+	switch m := one.message.(type) {
+	case *pgproto3.Parse:
+		if m.Name != "" && s.statement(m.Name, names) != nil {
+			return outcome.New(stateSameStatement, "prepared statement \""+m.Name+"\" already exists", "close it first or use another name")
+		}
+		if len(s.statements)+len(names) >= maxStatements {
+			return outcome.New(stateTooMany, "too many prepared statements", "close some")
+		}
+		one.prepared = s.vm.newPrepared(m)
+		if one.prepared.refuse != nil {
+			return one.prepared.refuse
+		}
+		names[m.Name] = one.prepared
+	case *pgproto3.Bind:
+		if one.prepared = s.statement(m.PreparedStatement, names); one.prepared == nil {
+			return noStatement(m.PreparedStatement)
+		}
+		portals[m.DestinationPortal] = one.prepared
+	case *pgproto3.Describe:
+		if m.ObjectType == 'S' {
+			if one.prepared = s.statement(m.Name, names); one.prepared == nil {
+				return noStatement(m.Name)
+			}
+			return nil
+		}
+		if one.prepared = s.portal(m.Name, portals); one.prepared == nil {
+			return noPortal(m.Name)
+		}
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			names[m.Name] = nil
+		}
+	case *pgproto3.Execute:
+		if one.prepared = s.portal(m.Portal, portals); one.prepared == nil {
+			return noPortal(m.Portal)
+		}
+		r.runs = append(r.runs, one.prepared.kind)
+	}
+	return nil
+}
+
+func (s *callerSession) statement(name string, names map[string]*prepared) *prepared {
+	if p, ok := names[name]; ok {
+		return p
+	}
+	return s.statements[name]
+}
+
+func (s *callerSession) portal(name string, portals map[string]*prepared) *prepared {
+	if p, ok := portals[name]; ok {
+		return p
+	}
+	return s.portals[name]
+}
+
+func noStatement(name string) *outcome.Error {
+	return outcome.New(stateNoStatement, "prepared statement \""+name+"\" does not exist", "prepare it again")
+}
+
+func noPortal(name string) *outcome.Error {
+	return outcome.New(stateNoPortal, "portal \""+name+"\" does not exist", "bind it again")
+}
--- /dev/null
+++ b/internal/entryvm/request.go
@@ -0,0 +1,394 @@
+package entryvm
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"fireflyrudder.example/fireflyrudder/internal/caller"
+	"fireflyrudder.example/fireflyrudder/internal/statement"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+)
+
+// textOID is the type of what SHOW returns.
+const textOID = 25
+
+// simple handles a simple query.
+func (s *callerSession) simple(text string) error {
+	s.flushing, s.skipping = false, false
+	kind, refusal := s.vm.classify(text)
+	if refusal != nil {
+		return s.refuse(refusal)
+	}
+	if local(kind) {
+		return s.simpleLocal(kind)
+	}
+	r := &request{text: text, kind: kind, sync: true, runs: []*statement.Statement{kind}}
+	r.weigh(s.status != idle)
+	return s.perform(r)
+}
+
+// simpleLocal answers a statement of the VM itself.
+func (s *callerSession) simpleLocal(kind *statement.Statement) error {
+	if kind.Kind == statement.Empty {
+		if err := s.conn.Send(&pgproto3.EmptyQueryResponse{}); err != nil {
+			return err
+		}
+		return s.ready()
+	}
+	if s.status == failed {
+		return s.answer(outcome.New(stateFailed, "current transaction is aborted, commands ignored until end of transaction block", "send ROLLBACK"))
+	}
+	value, tag, refusal := s.runLocal(kind)
+	if refusal != nil {
+		return s.refuse(refusal)
+	}
+	if kind.Kind == statement.Show {
+		if err := s.conn.Send(showDescription(kind)); err != nil {
+			return err
+		}
+		if err := s.conn.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}}); err != nil {
+			return err
+		}
+	}
+	if err := s.conn.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)}); err != nil {
+		return err
+	}
+	return s.ready()
+}
+
+func showDescription(kind *statement.Statement) *pgproto3.RowDescription {
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{
+		Name: []byte(kind.Name), DataTypeOID: textOID, DataTypeSize: -1, TypeModifier: -1,
+	}}}
+}
+
+// runLocal runs a statement of the VM itself and returns its value and command tag.
+func (s *callerSession) runLocal(kind *statement.Statement) (value, tag string, refusal *outcome.Error) {
+	name, _ := own(kind.Name)
+	switch kind.Kind {
+	case statement.Set:
+		text := kind.Value
+		if kind.Default {
+			text = ""
+		}
+		return "", "SET", s.parameters.set(name, text, s.vm.options.Entry.Wait)
+	case statement.Reset:
+		return "", "RESET", s.parameters.set(name, "", s.vm.options.Entry.Wait)
+	case statement.Show:
+		value, refusal = s.show(name)
+		return value, "SHOW", refusal
+	case statement.Deallocate:
+		if kind.Name == statement.All {
+			clear(s.statements)
+			return "", "DEALLOCATE ALL", nil
+		}
+		if _, ok := s.statements[kind.Name]; !ok {
+			return "", "", noStatement(kind.Name)
+		}
+		delete(s.statements, kind.Name)
+		return "", "DEALLOCATE", nil
+	case statement.Discard:
+		return "", "DISCARD " + strings.ToUpper(kind.Name), s.discard(kind.Name)
+	}
+	return "", "", nil
+}
+
+// discard resets the session. The connections that the session used are reset before others use them.
+func (s *callerSession) discard(part string) *outcome.Error {
+	if part != statement.All {
+		return nil
+	}
+	if s.status != idle {
+		return outcome.New(stateActiveStatement, "DISCARD ALL cannot run inside a transaction block", "end the transaction first")
+	}
+	clear(s.statements)
+	s.forget(statement.All)
+	s.parameters = parameters{deadline: s.vm.options.Entry.Wait}
+	return nil
+}
+
+// extended runs the messages collected up to Sync or Flush.
+func (s *callerSession) extended(sync bool) error {
+	r := &request{steps: s.pending, sync: sync}
+	s.pending, s.bytes = nil, 0
+	s.flushing = !sync
+	if s.skipping {
+		if !sync {
+			return s.conn.Flush()
+		}
+		s.skipping = false
+		r.steps = nil
+	}
+	if len(r.steps) == 0 && !s.unsynced {
+		if !sync {
+			return s.conn.Flush()
+		}
+		return s.ready()
+	}
+	if refusal := s.resolve(r); refusal != nil {
+		return s.refuse(refusal)
+	}
+	r.weigh(s.status != idle)
+	if refusal := s.refuseSequence(r); refusal != nil {
+		return s.refuse(refusal)
+	}
+	if s.onlyLocal(r) {
+		return s.performLocal(r)
+	}
+	return s.perform(r)
+}
+
+// refuseSequence refuses sequences of messages whose answers cannot be given as the protocol asks.
+func (s *callerSession) refuseSequence(r *request) *outcome.Error {
+	settings := 0
+	for _, kind := range r.runs {
+		if local(kind) || sessionSet(kind) {
+			settings++
+		}
+	}
+	if settings > 0 && len(r.runs) > 1 {
+		return outcome.New(outcome.Unsupported, "SET, SHOW, RESET, DISCARD and DEALLOCATE are not carried in one sequence with other statements",
+			"send Sync after them")
+	}
+	if r.sync {
+		return nil
+	}
+	if r.commits {
+		return outcome.New(outcome.Unsupported, "Flush after a statement that may commit is not carried: its answer waits for confirmation",
+			"send Sync")
+	}
+	if s.status != idle {
+		return nil
+	}
+	for i := range r.steps {
+		switch r.steps[i].message.(type) {
+		case *pgproto3.Bind, *pgproto3.Execute:
+			return outcome.New(outcome.Unsupported, "Flush after Bind is not carried outside a transaction", "send Sync, or BEGIN first")
+		}
+	}
+	return nil
+}
+
+// onlyLocal reports whether the VM answers every step itself.
+func (s *callerSession) onlyLocal(r *request) bool {
+	for i := range r.steps {
+		if !isLocal(&r.steps[i]) {
+			return false
+		}
+	}
+	return !s.unsynced
+}
+
+// isLocal reports whether the VM answers a step itself.
+func isLocal(one *step) bool {
+	if m, ok := one.message.(*pgproto3.Close); ok {
+		return m.ObjectType == 'S'
+	}
+	return one.prepared != nil && local(one.prepared.kind)
+}
+
+// performLocal answers steps without a backend server.
+func (s *callerSession) performLocal(r *request) error {
+	if s.status == failed && len(r.runs) > 0 {
+		return s.answer(outcome.New(stateFailed, "current transaction is aborted, commands ignored until end of transaction block", "send ROLLBACK"))
+	}
+	x := newExchange(s, &lane{}, false)
+	defer x.release()
+	for i := range r.steps {
+		if err := s.answerStep(x, &r.steps[i]); err != nil {
+			return err
+		}
+		if x.code != "" {
+			break
+		}
+		s.applied(&r.steps[i])
+	}
+	if !r.sync {
+		s.skipping = x.code != ""
+		return s.conn.Flush()
+	}
+	return s.ready()
+}
+
+// answerStep answers one step that the VM answers itself.
+func (s *callerSession) answerStep(x *exchange, one *step) error {
+	switch m := one.message.(type) {
+	case *pgproto3.Parse:
+		return x.emit(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		return x.emit(&pgproto3.BindComplete{})
+	case *pgproto3.Close:
+		return x.emit(&pgproto3.CloseComplete{})
+	case *pgproto3.Describe:
+		return s.describeLocal(x, m, one.prepared.kind)
+	case *pgproto3.Execute:
+		return s.executeLocal(x, one.prepared.kind)
+	}
+	return nil
+}
+
+func (s *callerSession) describeLocal(x *exchange, m *pgproto3.Describe, kind *statement.Statement) error {
+	if m.ObjectType == 'S' {
+		if err := x.emit(&pgproto3.ParameterDescription{}); err != nil {
+			return err
+		}
+	}
+	if kind.Kind == statement.Show {
+		return x.emit(showDescription(kind))
+	}
+	return x.emit(&pgproto3.NoData{})
+}
+
+func (s *callerSession) executeLocal(x *exchange, kind *statement.Statement) error {
+	if kind.Kind == statement.Empty {
+		return x.emit(&pgproto3.EmptyQueryResponse{})
+	}
+	value, tag, refusal := s.runLocal(kind)
+	if refusal != nil {
+		x.code = string(refusal.State)
+		return x.emit(caller.ErrorResponse("ERROR", refusal))
+	}
+	if kind.Kind == statement.Show {
+		if err := x.emit(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}}); err != nil {
+			return err
+		}
+	}
+	return x.emit(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+// applied takes over a step that succeeded.
+func (s *callerSession) applied(one *step) {
+	switch m := one.message.(type) {
+	case *pgproto3.Parse:
+		if s.statements == nil {
+			s.statements = make(map[string]*prepared)
+		}
+		s.statements[m.Name] = one.prepared
+	case *pgproto3.Bind:
+		if s.status == idle {
+			return // the portal ends with the request
+		}
+		if s.portals == nil {
+			s.portals = make(map[string]*prepared)
+		}
+		s.portals[m.DestinationPortal] = one.prepared
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(s.statements, m.Name)
+		} else {
+			delete(s.portals, m.Name)
+		}
+	}
+}
+
+// sendWrapped sends a request. On a replica it runs in a read-only transaction.
+func (x *exchange) sendWrapped(r *request) (int, error) {
+	if !x.lane.replica || r.beginsReadOnly() {
+		return x.send(r)
+	}
+	if err := x.query("BEGIN READ ONLY", true); err != nil {
+		return 0, err
+	}
+	size, err := x.send(r)
+	if err != nil {
+		return 0, err
+	}
+	return size, x.query("COMMIT", true)
+}
+
+// send encodes a request and returns its size in bytes.
+func (x *exchange) send(r *request) (int, error) {
+	if r.text != "" {
+		return len(r.text), x.query(r.text, false)
+	}
+	size := 0
+	for i := range r.steps {
+		if err := x.sendStep(&r.steps[i]); err != nil {
+			return 0, err
+		}
+		size += stepSize(&r.steps[i])
+	}
+	if !r.sync && x.session.status != idle {
+		x.session.unsynced = true
+		return size, x.conn.Send(&pgproto3.Flush{})
+	}
+	x.expects = append(x.expects, expect{kind: 'Z'})
+	return size, x.conn.Send(&pgproto3.Sync{})
+}
+
+func stepSize(one *step) int {
+	const overhead = 64
+	switch m := one.message.(type) {
+	case *pgproto3.Parse:
+		return overhead + len(m.Query)
+	case *pgproto3.Bind:
+		size := overhead
+		for _, value := range m.Parameters {
+			size += 4 + len(value)
+		}
+		return size
+	}
+	return overhead
+}
+
+// sendStep encodes one step with the names of this connection.
+func (x *exchange) sendStep(one *step) error {
+	if isLocal(one) {
+		x.expects = append(x.expects, expect{local: true, step: one})
+		return nil
+	}
+	switch m := one.message.(type) {
+	case *pgproto3.Parse:
+		if _, known := x.conn.Prepared(one.prepared.key); known {
+			x.expects = append(x.expects, expect{local: true, step: one})
+			return nil
+		}
+		return x.prepare(one.prepared, one)
+	case *pgproto3.Bind:
+		name, err := x.ensure(one.prepared)
+		if err != nil {
+			return err
+		}
+		x.expects = append(x.expects, expect{kind: 'B', step: one})
+		bound := *m
+		bound.PreparedStatement = name
+		return x.conn.Send(&bound)
+	case *pgproto3.Describe:
+		described := *m
+		if m.ObjectType == 'S' {
+			name, err := x.ensure(one.prepared)
+			if err != nil {
+				return err
+			}
+			described.Name = name
+		}
+		x.expects = append(x.expects, expect{kind: 'D', step: one})
+		return x.conn.Send(&described)
+	case *pgproto3.Execute:
+		x.expects = append(x.expects, expect{kind: 'E', step: one})
+	case *pgproto3.Close:
+		x.expects = append(x.expects, expect{kind: 'C', step: one})
+	}
+	return x.conn.Send(one.message)
+}
+
+// ensure returns the name of a statement on this connection and prepares it there if it is not yet.
+func (x *exchange) ensure(p *prepared) (string, error) {
+	if name, known := x.conn.Prepared(p.key); known {
+		return name, nil
+	}
+	if err := x.prepare(p, nil); err != nil {
+		return "", err
+	}
+	name, _ := x.conn.Prepared(p.key)
+	return name, nil
+}
+
+// prepare sends Parse under a new name. Without a step of the caller its answer is not shown.
+func (x *exchange) prepare(p *prepared, of *step) error {
+	name := x.conn.Name(p.key)
+	x.named = append(x.named, p)
+	x.expects = append(x.expects, expect{kind: 'P', swallow: of == nil, prepared: p, step: of})
+	return x.conn.Send(&pgproto3.Parse{Name: name, Query: p.sql, ParameterOIDs: p.oids})
+}
--- /dev/null
+++ b/internal/entryvm/rules_test.go
@@ -0,0 +1,212 @@
+package entryvm_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/standin"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+type standinConfig = standin.Config
+
+// Guards against a second run of a request that is sent again, by the same session, another entry VM
+// or after a failover.
+func TestRequestRunsAtMostOnce(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	first, second := w.entry(nil), w.entry(nil)
+	c, other := first.connect(t, nil), second.connect(t, nil)
+	claims(t, c)
+	once := func(c *pgx.Conn, id, sql string, args ...any) (string, error) {
+		run(t, c, "SET fireflyrudder.request = '"+id+"'")
+		tag, err := c.Exec(background, sql, args...)
+		return tag.String(), err
+	}
+	for _, conn := range []*pgx.Conn{c, c, other} {
+		tag, err := once(conn, "one", "INSERT INTO claim (id, owner) VALUES (1, 'a'), (2, 'b')")
+		require.NoError(t, err)
+		require.Equal(t, "INSERT 0 2", tag)
+		tag, err = once(conn, "two", "INSERT INTO claim (id, owner) VALUES ($1, $2)", 3, "c")
+		require.NoError(t, err)
+		require.Equal(t, "INSERT 0 1", tag)
+	}
+	_, err := once(c, "two", "INSERT INTO claim (id, owner) VALUES ($1, $2)", 4, "c")
+	require.Equal(t, "FR006", code(err))
+	_, err = once(c, "bad", "INSERT INTO claim (id, owner) VALUES (1, 'twice')")
+	require.Equal(t, "23505", code(err))
+	tag, err := once(c, "bad", "INSERT INTO claim (id, owner) VALUES (5, 'e')")
+	require.NoError(t, err, "a request that failed left no record")
+	require.Equal(t, "INSERT 0 1", tag)
+
+	w.promote(1)
+	tag, err = once(c, "one", "INSERT INTO claim (id, owner) VALUES (1, 'a'), (2, 'b')")
+	require.NoError(t, err)
+	require.Equal(t, "INSERT 0 2", tag)
+
+	for range 2 {
+		run(t, c, "SET fireflyrudder.request = 'transaction'")
+		run(t, c, "BEGIN")
+		run(t, c, "INSERT INTO claim (id, owner) VALUES (10, 'x') ON CONFLICT DO NOTHING")
+		run(t, c, "INSERT INTO claim (id, owner) VALUES ($1, 'y') ON CONFLICT DO NOTHING", 11)
+		tag, err := c.Exec(background, "COMMIT")
+		require.NoError(t, err)
+		require.Equal(t, "COMMIT", tag.String())
+	}
+	require.Equal(t, 6, number(t, c, "SELECT count(*) FROM claim"))
+}
+
+// Guards against a withdrawn key or a withdrawn route that goes on working for connected callers.
+func TestWithdrawnKeyClosesSessions(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	e := w.entry(nil)
+	c := e.connect(t, nil)
+	claims(t, c)
+	second, err := e.dial(background, "tide/second", testKey, testRoute, nil)
+	require.NoError(t, err)
+	defer second.Close(background)
+	inside, err := e.dial(background, "tide/second", testKey, testRoute, nil)
+	require.NoError(t, err)
+	defer inside.Close(background)
+	run(t, inside, "BEGIN")
+	run(t, inside, "INSERT INTO claim (id, owner) VALUES (1, 'a')")
+	w.control.change(t, &wire.Edit{Edit: &wire.Edit_WithdrawKey{WithdrawKey: &wire.KeyName{Account: "tide", Key: "second"}}})
+	require.Eventually(t, func() bool {
+		_, err1 := second.Exec(background, "SELECT 1")
+		_, err2 := inside.Exec(background, "COMMIT")
+		return err1 != nil && err2 != nil
+	}, 3*time.Second, 10*time.Millisecond)
+	require.Zero(t, number(t, c, "SELECT count(*) FROM claim"))
+	_, err = e.dial(background, "tide/second", testKey, testRoute, nil)
+	require.Equal(t, "28P01", code(err))
+	_, err = e.dial(background, "tide", "wrong", testRoute, nil)
+	require.Equal(t, "28P01", code(err))
+	_, err = e.dial(background, "nobody", testKey, testRoute, nil)
+	require.Equal(t, "28P01", code(err))
+	_, err = e.dial(background, "slow", testKey, "current", nil)
+	require.Equal(t, "28000", code(err))
+	_, err = e.dial(background, "public", "", testRoute, nil)
+	require.Equal(t, "28000", code(err))
+	open, err := e.dial(background, "public", "", "open", nil)
+	require.NoError(t, err)
+	require.Zero(t, number(t, open, "SELECT count(*) FROM claim"))
+	open.Close(background)
+}
+
+// Guards against new work for a retired server.
+func TestRetiredServerGetsNoWork(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	e := w.entry(nil)
+	c := e.connect(t, nil)
+	claims(t, c)
+	w.control.change(t, &wire.Edit{Edit: &wire.Edit_RetireServer{RetireServer: "b"}})
+	time.Sleep(100 * time.Millisecond)
+	w.servers[1].Hooks().SetDelay(time.Minute)
+	for range 100 {
+		require.Zero(t, number(t, c, "SELECT count(*) FROM claim"))
+	}
+}
+
+// Guards against service without a configuration lease.
+func TestNoLeaseRefuses(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	e := w.entry(nil)
+	c := e.connect(t, nil)
+	claims(t, c)
+	w.control.silence(true)
+	var err error
+	require.Eventually(t, func() bool {
+		_, err = c.Exec(background, "INSERT INTO claim (id, owner) VALUES (1, 'a') ON CONFLICT DO NOTHING")
+		return err != nil
+	}, 4*time.Second, 20*time.Millisecond)
+	require.Contains(t, []string{"FR004", "FR002", "FR003"}, code(err), "credits and connections may end a little earlier")
+	require.Eventually(t, func() bool { return e.Ready(background) != nil }, 4*time.Second, 10*time.Millisecond)
+	_, err = c.Exec(background, "SELECT 1")
+	require.Equal(t, "FR004", code(err))
+	w.control.silence(false)
+	require.Eventually(t, func() bool { return e.Ready(background) == nil }, 4*time.Second, 10*time.Millisecond)
+	run(t, c, "INSERT INTO claim (id, owner) VALUES (2, 'a')")
+}
+
+// Guards against statements above the rate of an account.
+func TestOverRate(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	e := w.entry(nil)
+	c, err := e.dial(background, "slow", testKey, testRoute, nil)
+	require.NoError(t, err)
+	defer c.Close(background)
+	admitted := 0
+	var last error
+	for range 10 {
+		if _, err := c.Exec(background, "SELECT 1", pgx.QueryExecModeSimpleProtocol); err == nil {
+			admitted++
+		} else {
+			last = err
+		}
+	}
+	require.Equal(t, "FR002", code(last))
+	require.LessOrEqual(t, admitted, 5, "a burst of 2 and 1 per second")
+}
+
+// Guards against requests that are cut by a planned stop.
+func TestGracefulShutdown(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	e := w.entry(nil)
+	quiet, inside, running := e.connect(t, nil), e.connect(t, nil), e.connect(t, nil)
+	claims(t, quiet)
+	run(t, inside, "BEGIN")
+	run(t, inside, "INSERT INTO claim (id, owner) VALUES (1, 'a')")
+	answer := make(chan error, 1)
+	for _, s := range w.servers {
+		s.Hooks().SetService(300 * time.Millisecond)
+	}
+	go func() {
+		_, err := running.Exec(background, "SELECT count(*) FROM claim", pgx.QueryExecModeSimpleProtocol)
+		answer <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	e.stop()
+	require.NoError(t, <-answer)
+	require.Error(t, e.Ready(background))
+	run(t, inside, "INSERT INTO claim (id, owner) VALUES (2, 'b')")
+	run(t, inside, "COMMIT")
+	_, err := quiet.Exec(background, "SELECT 1")
+	require.Equal(t, "57P01", code(err))
+	_, err = e.dial(background, "tide", testKey, testRoute, nil)
+	require.Error(t, err)
+	<-e.ended
+	require.Contains(t, w.control.leavers(), e.Identity())
+	again := w.entry(nil).connect(t, nil)
+	require.Equal(t, 2, number(t, again, "SELECT count(*) FROM claim"))
+}
+
+// Guards against features that a pooled connection cannot carry, and against parameters that fail.
+func TestRefusalsAndParameters(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	e := w.entry(nil)
+	c := e.connect(t, nil)
+	claims(t, c)
+	for _, sql := range []string{"COPY claim FROM STDIN", "COPY claim TO STDOUT", "LISTEN news", "PREPARE x AS SELECT 1", "SELECT group_fence(9)"} {
+		_, err := c.Exec(background, sql, pgx.QueryExecModeSimpleProtocol)
+		require.Equal(t, "0A000", code(err), sql)
+	}
+	_, err := e.dial(background, "tide", testKey, testRoute, func(p *pgx.ConnConfig) { p.RuntimeParams["replication"] = "database" })
+	require.Equal(t, "0A000", code(err))
+	run(t, c, "SET fireflyrudder.age = '5s'")
+	var text string
+	require.NoError(t, c.QueryRow(background, "SHOW fireflyrudder.age").Scan(&text))
+	require.Equal(t, "5s", text)
+	_, err = c.Exec(background, "SET fireflyrudder.age = 'soon'")
+	require.Equal(t, "22023", code(err))
+	_, err = c.Exec(background, "SET fireflyrudder.nothing = '1'")
+	require.Equal(t, "22023", code(err))
+	current, err := e.dial(background, "tide", testKey, "current", nil)
+	require.NoError(t, err)
+	defer current.Close(background)
+	for i := range 5 {
+		run(t, c, "INSERT INTO claim (id, owner) VALUES ($1, 'a')", i)
+		require.Equal(t, i+1, number(t, current, "SELECT count(*) FROM claim"), "a read of current data sees other sessions' writes")
+	}
+}
--- /dev/null
+++ b/internal/entryvm/session.go
@@ -0,0 +1,407 @@
+package entryvm
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/binary"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"fireflyrudder.example/fireflyrudder/internal/backend"
+	"fireflyrudder.example/fireflyrudder/internal/caller"
+	"fireflyrudder.example/fireflyrudder/internal/session"
+	"fireflyrudder.example/fireflyrudder/internal/statement"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// Transaction status as ReadyForQuery shows it.
+const (
+	idle   = 'I'
+	open   = 'T'
+	failed = 'E'
+)
+
+// caller session: one caller connection. Its fields belong to its goroutine unless said otherwise.
+type callerSession struct {
+	vm    *VM
+	conn  *caller.Conn
+	id    uint64 // owner of pooled connections
+	pid   uint32
+	key   uint32       // secret for cancel requests
+	route *callerRoute // as of the last statement
+	floor floor
+
+	parameters parameters
+	statements map[string]*prepared // by the caller's name
+	portals    map[string]*prepared // of the open transaction
+	settings   []setting            // SET of the session, replayed on each connection
+	revision   int                  // counts changes of settings
+
+	status      byte          // I, T or E
+	held        *backend.Conn // connection of the open transaction
+	server      *serverState  // where held goes
+	term        position.Term // of the group when the transaction began
+	transaction transactionState
+
+	pending  []step // extended messages since the last Sync
+	bytes    int    // size of pending
+	skipping bool   // after an error that Flush showed, until Sync
+	flushing bool   // the request ends with Flush, so that its answer has no ReadyForQuery
+	unsynced bool   // the held connection awaits a Sync
+
+	// closing is why the session is to end as soon as it may; nil while it need not.
+	closing atomic.Pointer[outcome.Error]
+	// atOnce tells that closing does not wait for the open transaction.
+	atOnce atomic.Bool
+
+	ticket *ticket // for slots; nil before the first statement
+	asked  bool    // a round was asked for the read in progress
+
+	mu      sync.Mutex
+	running *backend.Conn      // what a cancel request reaches; guarded by mu
+	waiting context.CancelFunc // ends the wait for credits, slots and servers; guarded by mu
+	phase   phase              // guarded by mu
+}
+
+// phase tells the owner goroutine whether the session may be interrupted.
+type phase uint8
+
+const (
+	quiet phase = iota // between statements, outside transactions
+	inside
+	busy
+)
+
+// transactionState is what the open transaction did so far.
+type transactionState struct {
+	readOnly bool      // stated by BEGIN READ ONLY
+	settings []setting // SET within the transaction; kept if it commits
+	replica  bool      // runs on a replica
+	request  string    // request id that the transaction carries
+	digest   digest    // of the statements of a transaction with a request id
+}
+
+// setting is a run-time parameter that the caller set for its session.
+type setting struct {
+	name string // lower case
+	text string // statement that sets it
+}
+
+// prepared is a statement as the caller prepared it.
+type prepared struct {
+	sql    string
+	oids   []uint32
+	key    string // identifies text and types on a pooled connection
+	kind   *statement.Statement
+	refuse *outcome.Error // set if the statement is not carried
+}
+
+// floor is the floor of the session in the group of its route.
+type floor struct {
+	session *session.Session
+	fresh   chan position.Position // answer of the round that started at connect; nil once known
+	known   bool
+	token   bool // the floors come from a token
+}
+
+// greeting is what every caller is told after authentication. The version is that of the SQL dialect
+// and protocol that is carried.
+var greeting = [][2]string{
+	{"server_version", "16.0"},
+	{"server_encoding", "UTF8"},
+	{"client_encoding", "UTF8"},
+	{"DateStyle", "ISO, MDY"},
+	{"IntervalStyle", "postgres"},
+	{"TimeZone", "UTC"},
+	{"integer_datetimes", "on"},
+	{"standard_conforming_strings", "on"},
+	{"is_superuser", "off"},
+}
+
+// newSession prepares a session after the startup.
+func newSession(vm *VM, c *caller.Conn, r *callerRoute) *callerSession {
+	return &callerSession{vm: vm, conn: c, route: r, status: idle, parameters: parameters{deadline: vm.options.Entry.Wait}}
+}
+
+// greet completes the startup.
+func (s *callerSession) greet() error {
+	for _, p := range greeting {
+		if err := s.conn.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]}); err != nil {
+			return err
+		}
+	}
+	var secret [4]byte
+	binary.BigEndian.PutUint32(secret[:], s.key)
+	if err := s.conn.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: secret[:]}); err != nil {
+		return err
+	}
+	return s.ready()
+}
+
+// ready tells the caller that the next request may come.
+func (s *callerSession) ready() error {
+	if err := s.conn.Send(&pgproto3.ReadyForQuery{TxStatus: s.status}); err != nil {
+		return err
+	}
+	return s.conn.Flush()
+}
+
+// serve runs the session until the caller or the VM ends it.
+func (s *callerSession) serve() {
+	defer s.end()
+	if s.greet() != nil {
+		return
+	}
+	for {
+		if s.leave() {
+			return
+		}
+		m, err := s.conn.Receive()
+		if err != nil {
+			if s.interrupted() {
+				continue
+			}
+			s.explain(err)
+			return
+		}
+		s.enter(busy)
+		if err := s.handle(m); err != nil {
+			return
+		}
+		s.rest()
+	}
+}
+
+// explain tells the caller of a fault in its messages.
+func (s *callerSession) explain(err error) {
+	var large *pgproto3.ExceededMaxBodyLenErr
+	switch {
+	case errors.As(err, &large):
+		s.conn.Fatal(outcome.New(outcome.BadProtocol, "the message is larger than "+strconv.Itoa(large.MaxExpectedBodyLen)+" bytes",
+			"send the data in several statements"))
+	case !isNetwork(err):
+		s.conn.Fatal(outcome.New(outcome.BadProtocol, err.Error(), "use a driver for protocol 3.0"))
+	}
+}
+
+// enter sets the phase.
+func (s *callerSession) enter(p phase) {
+	s.mu.Lock()
+	s.phase = p
+	s.mu.Unlock()
+}
+
+// rest sets the phase after a statement.
+func (s *callerSession) rest() {
+	if s.status == idle && len(s.pending) == 0 {
+		s.enter(quiet)
+	} else {
+		s.enter(inside)
+	}
+}
+
+// leave ends the session if it is to close and may. Nothing of a request that was not read yet ran.
+func (s *callerSession) leave() bool {
+	why := s.closing.Load()
+	if why == nil || (s.status != idle && !s.atOnce.Load()) {
+		return false
+	}
+	s.conn.Fatal(why)
+	return true
+}
+
+// interrupted handles the end of a wait that the owner goroutine interrupted. It reports whether
+// the session goes on, perhaps only to leave.
+func (s *callerSession) interrupted() bool {
+	if !s.conn.Interrupted() {
+		return false
+	}
+	s.conn.Resume()
+	return true
+}
+
+// shut asks the session to close. Without force an open transaction may end first.
+func (s *callerSession) shut(why *outcome.Error, force bool) {
+	s.closing.Store(why)
+	if force {
+		s.atOnce.Store(true)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == quiet || (force && s.phase == inside) {
+		s.conn.Interrupt()
+	}
+}
+
+// abort ends the session at once, in the middle of a statement if need be.
+func (s *callerSession) abort() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running != nil {
+		s.running.Close()
+	}
+	if s.waiting != nil {
+		s.waiting()
+	}
+	s.conn.Close()
+}
+
+// end gives back what the session holds. An open transaction rolls back with its connection.
+func (s *callerSession) end() {
+	s.drop()
+	s.abandonFloor()
+	s.conn.Close()
+	s.vm.sessions.remove(s)
+}
+
+// drop gives up the held connection. Whatever is open on it rolls back at the server.
+func (s *callerSession) drop() {
+	if s.held == nil {
+		return
+	}
+	s.settle(nil)
+	s.held.Doubt()
+	s.server.pool.Release(s.held)
+	s.held, s.server = nil, nil
+}
+
+// settle sets what a cancel request reaches. It waits for a cancel request in delivery, which is
+// therefore delivered before the connection serves anything else.
+func (s *callerSession) settle(c *backend.Conn) {
+	s.mu.Lock()
+	s.running = c
+	s.mu.Unlock()
+}
+
+// cancel handles a cancel request. A connection that one was sent to is closed at the end of its
+// transaction, since the server may act on it late.
+func (s *callerSession) cancel(ctx context.Context, secret uint32) {
+	var a, b [4]byte
+	binary.BigEndian.PutUint32(a[:], secret)
+	binary.BigEndian.PutUint32(b[:], s.key)
+	if subtle.ConstantTimeCompare(a[:], b[:]) != 1 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.running != nil {
+		s.running.Doubt()
+		s.running.Cancel(ctx) //nolint:errcheck // cancel requests have no answer
+		return
+	}
+	if s.waiting != nil {
+		s.waiting()
+	}
+}
+
+// handle processes one message. An error ends the session.
+func (s *callerSession) handle(m pgproto3.FrontendMessage) error {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		if len(s.pending) > 0 { // a simple query also ends a sequence of extended messages
+			if err := s.extended(false); err != nil {
+				return err
+			}
+		}
+		return s.simple(m.String)
+	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
+		return s.collect(m)
+	case *pgproto3.Flush:
+		return s.extended(false)
+	case *pgproto3.Sync:
+		return s.extended(true)
+	case *pgproto3.Terminate:
+		return errEnd
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		return nil // left over from a COPY that was refused
+	case *pgproto3.FunctionCall:
+		return s.refuse(outcome.New(outcome.Unsupported, "function calls by message are not carried", "use SELECT"))
+	}
+	s.conn.Fatal(outcome.New(outcome.BadProtocol, "unexpected message", "use a driver for protocol 3.0"))
+	return errEnd
+}
+
+// errEnd ends a session without a fault of the VM.
+var errEnd = errors.New("entryvm: the session ended")
+
+// refuse answers a request with an outcome. Within a transaction it rolls back, as an error does.
+func (s *callerSession) refuse(o *outcome.Error) error {
+	s.fail()
+	return s.answer(o)
+}
+
+// answer shows an outcome and the state of the transaction.
+func (s *callerSession) answer(o *outcome.Error) error {
+	s.vm.metrics.outcomes.Add(string(o.State), 1)
+	if err := s.conn.Send(caller.ErrorResponse("ERROR", o)); err != nil {
+		return err
+	}
+	if s.flushing {
+		s.skipping = true
+		return s.conn.Flush()
+	}
+	return s.ready()
+}
+
+// fail rolls an open transaction back. The caller sees a failed transaction until it ends it.
+func (s *callerSession) fail() {
+	if s.status == idle {
+		return
+	}
+	s.drop()
+	s.status = failed
+}
+
+// gone reports whether the transaction failed and has no connection any more.
+func (s *callerSession) gone() bool {
+	return s.status != idle && s.held == nil
+}
+
+// finish forgets the transaction that ended.
+func (s *callerSession) finish(committed bool) {
+	if committed {
+		for _, one := range s.transaction.settings {
+			s.keep(one)
+		}
+	}
+	s.status = idle
+	s.transaction = transactionState{}
+	s.portals = nil
+}
+
+// keep notes a SET for replay on other connections.
+func (s *callerSession) keep(one setting) {
+	s.forget(one.name)
+	s.settings = append(s.settings, one)
+}
+
+// forget drops the SETs of one parameter, or of all.
+func (s *callerSession) forget(name string) {
+	s.revision++
+	kept := make([]setting, 0, len(s.settings)+1)
+	for _, one := range s.settings {
+		if one.name != name && name != statement.All {
+			kept = append(kept, one)
+		}
+	}
+	s.settings = kept
+}
+
+// isNetwork reports whether an error is the end of the connection and not a fault in a message.
+func isNetwork(err error) bool {
+	var network net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &network)
+}
+
+// patience returns the time until which the statement may wait.
+func (s *callerSession) patience(now time.Time) time.Time {
+	return now.Add(s.parameters.deadline)
+}
--- /dev/null
+++ b/internal/entryvm/table.go
@@ -0,0 +1,103 @@
+package entryvm
+
+import (
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/caller"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+)
+
+// table is the configuration as traffic goroutines read it. It does not change once published.
+type table struct {
+	version  uint64
+	accounts map[string]*account
+	routes   map[string]*callerRoute
+}
+
+// account is a client account with its keys.
+type account struct {
+	name   string
+	weight float64
+	keys   map[string]caller.Verifier
+}
+
+// callerRoute is what a caller names as its database.
+type callerRoute struct {
+	name       string
+	database   string
+	group      *group // nil if the group is not configured
+	open       bool
+	accounts   map[string]bool
+	age        time.Duration
+	repeatable bool
+}
+
+// newTable builds the table of a configuration. A key whose verifier is malformed does not work.
+func newTable(c *wire.Configuration, groups map[string]*group) *table {
+	t := &table{
+		version:  c.GetVersion(),
+		accounts: make(map[string]*account, len(c.GetAccounts())),
+		routes:   make(map[string]*callerRoute, len(c.GetRoutes())),
+	}
+	for _, a := range c.GetAccounts() {
+		one := &account{name: a.GetName(), weight: float64(max(a.GetWeight(), 1)), keys: make(map[string]caller.Verifier, len(a.GetKeys()))}
+		for _, k := range a.GetKeys() {
+			if v, err := caller.ParseVerifier(k.GetVerifier()); err == nil {
+				one.keys[k.GetName()] = v
+			}
+		}
+		t.accounts[a.GetName()] = one
+	}
+	for _, r := range c.GetRoutes() {
+		one := &callerRoute{
+			name: r.GetName(), database: r.GetDatabase(), group: groups[r.GetGroup()], open: r.GetOpen(),
+			accounts: make(map[string]bool, len(r.GetAccounts())), age: time.Duration(r.GetAge()) * time.Millisecond,
+			repeatable: r.GetRepeatable(),
+		}
+		for _, a := range r.GetAccounts() {
+			one.accounts[a] = true
+		}
+		t.routes[r.GetName()] = one
+	}
+	return t
+}
+
+// find returns the verifier of a key.
+func (t *table) find(accountName, key string) (caller.Verifier, bool) {
+	a, ok := t.accounts[accountName]
+	if !ok {
+		return caller.Verifier{}, false
+	}
+	v, ok := a.keys[key]
+	return v, ok
+}
+
+// admit returns the route if the caller may use it now. proved is the verifier that the key was
+// checked against; a key that was withdrawn and given anew under the same name is another key.
+func (t *table) admit(s *caller.Startup, proved caller.Verifier) (*callerRoute, *outcome.Error) {
+	r, ok := t.routes[s.Route]
+	if !ok {
+		return nil, noRoute(s)
+	}
+	if s.Open() {
+		if !r.open {
+			return nil, noRoute(s)
+		}
+		return r, nil
+	}
+	v, ok := t.find(s.Account, s.Key)
+	if !ok || !v.Equal(proved) {
+		return nil, outcome.New(outcome.Withdrawn, "the key was withdrawn", "connect again with a valid key")
+	}
+	if !r.open && !r.accounts[s.Account] {
+		return nil, noRoute(s)
+	}
+	return r, nil
+}
+
+// noRoute does not tell an unknown route from one of other accounts.
+func noRoute(s *caller.Startup) *outcome.Error {
+	return outcome.New(outcome.NoAccess, "account "+s.Account+" may not use route "+s.Route,
+		"check the database name, or have the account added to the route")
+}
--- /dev/null
+++ b/internal/entryvm/vm.go
@@ -0,0 +1,271 @@
+// Package entryvm is the process that callers connect to. One goroutine owns the control state: the
+// configuration, the views of the groups and their majority rounds. It publishes immutable states,
+// which the goroutines of the sessions read.
+package entryvm
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"io"
+	mathrand "math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/backend"
+	"fireflyrudder.example/fireflyrudder/internal/caller"
+	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/retry"
+	"fireflyrudder.example/fireflyrudder/internal/session"
+	"fireflyrudder.example/fireflyrudder/internal/settings"
+	"fireflyrudder.example/fireflyrudder/internal/statement"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+)
+
+// Sizes and times of the process.
+const (
+	// tickInterval is the precision of rounds and waits.
+	tickInterval = 10 * time.Millisecond
+	// eventQueue lets traffic goroutines go on while the owner is busy.
+	eventQueue = 4096
+	// cachedStatements is the number of classifications kept; a statement text is below 8 KB.
+	cachedStatements = 4096
+	// leaveWait bounds the last Renew of a process that leaves.
+	leaveWait = time.Second
+)
+
+// Options are what a VM is made of. They do not change.
+type Options struct {
+	Node        settings.Node
+	Entry       *settings.Entry
+	Credentials backend.Credentials
+	Signer      *session.Signer // nil: tokens are neither given nor taken
+	TLS         *tls.Config     // towards callers; nil: none
+	Listener    net.Listener    // nil: Entry.Listen is opened
+	// Dial connects to a control VM.
+	Dial func(address string) (wire.ControlClient, io.Closer, error)
+}
+
+// VM is one entry VM.
+type VM struct {
+	options  Options
+	identity string // random, made at each start
+	ctx      context.Context
+	stop     context.CancelFunc
+	done     chan struct{} // closed when the owner goroutine has ended
+	events   chan func(now time.Time)
+
+	table    atomic.Pointer[table]
+	until    atomic.Int64 // end of the configuration lease, in nanoseconds after started
+	started  time.Time
+	draining atomic.Bool
+	sessions *registry
+	credits  *credits
+	retries  retries
+	cache    *statement.Cache
+	records  sync.Map // recordPlace: the table of request ids exists
+	metrics  *metrics
+	control  *control
+
+	// owner goroutine only
+	book   *contract.Book
+	groups map[string]*group
+	waits  uint64
+	offers []offer
+}
+
+// New returns a VM that is not running.
+func New(o Options) (*VM, error) {
+	var id [12]byte
+	rand.Read(id[:]) //nolint:errcheck // never fails by its contract
+	vm := &VM{
+		options:  o,
+		identity: hex.EncodeToString(id[:]),
+		done:     make(chan struct{}),
+		events:   make(chan func(time.Time), eventQueue),
+		started:  time.Now(),
+		sessions: newRegistry(),
+		cache:    statement.NewCache(cachedStatements),
+		metrics:  newMetrics(),
+		book:     contract.New(),
+		groups:   make(map[string]*group),
+	}
+	vm.ctx, vm.stop = context.WithCancel(context.Background())
+	vm.control = newControl(vm)
+	vm.credits = newCredits(vm.control.recheck)
+	vm.retries.budget = retry.New(mathrand.Uint64(), retry.Budgeted)
+	vm.table.Store(newTable(vm.book.Configuration(), nil))
+	if vm.options.Listener == nil {
+		l, err := net.Listen("tcp", o.Entry.Listen)
+		if err != nil {
+			return nil, errors.WithHint(errors.Wrap(err, "entryvm: listen"), "choose another address for --listen, or stop the process that uses it")
+		}
+		vm.options.Listener = l
+	}
+	return vm, nil
+}
+
+// Address returns the address that callers connect to.
+func (vm *VM) Address() string {
+	return vm.options.Listener.Addr().String()
+}
+
+// Identity returns the random identity of the process.
+func (vm *VM) Identity() string {
+	return vm.identity
+}
+
+// Run serves until ctx ends, then shuts down gracefully: requests in progress and open transactions
+// end within the drain bound.
+func (vm *VM) Run(ctx context.Context) error {
+	defer vm.stop()
+	go vm.own()
+	go vm.control.run(vm.ctx)
+	acceptor := caller.NewAcceptor(vm, vm.cancel, vm.options.TLS)
+	go vm.accept(acceptor)
+	log.WithField("address", vm.Address()).WithField("identity", vm.identity).Info("entry VM serves")
+	<-ctx.Done()
+	vm.drain()
+	vm.control.leave(leaveWait)
+	vm.stop()
+	<-vm.done
+	return nil
+}
+
+// drain refuses new connections, closes idle sessions and waits for the others.
+func (vm *VM) drain() {
+	vm.draining.Store(true)
+	vm.options.Listener.Close()
+	log.WithField("sessions", vm.sessions.count()).Info("entry VM drains")
+	why := outcome.New(outcome.Withdrawn, "the entry VM shuts down", "connect again; the balancer chooses another entry VM")
+	timer := time.NewTimer(vm.options.Entry.Drain)
+	defer timer.Stop()
+	for _, s := range vm.sessions.list() {
+		s.shut(why, false)
+	}
+	select {
+	case <-vm.sessions.empty():
+	case <-timer.C:
+		for _, s := range vm.sessions.list() {
+			s.abort()
+		}
+	}
+}
+
+// accept takes connections until the listener closes.
+func (vm *VM) accept(a *caller.Acceptor) {
+	for {
+		n, err := vm.options.Listener.Accept()
+		if err != nil {
+			if vm.draining.Load() || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(tickInterval) // out of descriptors, for instance
+			continue
+		}
+		go vm.welcome(a, n)
+	}
+}
+
+// welcome runs one connection of a caller.
+func (vm *VM) welcome(a *caller.Acceptor, n net.Conn) {
+	vm.metrics.connections.Add(1)
+	c, err := a.Accept(n)
+	if err != nil {
+		vm.metrics.refused.Add(1)
+		return
+	}
+	if c == nil {
+		return // a cancel request
+	}
+	vm.metrics.sessions.Add(1)
+	defer vm.metrics.sessions.Add(-1)
+	s, refusal := vm.open(c)
+	if refusal != nil {
+		c.Fatal(refusal)
+		return
+	}
+	s.serve()
+}
+
+// open makes the session of an authenticated caller.
+func (vm *VM) open(c *caller.Conn) (*callerSession, *outcome.Error) {
+	r, refusal := vm.table.Load().admit(&c.Startup, c.Startup.Proved)
+	if refusal != nil {
+		return nil, refusal
+	}
+	s := newSession(vm, c, r)
+	for name, value := range c.Startup.Parameters {
+		if name == parameterSession {
+			refusal = s.adopt(value)
+		} else {
+			refusal = s.parameters.set(name, value, vm.options.Entry.Wait)
+		}
+		if refusal != nil {
+			return nil, refusal
+		}
+	}
+	c.Startup.Parameters = nil
+	vm.sessions.add(s)
+	if vm.draining.Load() {
+		vm.sessions.remove(s)
+		return nil, outcome.New(outcome.Withdrawn, "the entry VM shuts down", "connect again; the balancer chooses another entry VM")
+	}
+	s.startFloor()
+	return s, nil
+}
+
+// Find implements caller.Authorizer.
+func (vm *VM) Find(account, key string) (caller.Verifier, bool) {
+	return vm.table.Load().find(account, key)
+}
+
+// Admit implements caller.Authorizer.
+func (vm *VM) Admit(s *caller.Startup) *outcome.Error {
+	if vm.draining.Load() {
+		return outcome.New(outcome.Withdrawn, "the entry VM shuts down", "connect again; the balancer chooses another entry VM")
+	}
+	if !vm.leased(time.Now()) {
+		return outcome.New(outcome.NoLease, "this entry VM holds no configuration lease", "connect to another entry VM")
+	}
+	_, refusal := vm.table.Load().admit(s, s.Proved)
+	return refusal
+}
+
+// cancel handles a cancel request.
+func (vm *VM) cancel(c caller.Cancel) {
+	if s := vm.sessions.find(c.ProcessID); s != nil {
+		s.cancel(vm.ctx, c.Secret)
+	}
+}
+
+// leased reports whether the configuration lease holds.
+func (vm *VM) leased(now time.Time) bool {
+	return now.Sub(vm.started) < time.Duration(vm.until.Load())
+}
+
+// Ready reports why the VM does not serve, or nil.
+func (vm *VM) Ready(context.Context) error {
+	switch {
+	case vm.draining.Load():
+		return errors.New("entryvm: shutting down")
+	case !vm.leased(time.Now()):
+		return errors.New("entryvm: no configuration lease")
+	}
+	return nil
+}
+
+// post hands an event to the owner goroutine. It does nothing once the VM has stopped.
+func (vm *VM) post(f func(now time.Time)) {
+	select {
+	case vm.events <- f:
+	case <-vm.ctx.Done():
+	}
+}
--- a/internal/watermark/event.go
+++ b/internal/watermark/event.go
@@ -59,6 +59,11 @@
 	At     position.Position
 }
 
+// Opened tells that the status link of an instance works.
+type Opened struct {
+	Server ServerID
+}
+
 // Lost tells that the status link of an instance ended.
 type Lost struct {
 	Server ServerID
@@ -87,6 +92,7 @@
 func (Viewed) event()    {}
 func (Answered) event()  {}
 func (Notified) event()  {}
+func (Opened) event()    {}
 func (Lost) event()      {}
 func (Connected) event() {}
 func (Committed) event() {}
--- a/internal/watermark/group.go
+++ b/internal/watermark/group.go
@@ -89,6 +89,13 @@
 		return g.answer(now, e)
 	case Notified:
 		return g.notify(now, e)
+	case Opened:
+		// A round that was asked before the link worked is asked here too. The answer is to a request
+		// sent after the round began, so it counts.
+		if g.flying != nil && g.find(e.Server) != nil {
+			return []Effect{Ask{Round: g.flying.id, Servers: []ServerID{e.Server}}}
+		}
+		return nil
 	case Lost:
 		if m := g.find(e.Server); m != nil {
 			m.Linked = false
