--- a/internal/entryvm/acquire.go
+++ b/internal/entryvm/acquire.go
@@ -164,6 +164,7 @@
 		l.term = state.term
 		now := g.state.Load()
 		if p, _ := now.writable(time.Now()); p != nil && p.server == primary.server && now.term == state.term {
+			s.vm.metrics.writes.Add(1)
 			return l, nil
 		}
 		s.vm.leaveLane(l)
--- a/internal/entryvm/control.go
+++ b/internal/entryvm/control.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -37,12 +36,10 @@
 	due      chan struct{} // holds one token when a Renew is due now
 	moved    chan struct{} // holds one token when the time of the next Renew may be earlier
 	sequence uint64
-	current  atomic.Int64 // index of the control VM that answered last
 	clients  map[string]wire.ControlClient
 	closers  []io.Closer
 	ended    chan struct{}
 	leaving  chan struct{}
-	watched  atomic.Bool
 }
 
 func newControl(vm *VM) *control {
--- a/internal/entryvm/harness_test.go
+++ b/internal/entryvm/harness_test.go
@@ -36,7 +36,6 @@
 	watchers map[chan struct{}]bool
 	silent   bool // answers no Renew
 	left     []string
-	sights   []*wire.Sight
 	address  string
 }
 
@@ -102,7 +101,9 @@
 	if r.Leaving {
 		c.left = append(c.left, r.Registration.Entry)
 	}
-	c.sights = r.Sights
+	for _, end := range c.issuer.Expire(time.Now()) {
+		c.issuer.Terminated(end.Entry, end.Server) // the control VM calls group_terminate first
+	}
 	credits, budgets := c.issuer.Renew(time.Now(), r)
 	return &wire.RenewReply{
 		Leader: true, Version: c.book.Version(), Sequence: r.Sequence, Lease: 2500, Expiry: 2000, Credits: credits, Budgets: budgets,
@@ -267,11 +268,6 @@
 	return wire.NewControlClient(c), c, nil
 }
 
-// url returns the address of a caller's connection.
-func (e *entry) url(user, password, route string) string {
-	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", user, password, e.Address(), route)
-}
-
 func (e *entry) dial(ctx context.Context, user, password, route string, change func(*pgx.ConnConfig)) (*pgx.Conn, error) {
 	c, err := pgx.ParseConfig("postgres://" + e.Address() + "/?sslmode=disable")
 	if err != nil {
--- a/internal/entryvm/once.go
+++ b/internal/entryvm/once.go
@@ -140,7 +140,7 @@
 		if refusal != nil {
 			return s.answer(refusal)
 		}
-		again, err := s.attemptOnce(w, l, r, id, d.String())
+		again, err := s.attemptOnce(l, r, id, d.String())
 		if !again {
 			return err
 		}
@@ -166,7 +166,7 @@
 
 // attemptOnce runs the request once: the record, the request, the commit. again tells that nothing
 // can have committed.
-func (s *callerSession) attemptOnce(w *wait, l *lane, r *request, id, sum string) (again bool, err error) {
+func (s *callerSession) attemptOnce(l *lane, r *request, id, sum string) (again bool, err error) {
 	if s.replay(l) != nil {
 		s.vm.leaveLane(l)
 		return true, nil
@@ -196,7 +196,7 @@
 		s.giveUp(l)
 		return false, s.answer(outcome.New(outcome.NotRun, "the request id could not be recorded (SQLSTATE "+row.code+"); the statement did not run", "send it again"))
 	}
-	return s.finishOnce(w, l, r, id)
+	return s.finishOnce(l, r, id)
 }
 
 // giveUp closes the connection; what is open on it rolls back.
@@ -233,7 +233,7 @@
 }
 
 // finishOnce runs the request after its record was inserted, and commits both.
-func (s *callerSession) finishOnce(w *wait, l *lane, r *request, id string) (again bool, err error) {
+func (s *callerSession) finishOnce(l *lane, r *request, id string) (again bool, err error) {
 	x := newExchange(s, l, true)
 	defer x.release()
 	x.tentative = true
--- a/internal/entryvm/plan.go
+++ b/internal/entryvm/plan.go
@@ -55,7 +55,6 @@
 	read    bool                   // everything executed is a proved read
 	commits bool                   // a commit may happen
 	charge  float64                // rate credits
-	id      string                 // request id; empty for none
 }
 
 // collect copies an extended message until Sync or Flush.
--- a/internal/entryvm/readlane.go
+++ b/internal/entryvm/readlane.go
@@ -81,6 +81,11 @@
 			}
 			l.term = state.term
 			l.replica = &state.servers[choice.Index] != state.primary
+			if l.replica {
+				s.vm.metrics.replicaReads.Add(1)
+			} else {
+				s.vm.metrics.primaryReads.Add(1)
+			}
 			return l, nil
 		}
 		if refusal := s.untilPlaced(w, choice, state, &q); refusal != nil {
--- a/internal/entryvm/slots.go
+++ b/internal/entryvm/slots.go
@@ -22,13 +22,6 @@
 	return &slots{queue: admission.New(n)}
 }
 
-// resize takes a changed number of slots.
-func (s *slots) resize(n int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.queue.SetSlots(n)
-}
-
 // load returns the statements that run and wait.
 func (s *slots) load() (running, queued int) {
 	s.mu.Lock()
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -142,7 +142,7 @@
 // drain refuses new connections, closes idle sessions and waits for the others.
 func (vm *VM) drain() {
 	vm.draining.Store(true)
-	vm.options.Listener.Close()
+	vm.options.Listener.Close() //nolint:errcheck // nothing is accepted in any case
 	log.WithField("sessions", vm.sessions.count()).Info("entry VM drains")
 	why := outcome.New(outcome.Withdrawn, "the entry VM shuts down", "connect again; the balancer chooses another entry VM")
 	timer := time.NewTimer(vm.options.Entry.Drain)
