entryvm: retry a refused write only if it was a single statement

A text such as INSERT; COMMIT; INSERT may have committed its first part when a fenced server refuses the second, so trying it again would run the first part twice. A primary that has promised a higher term gets no new writes.

--- a/internal/entryvm/group.go
+++ b/internal/entryvm/group.go
@@ -127,6 +127,8 @@
 		return nil, "the group has no primary"
 	case s.primary.retired:
 		return nil, "the primary is retired"
+	case s.primary.member.Promised > s.term:
+		return nil, "the primary is fenced"
 	case !s.primary.alive(now):
 		return nil, "the primary does not answer"
 	}
--- a/internal/entryvm/run.go
+++ b/internal/entryvm/run.go
@@ -112,7 +112,7 @@
 	}
 	x := newExchange(s, l, r.commits)
 	defer x.release()
-	x.tentative = !s.transaction.readOnly
+	x.tentative = !s.transaction.readOnly && r.single()
 	size, err := x.send(r)
 	if err == nil {
 		err = x.run(size)
@@ -123,7 +123,11 @@
 	if x.hidden {
 		s.vm.leaveSlot(l)
 		s.drop()
-		s.status = failed
+		if r.ends() {
+			s.finish(false)
+		} else {
+			s.status = failed
+		}
 		return s.answer(rolledBack("the primary changed"))
 	}
 	return s.conclude(x, r)
@@ -219,7 +223,7 @@
 	}
 	x := newExchange(s, l, r.commits)
 	defer x.release()
-	x.tentative = !r.read
+	x.tentative = !r.read && !r.readOnly() && r.single()
 	size, err := x.sendWrapped(r)
 	if err == nil {
 		err = x.run(size)
@@ -405,6 +409,12 @@
 	return nil
 }
 
+// single reports whether the request is at most one statement, so that its refusal by a server means
+// that nothing of it ran.
+func (r *request) single() bool {
+	return len(r.runs) <= 1 && (len(r.runs) == 0 || r.runs[0].Kind != statement.Multiple)
+}
+
 // begins reports whether the request is just BEGIN.
 func (r *request) begins() bool {
 	return len(r.runs) == 1 && r.runs[0].Kind == statement.Begin
