entryvm: watch two control VMs at once

A frozen control VM sends nothing and looks like one without news. Its entry VM missed views and, once the configuration changed, its lease ended. A version that the leader names but no stream brings now has the streams opened anew.

--- a/internal/entryvm/control.go
+++ b/internal/entryvm/control.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -40,12 +42,18 @@
 	closers  []io.Closer
 	ended    chan struct{}
 	leaving  chan struct{}
+
+	mu      sync.Mutex
+	at      int                           // last control VM picked
+	watched map[string]bool               // by address
+	streams map[string]context.CancelFunc // by address
 }
 
 func newControl(vm *VM) *control {
 	return &control{
 		vm: vm, due: make(chan struct{}, 1), moved: make(chan struct{}, 1), clients: make(map[string]wire.ControlClient),
 		ended: make(chan struct{}), leaving: make(chan struct{}),
+		at: rand.IntN(max(len(vm.options.Entry.Controls), 1)), watched: make(map[string]bool), streams: make(map[string]context.CancelFunc),
 	}
 }
 
@@ -84,7 +92,9 @@
 	defer close(c.ended)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	go c.watch(ctx)
+	for range min(watchers, len(c.vm.options.Entry.Controls)) {
+		go c.watch(ctx)
+	}
 	addresses := c.vm.options.Entry.Controls
 	at, redirect := 0, ""
 	for {
@@ -182,7 +192,7 @@
 	c.vm.metrics.renewals.Add(1)
 	c.vm.credits.grant(sent, time.Now(), reply)
 	until := sent.Sub(c.vm.started) + time.Duration(reply.GetLease())*time.Millisecond
-	c.vm.post(func(time.Time) { c.vm.offered(offer{version: reply.GetVersion(), until: until}) })
+	c.vm.post(func(now time.Time) { c.vm.offered(now, offer{version: reply.GetVersion(), until: until}) })
 	return reply, nil
 }
 
@@ -240,15 +250,21 @@
 	return usages
 }
 
-// watch keeps one stream of updates open. Any control VM serves it.
+// watchers is the number of control VMs watched at once. A control VM that is frozen sends nothing and
+// looks like one without news; the other stream then brings what changed.
+const watchers = 2
+
+// watch keeps one of the streams of updates open. Any control VM serves it.
 func (c *control) watch(ctx context.Context) {
 	addresses := c.vm.options.Entry.Controls
-	for at := int(c.vm.started.UnixNano()) % len(addresses); ctx.Err() == nil; at++ {
-		err := c.watchOne(ctx, addresses[at%len(addresses)])
+	for ctx.Err() == nil {
+		address := c.pick(addresses)
+		err := c.watchOne(ctx, address)
+		c.unpick(address)
 		if ctx.Err() != nil {
 			return
 		}
-		log.WithError(err).Warn("the stream of updates ended")
+		log.WithError(err).WithField("control", address).Warn("the stream of updates ended")
 		select {
 		case <-ctx.Done():
 		case <-time.After(watchPause):
@@ -256,6 +272,47 @@
 	}
 }
 
+// pick returns the next control VM that is not watched yet.
+func (c *control) pick(addresses []string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for range addresses {
+		c.at = (c.at + 1) % len(addresses)
+		if !c.watched[addresses[c.at]] {
+			break
+		}
+	}
+	c.watched[addresses[c.at]] = true
+	return addresses[c.at]
+}
+
+func (c *control) unpick(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.watched, address)
+}
+
+// rewatch ends the streams, because a version that the leader names does not arrive.
+func (c *control) rewatch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, stop := range c.streams {
+		stop()
+	}
+}
+
+// register makes a stream known to rewatch until the returned function is called.
+func (c *control) register(address string, stop context.CancelFunc) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams[address] = stop
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.streams, address)
+	}
+}
+
 func (c *control) watchOne(ctx context.Context, address string) error {
 	client, closer, err := c.vm.options.Dial(address)
 	if err != nil {
@@ -264,6 +321,7 @@
 	defer closer.Close()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
+	defer c.register(address, stop)()
 	request := &wire.WatchRequest{Entry: c.vm.identity, Groups: c.vm.options.Entry.Groups}
 	held := make(chan struct{})
 	c.vm.post(func(time.Time) {
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -20,6 +20,10 @@
 // spareTime is the time after which an idle statement connection above the first is closed.
 const spareTime = time.Minute
 
+// lagWait is the time after which a version that the leader names and no stream brings has the streams
+// opened anew. Three tries fit into the configuration lease.
+const lagWait = 600 * time.Millisecond
+
 // offer is a configuration lease for a version that is perhaps not applied yet.
 type offer struct {
 	version uint64
@@ -221,21 +225,17 @@
 
 // superseded closes the connections to a former primary, so that a statement on a frozen one ends.
 func (vm *VM) superseded(g *group, old, v *wire.View) {
-	if old.GetPrimary() == v.GetPrimary() || old.GetPrimary() == "" && old.GetTerm() == 0 {
-		if old.GetTerm() == v.GetTerm() {
-			return
-		}
+	if old.GetTerm() != v.GetTerm() || old.GetPrimary() != v.GetPrimary() {
+		log.WithField("group", g.name).WithField("term", v.GetTerm()).WithField("primary", v.GetPrimary()).Info("view changed")
 	}
-	log.WithField("group", g.name).WithField("term", v.GetTerm()).WithField("primary", v.GetPrimary()).Info("view changed")
-	if v.GetPrimary() == "" {
+	now := watermark.ServerID(v.GetPrimary())
+	if now == "" || now == g.last {
 		return
 	}
-	for id, s := range g.servers {
-		if string(id) != v.GetPrimary() && g.last == id {
-			time.AfterFunc(severWait, s.pool.Sever)
-		}
+	if former, ok := g.servers[g.last]; ok {
+		time.AfterFunc(severWait, former.pool.Sever)
 	}
-	g.last = watermark.ServerID(v.GetPrimary())
+	g.last = now
 }
 
 // newServer makes the connections of a backend server, none of which opens before its budget.
@@ -308,12 +308,23 @@
 
 // offered takes a configuration lease from a reply to Renew. Before the version is applied it does
 // not count.
-func (vm *VM) offered(o offer) {
+func (vm *VM) offered(now time.Time, o offer) {
 	vm.offers = append(vm.offers, o)
 	if len(vm.offers) > 16 {
 		vm.offers = vm.offers[1:]
 	}
 	vm.extend()
+	if len(vm.offers) == 0 {
+		vm.lags = time.Time{}
+		return
+	}
+	switch {
+	case vm.lags.IsZero():
+		vm.lags = now
+	case now.Sub(vm.lags) > lagWait:
+		vm.lags = now
+		vm.control.rewatch()
+	}
 }
 
 // extend makes the offers count whose version is applied.
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -79,6 +79,7 @@
 	groups map[string]*group
 	waits  uint64
 	offers []offer
+	lags   time.Time // since when a named version is missing; zero: none is
 }
 
 // New returns a VM that is not running.
