--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -201,3 +201,31 @@
 	require.Equal(t, last, own.voter.Committed())
 	require.Same(t, own, c.leader())
 }
+
+// Guards against two changes of membership at a time, whose majorities need not intersect.
+func TestOneMembershipChange(t *testing.T) {
+	c := newCluster(t, 5, 3, 0)
+	c.until(10*time.Second, "forming the group", c.whole)
+	l := c.leader()
+	l.cutoff = true
+	for _, id := range []string{"x", "y"} {
+		hello := &wire.VoterMessage{From: id, Address: id, Body: &wire.VoterMessage_Hello{Hello: &wire.Hello{}}}
+		c.handle(l, controllog.Received{Message: hello})
+	}
+	require.Len(t, l.voter.Membership().Members, 4)
+}
+
+// Guards against a vote for a candidate that lacks committed records, also if a pre-vote was given
+// before they were committed.
+func TestShorterLogGetsNoVote(t *testing.T) {
+	c := newCluster(t, 6, 3, 0)
+	c.until(10*time.Second, "forming the group", c.whole)
+	m := c.machines[0]
+	m.cutoff = true
+	c.run(2 * time.Second)
+	ballot := &wire.Ballot{Term: m.voter.Term() + 5, Last: 1, LastTerm: 1}
+	body := &wire.VoterMessage_Ballot{Ballot: ballot}
+	c.handle(m, controllog.Received{Message: &wire.VoterMessage{From: "id002", Address: "vm1", Term: ballot.Term, Body: body}})
+	require.Equal(t, ballot.Term, m.durable.Term)
+	require.Empty(t, m.durable.Vote)
+}
