controlvm: grant credits and connections by lease.Issuer

Replaces the interim grants. An issuer believes the first report of each entry VM, so that a request sent before the leader's term must not reach it: RenewRequest and RenewReply carry the term, and a request of another term is redirected to the same leader. Ruled out: the arrival time of the request, since a connection may deliver it long after it was sent. Connections of a dead entry VM are terminated before they count as free, and it is forgotten then.

--- a/internal/controlvm/duty.go
+++ b/internal/controlvm/duty.go
@@ -1,51 +1,74 @@
 package controlvm
 
 import (
+	"context"
 	"time"
 
 	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
-// forgetAfter is the silence after which the leader drops an entry VM from the log. Everything it
-// held has ended long before.
-const forgetAfter = time.Minute
-
 // duties are what only the leader does. They are made anew with each term of office.
 type duties struct {
-	term    uint64
-	renewed map[string]time.Time // last Renew of each registered entry VM, or the start of the office
-	leaving map[string]bool      // being forgotten
-	seen    uint64               // index of the book last configured from
+	term     uint64
+	issuer   *lease.Issuer
+	leaving  map[lease.EntryID]bool // being forgotten
+	seen     uint64                 // index of the book last configured from
+	known    map[lease.EntryID]bool // registered
+	finished context.Context        // ends with the office
+	resign   context.CancelFunc
 }
 
 // takeOffice starts the duties. Everything committed is applied.
 func (vm *VM) takeOffice(now time.Time, term uint64) {
 	log.WithField("term", term).Info("control leader")
 	vm.metrics.elections.Add(1)
-	vm.duties = &duties{term: term, renewed: map[string]time.Time{}, leaving: map[string]bool{}}
-	vm.duties.configure(now, vm.book)
+	book := vm.book
+	d := &duties{
+		term:    term,
+		issuer:  lease.NewIssuer(now, book.Configuration(), book.Registrations()),
+		leaving: map[lease.EntryID]bool{},
+	}
+	d.finished, d.resign = context.WithCancel(context.Background())
+	d.configure(now, book)
+	vm.duties = d
+}
+
+// leaveOffice answers everybody who waits: their entries may still be committed by another leader.
+func (vm *VM) leaveOffice(term uint64) {
+	log.WithField("term", term).Warn("control leadership lost")
+	for index, w := range vm.waiting {
+		delete(vm.waiting, index)
+		w.answer <- result{err: errUnknown}
+	}
+	if vm.duties != nil {
+		vm.duties.resign()
+		vm.duties = nil
+	}
 }
 
 // configure follows a change of the book.
 func (d *duties) configure(now time.Time, book *contract.Book) {
+	if d.seen == book.Index() && d.known != nil {
+		return
+	}
 	d.seen = book.Index()
-	present := map[string]bool{}
+	known := map[lease.EntryID]bool{}
 	for _, r := range book.Registrations() {
-		present[r.Entry] = true
-		if _, ok := d.renewed[r.Entry]; !ok {
-			d.renewed[r.Entry] = now
-		}
+		known[lease.EntryID(r.Entry)] = true
 	}
-	for entry := range d.renewed {
-		if !present[entry] {
-			delete(d.renewed, entry)
+	for entry := range d.known {
+		if !known[entry] {
+			d.issuer.Forget(entry)
 			delete(d.leaving, entry)
 		}
 	}
+	d.known = known
+	d.issuer.Configure(now, book.Configuration(), book.Views())
 }
 
 // duty does what is due for a leader.
@@ -54,14 +77,44 @@
 	if d == nil || !vm.voter.Lease(now) {
 		return
 	}
-	for entry, at := range d.renewed {
-		if now.Sub(at) >= forgetAfter && !d.leaving[entry] {
+	for _, e := range d.issuer.Expire(now) {
+		vm.terminate(d, e)
+	}
+	for _, entry := range d.issuer.Gone() {
+		if !d.leaving[entry] && d.known[entry] {
 			d.leaving[entry] = true
-			vm.propose(now, &wire.Entry{Entry: &wire.Entry_Forget{Forget: entry}})
+			vm.propose(now, &wire.Entry{Entry: &wire.Entry_Forget{Forget: string(entry)}})
 		}
 	}
 }
 
+// terminate closes the connections of a dead entry VM before they count as free. The issuer asks
+// again until that has succeeded.
+func (vm *VM) terminate(d *duties, e lease.Expired) {
+	address := vm.address(string(e.Server))
+	if address == "" {
+		return
+	}
+	go func() {
+		if vm.backends.terminate(d.finished, address, string(e.Entry)) != nil {
+			return
+		}
+		vm.post(d.finished, func(time.Time) { d.issuer.Terminated(e.Entry, e.Server) }) //nolint:errcheck // the office has ended
+	}()
+}
+
+// address returns the address of a member's PostgreSQL listener, or "".
+func (vm *VM) address(server string) string {
+	for _, v := range vm.book.Views() {
+		for _, m := range v.Members {
+			if m.Server == server {
+				return m.Address
+			}
+		}
+	}
+	return ""
+}
+
 // registered reports whether the log knows an entry VM as it describes itself.
 func (vm *VM) registered(r *wire.Registration) bool {
 	for _, known := range vm.book.Registrations() {
@@ -72,28 +125,27 @@
 	return false
 }
 
-// renew answers an entry VM under the leader lease.
+// renew answers an entry VM under the leader lease. A request that was sent before the entry VM
+// heard of this term is redirected back here: it may be old, and a new issuer believes the first
+// report of each entry VM. A process that never had an answer holds nothing and needs no term.
 func (vm *VM) renew(now time.Time, r *wire.RenewRequest) *wire.RenewReply {
 	reply := &wire.RenewReply{Sequence: r.Sequence, Redirect: vm.voter.LeaderAddress(now)}
-	if vm.duties == nil || !vm.voter.Lease(now) {
+	d := vm.duties
+	if d == nil || !vm.voter.Lease(now) {
+		return reply
+	}
+	reply.Term = d.term
+	if !vm.registered(r.Registration) {
+		reply.Leader = r.Leaving // forgotten already
+		return reply
+	}
+	if r.Term != 0 && r.Term != d.term {
 		return reply
 	}
-	vm.duties.renewed[r.Registration.Entry] = now
 	reply.Leader, reply.Redirect = true, ""
 	reply.Version = vm.book.Version()
 	reply.Lease = configurationLease.Milliseconds()
-	reply.Expiry = creditExpiry.Milliseconds()
-	reply.Credits, reply.Budgets = interimGrants(r)
+	reply.Expiry = lease.Life.Milliseconds()
+	reply.Credits, reply.Budgets = d.issuer.Renew(now, r)
 	return reply
 }
-
-// interimGrants grants every demand. It stands in until internal/lease is merged.
-func interimGrants(r *wire.RenewRequest) (credits []*wire.Credit, budgets []*wire.Budget) {
-	for _, d := range r.Demands {
-		credits = append(credits, &wire.Credit{Account: d.Account, Amount: d.Want})
-	}
-	for _, n := range r.Needs {
-		budgets = append(budgets, &wire.Budget{Server: n.Server, Connections: max(n.Want, n.Held)})
-	}
-	return credits, budgets
-}
--- a/internal/controlvm/effect.go
+++ b/internal/controlvm/effect.go
@@ -189,13 +189,3 @@
 	vm.step(now, controllog.Proposed{Tag: vm.tag, Entry: e})
 	return w
 }
-
-// leaveOffice answers everybody who waits: their entries may still be committed by another leader.
-func (vm *VM) leaveOffice(term uint64) {
-	log.WithField("term", term).Warn("control leadership lost")
-	for index, w := range vm.waiting {
-		delete(vm.waiting, index)
-		w.answer <- result{err: errUnknown}
-	}
-	vm.duties = nil
-}
--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -17,11 +17,8 @@
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
-// Terms of the answers to Renew, from the send time of the request.
-const (
-	configurationLease = 2500 * time.Millisecond
-	creditExpiry       = 2 * time.Second
-)
+// configurationLease bounds how long an entry VM may serve, from the send time of its request.
+const configurationLease = 2500 * time.Millisecond
 
 // service answers the gRPC services Control and Voter.
 type service struct {
@@ -162,12 +159,6 @@
 	if err != nil {
 		return nil, failure(err)
 	}
-	if r.Leaving && reply.Leader {
-		forget := &wire.Entry{Entry: &wire.Entry_Forget{Forget: r.Registration.Entry}}
-		if _, err := s.vm.commit(ctx, forget); err != nil {
-			return nil, failure(err)
-		}
-	}
 	return reply, nil
 }
 
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -46,6 +46,7 @@
 	password string
 	folder   *disk.Folder
 	outbox   *outbox
+	backends *backends
 	metrics  *metrics
 	events   chan func(now time.Time)
 	ended    chan struct{} // closed when the loop has ended
@@ -92,6 +93,7 @@
 		return nil, err
 	}
 	vm.outbox = newOutbox(vm.pair, vm.metrics)
+	vm.backends = newBackends(options.Control.Server.User, vm.password, vm.folder.Identity(), vm.metrics)
 	return vm, nil
 }
 
@@ -135,6 +137,7 @@
 // Run serves until the context ends or the disk fails. It returns nil after a planned stop.
 func (vm *VM) Run(ctx context.Context) error {
 	defer io.Closer(vm.folder).Close()
+	defer vm.backends.close()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return vm.loop(ctx) })
 	g.Go(func() error { return vm.serve(ctx) })
