--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -229,3 +229,60 @@
 	require.Equal(t, ballot.Term, m.durable.Term)
 	require.Empty(t, m.durable.Vote)
 }
+
+// records makes records of one term; the first one of the log is a membership of others.
+func records(from, to, term uint64) []*wire.LogRecord {
+	var out []*wire.LogRecord
+	for i := from; i <= to; i++ {
+		r := &wire.LogRecord{Index: i, Term: term}
+		if i == 1 {
+			members := []*wire.VoterMember{{Identity: "x", Address: "x"}, {Identity: "y", Address: "y"}}
+			r.Body = &wire.LogRecord_Membership{Membership: &wire.Membership{Group: "x", Voters: 2, Members: members}}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// fromLeader is a message of the leader x.
+func fromLeader(term uint64, a *wire.AppendRecords, i *wire.InstallSnapshot) controllog.Event {
+	m := &wire.VoterMessage{Group: "x", From: "x", Address: "x", Term: term}
+	if a != nil {
+		m.Body = &wire.VoterMessage_Append{Append: a}
+	} else {
+		m.Body = &wire.VoterMessage_Install{Install: i}
+	}
+	return controllog.Received{Message: m}
+}
+
+// Guards against a delayed snapshot that drops records behind it, which the leader has counted.
+func TestDelayedSnapshotKeepsRecords(t *testing.T) {
+	c := newCluster(t, 7, 2, 0)
+	m := c.machines[1]
+	log := records(1, 5, 1)
+	c.handle(m, fromLeader(1, &wire.AppendRecords{Records: log}, nil))
+	require.Len(t, m.durable.Records, 5)
+	book := &wire.Book{Configuration: &wire.Configuration{Change: "digest"}}
+	c.digests[3] = "digest"
+	s := &wire.VoterSnapshot{Index: 3, Term: 1, Membership: log[0].GetMembership(), Book: book}
+	c.handle(m, fromLeader(1, nil, &wire.InstallSnapshot{Snapshot: s}))
+	require.EqualValues(t, 3, m.voter.Committed())
+	require.Len(t, m.durable.Records, 2)
+	c.handle(m, fromLeader(1, &wire.AppendRecords{Previous: 5, PreviousTerm: 1, Commit: 5}, nil))
+	require.EqualValues(t, 5, m.voter.Committed())
+}
+
+// Guards against records reported as held that replace durable ones and are not durable yet.
+func TestReplacedRecordsAreNotDurable(t *testing.T) {
+	c := newCluster(t, 8, 1, 0)
+	m := c.machines[0]
+	restored := controllog.State{Term: 1, Records: records(1, 5, 1)}
+	v := controllog.New(c.now(m), "y", controllog.Place{Address: "y"}, c.random, restored)
+	replaced := &wire.AppendRecords{Previous: 2, PreviousTerm: 1, Records: records(3, 3, 2), Commit: 3}
+	for _, e := range v.Step(c.now(m), fromLeader(2, replaced, nil)) {
+		if s, ok := e.(controllog.Send); ok {
+			require.Less(t, s.Message.GetAppendReply().GetMatched(), uint64(3))
+		}
+	}
+	require.LessOrEqual(t, v.Committed(), uint64(2))
+}
