admission: Keep few idle flows and find the flow of a finished statement directly

Cause: with thousands of queues a decision mostly waits for memory; the profile showed the look-up of the account's flow as the largest part.

Idle flows are dropped when the map would grow beyond one block, dropped flows are reused, and an admitted ticket remembers its flow for Done.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -52,6 +52,8 @@
 	Deadline time.Time
 	// Tag is the caller's own mark; the queue hands it back.
 	Tag any
+
+	flow *flow // set by Pop
 }
 
 // Place identifies a waiting ticket.
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -44,14 +44,7 @@
 	running int
 	service mean
 	lines   [lanes]line
-}
-
-func newFlow(account AccountID) *flow {
-	f := &flow{account: account, weight: 1}
-	for i := range f.lines {
-		f.lines[i] = line{head: noNode, tail: noNode, place: notHeld}
-	}
-	return f
+	next    *flow // in the list of unused flows
 }
 
 // heapWidth is the number of children of a heap entry. Four make the heap half as deep as two, and
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -11,6 +11,10 @@
 // their share; more than four changed little in the simulation.
 const credit = 4
 
+// fewFlows are kept without a look for idle ones. A map of up to eight entries is one block of
+// memory, which matters with thousands of queues.
+const fewFlows = 8
+
 // Queue orders the statements of one entry VM for one backend server. It never holds back a
 // statement while fewer than the allowed number run. Accounts that used less than their share may
 // exceed the allowed number up to the slots. It is not safe for concurrent use.
@@ -29,11 +33,12 @@
 	lines   [lanes]float64 // start tag of the next write and the next read, as shares of Settings.Reads
 	line    float64        // start tag of the write or read admitted last
 
-	flows map[AccountID]*flow
-	sweep int // number of flows at which idle ones are dropped
-	heaps [lanes]heap
-	nodes []node
-	free  int32 // list of unused nodes by next
+	flows   map[AccountID]*flow
+	sweep   int   // number of flows at which idle ones are dropped
+	dropped *flow // list of unused flows by next
+	heaps   [lanes]heap
+	nodes   []node
+	free    int32 // list of unused nodes by next
 }
 
 // New returns a fair queue with an adaptive limit and default settings.
@@ -45,7 +50,7 @@
 func NewWith(s Settings) *Queue {
 	q := &Queue{
 		policy: s.Policy, length: s.Length, reads: clampReads(s.Reads), limit: newLimit(s.Slots, s.Fixed),
-		flows: make(map[AccountID]*flow), sweep: 64, free: noNode,
+		flows: make(map[AccountID]*flow), sweep: fewFlows, free: noNode,
 	}
 	if q.length <= 0 {
 		q.length = DefaultLength
@@ -148,19 +153,20 @@
 	q.refresh(f)
 	q.running[lane]++
 	f.running++
+	t.flow = f
 	return t, Admitted
 }
 
-// Done gives the slot of an admitted ticket back. Elapsed is the time that the statement held it;
+// Done gives the slot of a ticket that Pop admitted back. Elapsed is the time that the statement held it;
 // failed means that the server did not answer.
 func (q *Queue) Done(now time.Time, t Ticket, elapsed time.Duration, failed bool) {
 	busy := q.waiting > 0 || q.Running() >= q.limit.allowed()
 	lane := laneOf(&t)
 	q.running[lane] = max(q.running[lane]-1, 0)
 	seconds := max(elapsed.Seconds(), 0)
-	if f := q.flows[t.Account]; f != nil {
-		f.running = max(f.running-1, 0)
-		f.service.add(seconds)
+	if t.flow != nil {
+		t.flow.running = max(t.flow.running-1, 0)
+		t.flow.service.add(seconds)
 	}
 	if !failed {
 		q.service.add(now, seconds)
@@ -303,7 +309,7 @@
 		if len(q.flows) >= q.sweep {
 			q.dropIdle()
 		}
-		f = newFlow(t.Account)
+		f = q.newFlow(t.Account)
 		q.flows[t.Account] = f
 	}
 	if t.Weight > 0 {
@@ -312,14 +318,32 @@
 	return f
 }
 
-// dropIdle forgets flows that have no statement and no debt.
+// newFlow reuses a dropped flow if there is one.
+func (q *Queue) newFlow(account AccountID) *flow {
+	f := q.dropped
+	if f == nil {
+		f = new(flow)
+	} else {
+		q.dropped = f.next
+	}
+	*f = flow{account: account, weight: 1}
+	for i := range f.lines {
+		f.lines[i] = line{head: noNode, tail: noNode, place: notHeld}
+	}
+	return f
+}
+
+// dropIdle forgets flows that have no statement and no debt. It runs when the number of flows has
+// grown by half, so that its cost is spread over the additions.
 func (q *Queue) dropIdle() {
 	for account, f := range q.flows {
 		if f.waiting == 0 && f.running == 0 && f.start <= q.virtual {
 			delete(q.flows, account)
+			f.next = q.dropped
+			q.dropped = f
 		}
 	}
-	q.sweep = 2*len(q.flows) + 64
+	q.sweep = max(len(q.flows)+len(q.flows)/2, fewFlows)
 }
 
 // add appends a ticket to its line.
