--- /dev/null
+++ b/internal/entryvm/bench_test.go
@@ -0,0 +1,172 @@
+package entryvm_test
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/entryvm"
+)
+
+// Guards against an allocation for each row that is relayed. What one request allocates does not count.
+func TestRelayAllocatesNothingPerRow(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	e := w.entry(nil)
+	c := e.connect(t, nil)
+	go io.Copy(io.Discard, c.PgConn().Conn())
+	row := &pgproto3.DataRow{Values: [][]byte{[]byte("12345"), []byte("owner of the claim"), nil}}
+	relay := func(rows int) float64 {
+		return testing.AllocsPerRun(10, func() { require.NoError(t, entryvm.Relay(e.VM, c.PgConn().PID(), rows, row)) })
+	}
+	few, many := relay(100), relay(10_100)
+	require.Less(t, many-few, 100.0, "10,000 more rows")
+}
+
+// BenchmarkRelayRow measures one row from a decoded message to the caller's socket.
+func BenchmarkRelayRow(b *testing.B) {
+	w := newWorld(b, 1, nil)
+	e := w.entry(nil)
+	c := e.connect(b, nil)
+	go io.Copy(io.Discard, c.PgConn().Conn())
+	row := &pgproto3.DataRow{Values: [][]byte{[]byte("12345"), []byte("owner of the claim"), nil}}
+	b.ReportAllocs()
+	b.ResetTimer()
+	if err := entryvm.Relay(e.VM, c.PgConn().PID(), b.N, row); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// latencies runs a statement again and again and reports the median and the 99th percentile.
+func latencies(b *testing.B, c *pgconn.PgConn, sql string) {
+	b.Helper()
+	for range 500 {
+		_, err := c.Exec(background, sql).ReadAll()
+		require.NoError(b, err)
+	}
+	times := make([]time.Duration, 0, b.N)
+	b.ResetTimer()
+	for range b.N {
+		start := time.Now()
+		if _, err := c.Exec(background, sql).ReadAll(); err != nil {
+			b.Fatal(err)
+		}
+		times = append(times, time.Since(start))
+	}
+	b.StopTimer()
+	slices.Sort(times)
+	b.ReportMetric(float64(times[len(times)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(times[len(times)*99/100].Microseconds()), "p99-us")
+}
+
+// BenchmarkRead compares a read through an entry VM with one on a direct connection.
+func BenchmarkRead(b *testing.B) {
+	w := newWorld(b, 3, nil)
+	e := w.entry(nil)
+	c := e.connect(b, nil)
+	claims(b, c)
+	direct, err := pgx.Connect(background, "postgres://system@"+w.servers[1].Address()+"/db?sslmode=disable")
+	require.NoError(b, err)
+	defer direct.Close(background)
+	const sql = "SELECT owner FROM claim WHERE id = 1"
+	b.Run("direct", func(b *testing.B) { latencies(b, direct.PgConn(), sql) })
+	b.Run("entry", func(b *testing.B) { latencies(b, c.PgConn(), sql) })
+}
+
+// BenchmarkWrite compares a write, which the entry VM answers only after a majority holds it.
+func BenchmarkWrite(b *testing.B) {
+	w := newWorld(b, 3, nil)
+	e := w.entry(nil)
+	c := e.connect(b, nil)
+	claims(b, c)
+	direct, err := pgx.Connect(background, "postgres://system@"+w.servers[0].Address()+"/db?sslmode=disable")
+	require.NoError(b, err)
+	defer direct.Close(background)
+	run(b, c, "INSERT INTO claim (id, owner) VALUES (1, 'a')")
+	const sql = "UPDATE claim SET owner = 'b' WHERE id = 1"
+	b.Run("direct", func(b *testing.B) { latencies(b, direct.PgConn(), sql) })
+	b.Run("entry", func(b *testing.B) { latencies(b, c.PgConn(), sql) })
+}
+
+// BenchmarkStatements measures the throughput of simple reads from several callers. Callers, entry VM
+// and stand-ins share the machine, so the figure per core of the entry VM is higher.
+func BenchmarkStatements(b *testing.B) {
+	w := newWorld(b, 3, func(_ int, c *standinConfig) { c.Slots = 64; c.Connections = 200 })
+	e := w.entry(nil)
+	claims(b, e.connect(b, nil))
+	const callers = 16
+	conns := make([]*pgconn.PgConn, callers)
+	for i := range conns {
+		conns[i] = e.connect(b, nil).PgConn()
+	}
+	work := func(n int) {
+		var group sync.WaitGroup
+		for _, c := range conns {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				for range n / callers {
+					if _, err := c.Exec(background, "SELECT 1").ReadAll(); err != nil {
+						b.Error(err)
+						return
+					}
+				}
+			}()
+		}
+		group.Wait()
+	}
+	work(callers * 500)
+	b.ResetTimer()
+	work(b.N)
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
+}
+
+// BenchmarkIdleCallers measures the memory of an idle caller connection, both ends of the test's
+// sockets included but for the driver's part, which is measured first.
+func BenchmarkIdleCallers(b *testing.B) {
+	w := newWorld(b, 1, nil)
+	e := w.entry(nil)
+	const callers = 1000
+	var before, after runtime.MemStats
+	usage := func(m *runtime.MemStats) {
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(m)
+	}
+	for range b.N {
+		usage(&before)
+		conns := make([]io.Closer, callers)
+		for i := range conns {
+			conns[i] = idleCaller(b, e.Address())
+		}
+		time.Sleep(200 * time.Millisecond)
+		usage(&after)
+		b.ReportMetric(float64(after.HeapInuse+after.StackInuse-before.HeapInuse-before.StackInuse)/callers, "B/caller")
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+}
+
+// idleCaller connects as the public user without a driver, whose buffers would count.
+func idleCaller(b *testing.B, address string) io.Closer {
+	b.Helper()
+	n, err := net.Dial("tcp", address)
+	require.NoError(b, err)
+	startup, err := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "public", "database": "open"}}).Encode(nil)
+	require.NoError(b, err)
+	_, err = n.Write(startup)
+	require.NoError(b, err)
+	answer := make([]byte, 512)
+	_, err = n.Read(answer)
+	require.NoError(b, err)
+	return n
+}
