local: run a whole site in one process with a demonstration

Three control VMs, two entry VMs and a group of three stand-ins; shows enrollment, a read through the other entry VM and a failover under load, and prints the four measures.

--- a/cmd/fireflyrudder/commands.go
+++ b/cmd/fireflyrudder/commands.go
@@ -9,6 +9,7 @@
 // addCommands registers every subcommand with parser.
 func addCommands(ctx context.Context, parser *flags.Parser, g *globals) {
 	must(parser.AddCommand("entry", "run an entry VM", entryLong, &entryCommand{ctx: ctx, globals: g}))
+	must(parser.AddCommand("local", "run a whole site in one process", localLong, &localCommand{ctx: ctx}))
 	must(parser.AddCommand("control", "run a control VM", controlLong, &controlCommand{ctx: ctx, globals: g}))
 	must(parser.AddCommand("apply", "change the configuration", applyLong, &applyCommand{ctx: ctx, globals: g}))
 	must(parser.AddCommand("status", "show the state of the control group", statusLong, &statusCommand{ctx: ctx, globals: g}))
--- /dev/null
+++ b/internal/local/demonstration.go
@@ -0,0 +1,89 @@
+package local
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5"
+
+	"fireflyrudder.example/fireflyrudder/internal/load"
+)
+
+// Timing of the demonstration's load. The primary is killed in the middle.
+const (
+	loadTime = 12 * time.Second
+	killTime = 4 * time.Second
+	sessions = 12
+	seed     = 1
+)
+
+// Demonstrate enrolls, reads the write through the other entry VM, kills the primary under load and
+// writes the four measures to out. It needs two entry VMs. The error tells a promise that was not kept.
+func (s *Site) Demonstrate(ctx context.Context, out io.Writer) error {
+	if err := s.enroll(ctx, out); err != nil {
+		return errors.Wrap(err, "local: enrollment")
+	}
+	report, err := s.failover(ctx, out)
+	if err != nil {
+		return errors.Wrap(err, "local: failover")
+	}
+	report.Write(out)
+	if !report.Passed {
+		return errors.New("local: the audit of the load found a violation; see the report above")
+	}
+	return nil
+}
+
+// enroll writes through the first entry VM and reads the write back through the second.
+func (s *Site) enroll(ctx context.Context, out io.Writer) error {
+	writer, err := pgx.Connect(ctx, s.URL(0))
+	if err != nil {
+		return err
+	}
+	defer writer.Close(ctx)
+	for _, sql := range []string{
+		"CREATE TABLE IF NOT EXISTS enrollment (id bigint PRIMARY KEY, class text, resident text)",
+		"INSERT INTO enrollment VALUES (1, 'wheel throwing', 'R. Alvarez') ON CONFLICT DO NOTHING",
+	} {
+		if _, err := writer.Exec(ctx, sql); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(out, "enrolled R. Alvarez in wheel throwing through entry VM 1; a majority of the group holds it")
+	reader, err := pgx.Connect(ctx, s.URL(1))
+	if err != nil {
+		return err
+	}
+	defer reader.Close(ctx)
+	var resident string
+	if err := reader.QueryRow(ctx, "SELECT resident FROM enrollment WHERE id = 1").Scan(&resident); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "read %s back through entry VM 2, served by a %s\n", resident,
+		reader.PgConn().ParameterStatus("fireflyrudder.served"))
+	return nil
+}
+
+// failover runs a load and kills the primary in its middle.
+func (s *Site) failover(ctx context.Context, out io.Writer) (*load.Report, error) {
+	workload := &load.Workload{
+		Name: "local", Duration: loadTime, Seed: seed, Limit: 20_000, Deadline: wait, Roam: 2 * time.Second,
+		Tokens: 0.5, Requests: true,
+		Accounts: []load.Account{{Name: accountName, User: accountName, Password: s.Key, Routes: []string{routeName},
+			Rate: rate, Send: 0.5, Writes: 0.2, Ages: []time.Duration{0, 2 * time.Second}, Sessions: sessions}},
+	}
+	timer := time.AfterFunc(killTime, func() {
+		primary := s.Primary()
+		if primary == nil {
+			return
+		}
+		fmt.Fprintf(out, "killing the primary %s\n", primary.Status().Server)
+		primary.Close()
+	})
+	defer timer.Stop()
+	fmt.Fprintf(out, "running %v of reads and writes from %d sessions that roam between the entry VMs\n", loadTime, sessions)
+	return load.Run(ctx, workload, s.Addresses())
+}
