failover: add the coordinator of failovers, switchovers and members

Cause: nobody else orders a promotion, and an acknowledged write must survive each one.

Decided: a promotion is recorded only when a majority of the members follows the new primary and holds its log up to the start of the term. Entry VMs acknowledge older writes by the log of a recorded primary, so its log must survive the next failover too. This costs one follow and one poll, and no write could be acknowledged earlier anyway. A term that this coordinator did not propose is never used: it raises a new one. Silence observed while the process slept is dropped. A retired member is removed 3 s after its retirement, when no entry VM counts its confirmations any more. No term is raised while no majority of members is heard.

Ruled out: fencing the former primary first in a switchover, since the platform's replicas cannot copy from a fenced primary.

--- /dev/null
+++ b/internal/failover/coordinator.go
@@ -0,0 +1,136 @@
+// Package failover orders the failovers, switchovers and membership changes of all database groups.
+package failover
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Coordinator orders failovers for all groups. Each control leader makes a new one. It is not safe
+// for concurrent use.
+//
+// Invariants: no call names a term that is not durable in the control log. At most one server is
+// called to promote for a term, after a majority of the members has promised the term. A promotion
+// is recorded only when a majority follows the new primary and holds all of its log up to the start
+// of the term, so later promotions keep that log.
+type Coordinator struct {
+	id      string
+	groups  map[GroupID]*group
+	order   []*group // sorted by id
+	retired map[ServerID]bool
+	last    time.Time
+	made    []Effect // effects of the present Step
+}
+
+// New returns the Coordinator of a control leader. The id marks its terms in the log.
+func New(id string) *Coordinator {
+	return &Coordinator{id: id, groups: map[GroupID]*group{}, retired: map[ServerID]bool{}}
+}
+
+// Step handles an event and returns the effects in the order in which they are due.
+func (c *Coordinator) Step(now time.Time, e Event) []Effect {
+	c.made = nil
+	if !c.last.IsZero() && now.Sub(c.last) > stepGap {
+		c.wake(now)
+	}
+	c.last = now
+	switch e := e.(type) {
+	case Viewed:
+		c.group(GroupID(e.View.GetGroup())).viewed(now, e.View)
+	case Configured:
+		c.configure(now, e)
+	case Announced:
+		c.announced(now, e.Report)
+	case Sighted:
+		c.sighted(now, e)
+	case Answered:
+		if g, ok := c.groups[e.Call.Group]; ok {
+			g.answered(now, e)
+		}
+	case Tick:
+		for _, g := range c.order {
+			g.tick(now)
+		}
+	case Switch:
+		if g, ok := c.groups[e.Group]; ok {
+			g.plan(now, e.To)
+		}
+	}
+	return c.made
+}
+
+// wake forgets silence that was observed while this process did not run.
+func (c *Coordinator) wake(now time.Time) {
+	for _, g := range c.order {
+		g.heard = now
+		clear(g.sights)
+	}
+}
+
+// group returns the group, made if needed.
+func (c *Coordinator) group(id GroupID) *group {
+	if g, ok := c.groups[id]; ok {
+		return g
+	}
+	g := &group{
+		coordinator: c,
+		id:          id,
+		view:        &wire.View{Group: string(id)},
+		servers:     map[ServerID]*server{},
+		sights:      map[string]sight{},
+		promises:    map[ServerID]Report{},
+	}
+	c.groups[id] = g
+	i, _ := slices.BinarySearchFunc(c.order, id, func(g *group, id GroupID) int { return cmp.Compare(g.id, id) })
+	c.order = slices.Insert(c.order, i, g)
+	return g
+}
+
+func (c *Coordinator) configure(now time.Time, e Configured) {
+	for _, g := range c.order {
+		g.configured = 0
+	}
+	for _, w := range e.Groups {
+		c.group(GroupID(w.GetName())).configured = int(w.GetMembers())
+	}
+	clear(c.retired)
+	for _, id := range e.Retired {
+		c.retired[ServerID(id)] = true
+	}
+	for _, g := range c.order {
+		for _, s := range g.servers {
+			s.retire(now, c.retired[s.id])
+		}
+	}
+	c.order = slices.DeleteFunc(c.order, func(g *group) bool {
+		if g.configured == 0 {
+			delete(c.groups, g.id)
+		}
+		return g.configured == 0
+	})
+}
+
+func (c *Coordinator) announced(now time.Time, r Report) {
+	g, ok := c.groups[r.Group]
+	if !ok || r.Server == "" || r.Address == "" {
+		return
+	}
+	s := g.server(r.Server)
+	s.address, s.zone = r.Address, r.Zone
+	g.report(now, s, r)
+}
+
+func (c *Coordinator) sighted(now time.Time, e Sighted) {
+	for _, w := range e.Sights {
+		if g, ok := c.groups[GroupID(w.GetGroup())]; ok {
+			g.see(now, e.Entry, w)
+		}
+	}
+}
+
+func (c *Coordinator) propose(e *wire.Entry) {
+	c.made = append(c.made, Propose{e})
+}
--- /dev/null
+++ b/internal/failover/coordinator_test.go
@@ -0,0 +1,206 @@
+package failover_test
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"fireflyrudder.example/fireflyrudder/internal/failover"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// TestMain fixes the seed of the property tests unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+func (s *simulation) primary() *instance {
+	v, _ := s.book.View("g")
+	if v.GetPhase() != wire.Phase_PHASE_STEADY {
+		return nil
+	}
+	return s.instance(v.GetPrimary())
+}
+
+// settle runs until the group has a primary and writes are acknowledged.
+func (s *simulation) settle() {
+	for range 100 {
+		s.run(100 * time.Millisecond)
+		if s.primary() != nil && s.primary().up() && s.now.Sub(s.lastAck) < 100*time.Millisecond {
+			return
+		}
+	}
+	require.FailNow(s.t, "no writes are acknowledged")
+}
+
+// Guards against a group without a first primary and against a first primary that is made twice.
+func TestFirstPrimary(t *testing.T) {
+	s := newSimulation(t, 1, 3, 3)
+	s.settle()
+	s.run(5 * time.Second)
+	require.Equal(t, 1, s.raised)
+	require.Len(t, s.view.GetMembers(), 3)
+	late := newSimulation(t, 1, 3, 2)
+	late.run(4 * time.Second)
+	require.Nil(t, late.primary(), "the third member may still come")
+	late.run(3 * time.Second)
+	require.NotNil(t, late.primary())
+	late.start("c")
+	late.run(3 * time.Second)
+	require.Len(t, late.view.GetMembers(), 3)
+	require.Equal(t, 1, late.raised)
+}
+
+// Guards against a write gap above 3 s when the primary fails, the worst of 30 seeded runs.
+func TestFailoverGap(t *testing.T) {
+	for _, f := range []fault{crashed, frozen, cutControl | cutEntries | cutPeers} {
+		var gaps []time.Duration
+		for seed := range uint64(30) {
+			s := newSimulation(t, seed, 3, 3)
+			s.settle()
+			s.run(time.Duration(s.random.IntN(1000)) * time.Millisecond)
+			old := s.primary()
+			s.gap = 0
+			old.faults = f
+			s.run(6 * time.Second)
+			require.NotEqual(t, old, s.primary(), "seed %d", seed)
+			require.LessOrEqual(t, s.gap, 3*time.Second, "seed %d", seed)
+			gaps = append(gaps, s.gap)
+			old.faults = 0
+			s.run(2 * time.Second)
+			require.Equal(t, s.primary().id, old.following, "the old primary follows the new one")
+			require.Equal(t, s.primary().term, old.term)
+			require.Equal(t, 2, s.raised, "seed %d", seed)
+		}
+		slices.Sort(gaps)
+		t.Logf("fault %d: write gap median %v, worst %v", f, gaps[len(gaps)/2], gaps[len(gaps)-1])
+	}
+}
+
+// Guards against a planned switchover that takes longer than 1 s or misses its target.
+func TestSwitchoverGap(t *testing.T) {
+	var gaps []time.Duration
+	for seed := range uint64(30) {
+		s := newSimulation(t, seed, 3, 3)
+		s.settle()
+		s.run(time.Second)
+		to := s.instances[(slices.Index(s.instances, s.primary())+1)%3]
+		s.gap = 0
+		s.step(failover.Switch{Group: "g", To: failover.ServerID(to.id)})
+		s.run(3 * time.Second)
+		require.Equal(t, to, s.primary())
+		require.LessOrEqual(t, s.gap, time.Second, "seed %d", seed)
+		gaps = append(gaps, s.gap)
+	}
+	slices.Sort(gaps)
+	t.Logf("write gap median %v, worst %v", gaps[len(gaps)/2], gaps[len(gaps)-1])
+}
+
+// Guards against promotions without need: jitter, 5% loss, and a primary that one side does not see.
+func TestNoPromotionWithoutNeed(t *testing.T) {
+	cases := map[string]func(s *simulation){
+		"jitter and loss":            func(s *simulation) { s.loss, s.jitter = 0.05, 200*time.Millisecond },
+		"unseen by the control VM":   func(s *simulation) { s.primary().faults = cutControl },
+		"unseen by entry VMs":        func(s *simulation) { s.primary().faults = cutEntries },
+		"control VM asleep for 10 s": func(s *simulation) { s.asleep = true; s.run(10 * time.Second); s.asleep = false },
+	}
+	for name, disturb := range cases {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				s := newSimulation(t, seed, 3, 3)
+				s.settle()
+				disturb(s)
+				s.run(time.Minute)
+				require.Equal(t, 1, s.raised, "seed %d", seed)
+			}
+		})
+	}
+}
+
+// Guards against a retired server that stays, a spare that is not admitted, and a retired primary
+// that is removed without a switchover.
+func TestRetirement(t *testing.T) {
+	for _, primary := range []bool{false, true} {
+		s := newSimulation(t, 3, 3, 4)
+		s.settle()
+		old := s.primary()
+		if !primary {
+			old = s.instances[(slices.Index(s.instances, old)+1)%3]
+		}
+		s.gap = 0
+		s.apply(change(s.book, &wire.Edit{Edit: &wire.Edit_RetireServer{RetireServer: old.id}}))
+		s.run(10 * time.Second)
+		var members []string
+		for _, m := range s.view.GetMembers() {
+			members = append(members, m.GetServer())
+		}
+		require.Len(t, members, 3)
+		require.NotContains(t, members, old.id)
+		require.LessOrEqual(t, s.gap, time.Second)
+	}
+}
+
+// Guards against a lost acknowledged write, two primaries of a term, a call with a term that is not
+// durable, and a group that stays without primary, under any sequence of faults.
+func TestFailoverProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.SampledFrom([]int{3, 3, 3, 5}).Draw(t, "members")
+		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), members, members+1)
+		s.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss")
+		s.jitter = time.Duration(rapid.SampledFrom([]int{0, 10, 300}).Draw(t, "jitter")) * time.Millisecond
+		s.run(3 * time.Second)
+		some := func(t *rapid.T) *instance {
+			if p := s.primary(); p != nil && rapid.Bool().Draw(t, "primary") {
+				return p
+			}
+			return rapid.SampledFrom(s.instances).Draw(t, "instance")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pass": func(t *rapid.T) {
+				s.run(time.Duration(rapid.SampledFrom([]int{5, 30, 200, 1000, 4000}).Draw(t, "ms")) * time.Millisecond)
+			},
+			"fail": func(t *rapid.T) {
+				some(t).faults |= rapid.SampledFrom([]fault{crashed, frozen, cutControl, cutEntries, cutPeers, lagging, cutControl | cutEntries}).Draw(t, "fault")
+			},
+			"isolate": func(t *rapid.T) {
+				some(t).faults = cutControl | cutPeers
+				s.run(20 * time.Millisecond)
+			},
+			"heal": func(t *rapid.T) { some(t).faults = 0 },
+			"heal all": func(t *rapid.T) {
+				for _, x := range s.instances {
+					x.faults = 0
+				}
+				s.run(2 * time.Second)
+			},
+			"lead":  func(*rapid.T) { s.lead() },
+			"sleep": func(*rapid.T) { s.asleep = true },
+			"wake":  func(*rapid.T) { s.asleep = false },
+			"switch": func(t *rapid.T) {
+				s.step(failover.Switch{Group: "g", To: failover.ServerID(some(t).id)})
+			},
+			"retire": func(t *rapid.T) {
+				s.apply(change(s.book, &wire.Edit{Edit: &wire.Edit_RetireServer{RetireServer: some(t).id}}))
+			},
+			"restore": func(t *rapid.T) {
+				s.apply(change(s.book, &wire.Edit{Edit: &wire.Edit_RestoreServer{RestoreServer: some(t).id}}))
+			},
+		})
+		for _, x := range s.instances {
+			x.faults = 0
+			s.apply(change(s.book, &wire.Edit{Edit: &wire.Edit_RestoreServer{RestoreServer: x.id}}))
+		}
+		s.loss, s.jitter, s.asleep = 0, 0, false
+		s.run(10 * time.Second)
+		s.settle()
+	})
+}
--- /dev/null
+++ b/internal/failover/event.go
@@ -0,0 +1,165 @@
+package failover
+
+import (
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// GroupID names a database group.
+type GroupID string
+
+// ServerID names a backend server.
+type ServerID string
+
+// Report is what an instance says of itself, in an announcement or as the answer to a call.
+type Report struct {
+	Server      ServerID
+	Group       GroupID
+	Address     string // IP:port of its PostgreSQL listener; may be empty in an answer
+	Zone        string // may be empty in an answer
+	Role        string
+	Term        position.Term // term that it follows or leads
+	LastTerm    position.Term // term of its last log record
+	Offset      position.Offset
+	History     position.History
+	Promised    position.Term
+	Primary     string
+	Slots       int
+	Connections int
+}
+
+// rolePrimary is the role of an instance that accepts writes.
+const rolePrimary = "primary"
+
+// last is the place of the last log record, by which candidates compare.
+func (r *Report) last() position.Position {
+	return position.Position{Term: r.LastTerm, Offset: r.Offset}
+}
+
+// at is the position under the term that the instance follows.
+func (r *Report) at() position.Position {
+	return position.Position{Term: r.Term, Offset: r.Offset}
+}
+
+// Function is a function of the platform interface.
+type Function string
+
+// Functions that a Coordinator calls.
+const (
+	Status  Function = "group_status"
+	Fence   Function = "group_fence"
+	Promote Function = "group_promote"
+	Follow  Function = "group_follow"
+)
+
+// Event is what a Coordinator reacts to.
+type Event interface{ event() }
+
+// Viewed tells the view of a group as applied from the control log. A new Coordinator is told all
+// views; it must not be made before the leader has applied an entry of its own term, so that every
+// later term of a group is its own proposal.
+type Viewed struct{ View *wire.View }
+
+// Configured tells the configured groups and the retired servers.
+type Configured struct {
+	Groups  []*wire.Group
+	Retired []string
+}
+
+// Announced is an announcement of an instance.
+type Announced struct{ Report Report }
+
+// Sighted is what an entry VM saw of the primaries.
+type Sighted struct {
+	Entry  string
+	Sights []*wire.Sight
+}
+
+// Answered is the outcome of a Call. Report is valid if Err is nil. A shell answers every Call, at
+// the latest after its timeout.
+type Answered struct {
+	Call   Call
+	Report Report
+	Err    error
+}
+
+// Tick lets time pass; due every 50 ms.
+type Tick struct{}
+
+// Switch asks for a planned switchover. With an empty To, the Coordinator chooses.
+type Switch struct {
+	Group GroupID
+	To    ServerID
+}
+
+func (Viewed) event()     {}
+func (Configured) event() {}
+func (Announced) event()  {}
+func (Sighted) event()    {}
+func (Answered) event()   {}
+func (Tick) event()       {}
+func (Switch) event()     {}
+
+// Effect is what a Coordinator asks of its shell.
+type Effect interface{ effect() }
+
+// Propose appends an entry to the control log. It may be lost; the Coordinator proposes again.
+type Propose struct{ Entry *wire.Entry }
+
+// Call calls a function of an instance. The shell bounds it to CallTimeout.
+type Call struct {
+	Group    GroupID
+	Server   ServerID
+	Address  string
+	Function Function
+	Term     position.Term
+	Primary  string // address to follow
+}
+
+func (Propose) effect() {}
+func (Call) effect()    {}
+
+const (
+	// CallTimeout is the longest time that a shell waits for the answer to a Call.
+	CallTimeout = 300 * time.Millisecond
+	// silence of the primary towards the control VM before it is suspected. Three announcements and
+	// five probes are missed by then, so 5% loss does not reach it.
+	silence = 1500 * time.Millisecond
+	// probeAfter is the silence after which the control VM asks by itself.
+	probeAfter = 600 * time.Millisecond
+	// probeInterval is the time between two probes, and between repeated calls.
+	probeInterval = 200 * time.Millisecond
+	// sightSilence is how long an entry VM must have been without the primary for its word to count.
+	sightSilence = time.Second
+	// sightAge is how long the word of an entry VM counts.
+	sightAge = time.Second
+	// blindSilence replaces the word of entry VMs if there is none.
+	blindSilence = 5 * time.Second
+	// pollInterval is the time between status calls while a group waits for replicas.
+	pollInterval = 20 * time.Millisecond
+	// stepGap is the time without a Step after which silence is no sign: the control VM itself slept.
+	stepGap = 500 * time.Millisecond
+	// proposeAgain is the time after which an entry that had no effect is proposed again.
+	proposeAgain = time.Second
+	// drainLeast lets entry VMs see a planned switchover and end open transactions.
+	drainLeast = 150 * time.Millisecond
+	// drainMost bounds the wait for the target, so that the switchover stays below 1 s.
+	drainMost = 500 * time.Millisecond
+	// settledPolls is the number of polls in a row that must find the target level.
+	settledPolls = 2
+	// targetWait is how long a planned switchover waits for the promise of its target after a majority.
+	targetWait = 100 * time.Millisecond
+	// attemptSilence of the server being promoted ends the attempt; a new term is raised.
+	attemptSilence = 700 * time.Millisecond
+	// retireWait is longer than a configuration lease (2.5 s). After it no entry VM counts a
+	// confirmation of a retired member any more.
+	retireWait = 3 * time.Second
+	// switchBackoff is the time between switchovers away from a retired primary.
+	switchBackoff = 5 * time.Second
+	// partialWait is how long a new group waits for its missing members before its first primary.
+	partialWait = 5 * time.Second
+	// forgetServer is the silence after which a server that is no member is forgotten.
+	forgetServer = 30 * time.Second
+)
--- /dev/null
+++ b/internal/failover/group.go
@@ -0,0 +1,322 @@
+package failover
+
+import (
+	"slices"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// stage is what the coordinator does with a group.
+type stage int
+
+const (
+	steady     stage = iota
+	raising          // a term is proposed and not yet durable
+	draining         // planned: entry VMs queue writes, the target catches up
+	fencing          // promises are collected
+	promoting        // one server is called to promote
+	confirming       // a majority must follow the new primary
+	recording        // the promotion is proposed
+)
+
+// group is the state of one database group.
+type group struct {
+	coordinator *Coordinator
+	id          GroupID
+	configured  int        // number of members; 0 if not configured
+	view        *wire.View // as applied from the log
+	servers     map[ServerID]*server
+	order       []ServerID // sorted keys of servers
+	list        []*server  // the members, sorted by name
+	sights      map[string]sight
+	heard       time.Time // when the primary of the view was last known to lead
+
+	stage    stage
+	since    time.Time // start of the stage
+	proposed time.Time // last proposal of the stage
+	term     position.Term
+	reason   string
+	target   ServerID // of a planned switchover
+	former   ServerID // primary before a planned switchover
+	settled  int      // polls in a row that found the target level with the former primary
+	promises map[ServerID]Report
+	majority time.Time // when a majority had promised
+	chosen   ServerID  // the server called to promote for the term
+	start    position.Offset
+
+	change  membership
+	partial time.Time // when a majority of the first members was there
+	pruned  time.Time // when sights were last pruned
+	planned time.Time // last planned switchover away from a retired primary
+}
+
+// sight is the word of an entry VM on the primary.
+type sight struct {
+	at     time.Time
+	term   position.Term
+	server ServerID
+	gone   bool
+}
+
+// server is what is known of an instance.
+type server struct {
+	id      ServerID
+	address string
+	zone    string
+	report  Report
+	at      time.Time // receipt of the report
+	calls   map[Function]request
+	retired time.Time // when its retirement was first seen; zero if it is not retired
+}
+
+// request is the last call of a function.
+type request struct {
+	at   time.Time
+	open bool // not answered
+}
+
+func (s *server) retire(now time.Time, retired bool) {
+	switch {
+	case !retired:
+		s.retired = time.Time{}
+	case s.retired.IsZero():
+		s.retired = now
+	}
+}
+
+// fresh reports whether the instance was heard of lately.
+func (s *server) fresh(now time.Time) bool {
+	return !s.at.IsZero() && now.Sub(s.at) < silence
+}
+
+func (g *group) server(id ServerID) *server {
+	if s, ok := g.servers[id]; ok {
+		return s
+	}
+	s := &server{id: id, calls: map[Function]request{}}
+	s.retire(g.coordinator.last, g.coordinator.retired[id])
+	g.servers[id] = s
+	i, _ := slices.BinarySearch(g.order, id)
+	g.order = slices.Insert(g.order, i, id)
+	return s
+}
+
+func (g *group) member(id ServerID) bool {
+	return slices.ContainsFunc(g.view.GetMembers(), func(m *wire.Member) bool { return m.GetServer() == string(id) })
+}
+
+func (g *group) primary() ServerID { return ServerID(g.view.GetPrimary()) }
+
+// quorum is a majority of the configured members, or of the present ones if these are more.
+func (g *group) quorum() int { return max(g.configured, len(g.view.GetMembers()))/2 + 1 }
+
+// viewed takes over the applied view. A phase that this coordinator did not ask for is the rest of a
+// former leader's failover; its term may already have been used, so a new one is raised.
+func (g *group) viewed(now time.Time, v *wire.View) {
+	before := g.view
+	g.view = v
+	g.list = nil
+	for _, m := range v.GetMembers() {
+		s := g.server(ServerID(m.GetServer()))
+		s.retire(now, m.GetRetired())
+		if s.address == "" {
+			s.address, s.zone = m.GetAddress(), m.GetZone()
+		}
+		g.list = append(g.list, s)
+	}
+	if v.GetTerm() != before.GetTerm() || v.GetPrimary() != before.GetPrimary() {
+		g.heard = now
+	}
+	if !slices.Equal(names(before), names(v)) {
+		g.change = membership{}
+	}
+	term := position.Term(v.GetTerm())
+	own := g.stage == raising && term == g.term
+	switch v.GetPhase() {
+	case wire.Phase_PHASE_STEADY:
+		if term >= g.term {
+			g.enter(now, steady)
+		}
+	case wire.Phase_PHASE_RAISING:
+		if own {
+			g.fence(now)
+		}
+	case wire.Phase_PHASE_SWITCHING:
+		if own {
+			g.enter(now, draining)
+		}
+	}
+	if v.GetPhase() != wire.Phase_PHASE_STEADY && g.stage == steady {
+		g.raise(now, wire.Phase_PHASE_RAISING, "unfinished failover of a former leader")
+	}
+}
+
+func names(v *wire.View) []string {
+	list := make([]string, 0, len(v.GetMembers()))
+	for _, m := range v.GetMembers() {
+		list = append(list, m.GetServer())
+	}
+	return list
+}
+
+func (g *group) enter(now time.Time, s stage) {
+	g.stage = s
+	g.since = now
+	g.proposed = now
+}
+
+// report takes over what an instance says of itself.
+func (g *group) report(now time.Time, s *server, r Report) {
+	s.report = r
+	s.at = now
+	if s.id == g.primary() && r.Role == rolePrimary && r.Term == g.led() {
+		g.heard = now
+	}
+}
+
+// led is the term of the present primary.
+func (g *group) led() position.Term {
+	h := g.view.GetHistory()
+	if len(h) == 0 {
+		return 0
+	}
+	return position.Term(h[len(h)-1].GetTerm())
+}
+
+// call emits a call unless the last one of the function is younger than every or not answered yet.
+func (g *group) call(now time.Time, s *server, f Function, term position.Term, primary string, every time.Duration) {
+	if last, ok := s.calls[f]; ok {
+		if last.open {
+			every = max(every, CallTimeout)
+		}
+		if now.Sub(last.at) < every {
+			return
+		}
+	}
+	s.calls[f] = request{now, true}
+	g.coordinator.made = append(g.coordinator.made, Call{g.id, s.id, s.address, f, term, primary})
+}
+
+func (g *group) answered(now time.Time, e Answered) {
+	s, ok := g.servers[e.Call.Server]
+	if !ok {
+		return
+	}
+	s.calls[e.Call.Function] = request{s.calls[e.Call.Function].at, false}
+	if e.Err != nil {
+		return
+	}
+	r := e.Report
+	r.Server, r.Group, r.Address, r.Zone = s.id, g.id, s.address, s.zone
+	g.report(now, s, r)
+	switch g.stage {
+	case draining:
+		g.drain(now)
+	case fencing:
+		g.promised(now, e.Call, r)
+	case promoting:
+		g.promoted(now, e.Call, r)
+	case confirming:
+		g.confirm(now)
+	case steady:
+		g.learned(now, e.Call, r)
+	}
+}
+
+// tick lets time pass for the group.
+func (g *group) tick(now time.Time) {
+	switch g.stage {
+	case steady:
+		g.watch(now)
+	case raising, recording:
+		g.again(now)
+	case draining:
+		g.drain(now)
+	case fencing:
+		g.collect(now)
+	case promoting, confirming:
+		g.attempt(now)
+	}
+}
+
+// see notes the word of an entry VM. The words of entry VMs that no longer report are dropped.
+func (g *group) see(now time.Time, entry string, w *wire.Sight) {
+	g.sights[entry] = sight{
+		at:     now,
+		term:   position.Term(w.GetTerm()),
+		server: ServerID(w.GetServer()),
+		gone:   !w.GetReachable() && time.Duration(w.GetSilent())*time.Millisecond >= sightSilence,
+	}
+	if now.Sub(g.pruned) < forgetServer {
+		return
+	}
+	g.pruned = now
+	for entry, w := range g.sights {
+		if now.Sub(w.at) > sightAge {
+			delete(g.sights, entry)
+		}
+	}
+}
+
+// watch looks after a steady group.
+func (g *group) watch(now time.Time) {
+	if g.configured == 0 {
+		return
+	}
+	if g.primary() == "" {
+		g.found(now)
+		return
+	}
+	if now.Sub(g.heard) >= probeAfter {
+		g.call(now, g.servers[g.primary()], Status, 0, "", probeInterval)
+	}
+	if reason := g.suspect(now); reason != "" {
+		g.raise(now, wire.Phase_PHASE_RAISING, reason)
+		return
+	}
+	g.rejoin(now)
+	g.reform(now)
+}
+
+// suspect returns why the primary must be replaced, or "".
+func (g *group) suspect(now time.Time) string {
+	quiet := now.Sub(g.heard)
+	if quiet < silence || !g.alive(now) {
+		return ""
+	}
+	s := g.servers[g.primary()]
+	if now.Sub(s.at) < sightAge {
+		return "the primary itself says that it does not lead the term"
+	}
+	gone, said := 0, 0
+	for _, w := range g.sights {
+		if now.Sub(w.at) > sightAge || w.server != g.primary() || w.term != g.led() {
+			continue
+		}
+		said++
+		if w.gone {
+			gone++
+		}
+	}
+	switch {
+	case said > 0 && 2*gone > said:
+		return "the primary is unreachable from the control VM and from a majority of entry VMs"
+	case said == 0 && quiet >= blindSilence:
+		return "the primary is unreachable from the control VM and no entry VM reports"
+	}
+	return ""
+}
+
+// alive reports whether a majority of the members could promise. Without it a new term would only
+// keep the primary from coming back.
+func (g *group) alive(now time.Time) bool {
+	n := 0
+	for _, s := range g.list {
+		if s.fresh(now) {
+			n++
+		}
+	}
+	return n >= g.quorum()
+}
