fireflyrudder: test control, apply and status as processes that are killed

All processes killed and started again keep the accepted version and the outcomes of changes; a killed leader takes no accepted change along; exit codes are 1, 2 and 3 as documented.

--- /dev/null
+++ b/cmd/fireflyrudder/control_test.go
@@ -0,0 +1,157 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	main "fireflyrudder.example/fireflyrudder/cmd/fireflyrudder"
+)
+
+// asMain makes the test binary behave as the command.
+const asMain = "FIREFLYRUDDER_TEST_MAIN"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asMain) != "" {
+		os.Exit(main.Run(context.Background(), os.Args[1:]))
+	}
+	os.Exit(m.Run())
+}
+
+// command returns a process of this program that ends with the test.
+func command(t *testing.T, args ...string) *exec.Cmd {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	c := exec.CommandContext(ctx, os.Args[0], args...)
+	c.Env = append(os.Environ(), asMain+"=1", "USER=operator")
+	return c
+}
+
+// execute runs a command and returns its exit code and output.
+func execute(t *testing.T, args ...string) (code int, out, fault string) {
+	c := command(t, args...)
+	var stdout, stderr bytes.Buffer
+	c.Stdout, c.Stderr = &stdout, &stderr
+	err := c.Run()
+	if err != nil {
+		require.IsType(t, &exec.ExitError{}, err)
+	}
+	return c.ProcessState.ExitCode(), stdout.String(), stderr.String()
+}
+
+func reserve(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+const groupFile = `
+[group main]
+members = 3
+slots = 3
+connections = 24
+`
+
+// group starts three control VMs as processes and returns their addresses and what restarts one.
+func group(t *testing.T) (addresses []string, start func(i int) *exec.Cmd) {
+	var announce, data []string
+	for range 3 {
+		addresses = append(addresses, reserve(t))
+		announce = append(announce, reserve(t))
+		data = append(data, filepath.Join(t.TempDir(), "data"))
+	}
+	return addresses, func(i int) *exec.Cmd {
+		args := []string{"control", "--data", data[i], "--listen", addresses[i], "--announce", announce[i], "--log-level", "error"}
+		for _, p := range addresses {
+			args = append(args, "--peer", p)
+		}
+		c := command(t, args...)
+		require.NoError(t, c.Start())
+		t.Cleanup(func() {
+			c.Process.Kill()
+			c.Wait()
+		})
+		return c
+	}
+}
+
+// Guards against changes lost when every process is killed, against exit codes that scripts rely on,
+// and against a resend that takes effect again.
+func TestControlCommands(t *testing.T) {
+	addresses, start := group(t)
+	processes := []*exec.Cmd{start(0), start(1), start(2)}
+	var controls []string
+	for _, a := range addresses {
+		controls = append(controls, "--control", a)
+	}
+	with := func(args ...string) []string { return append(args, controls...) }
+	file := filepath.Join(t.TempDir(), "c.ini")
+	require.NoError(t, os.WriteFile(file, []byte(groupFile), 0o600))
+
+	code, out, fault := execute(t, with("apply", "--file", file, "--id", "first", "--base", "0")...)
+	require.Zero(t, code, fault)
+	require.Contains(t, out, "accepted as version 1")
+	code, _, fault = execute(t, with("apply", "--file", file, "--id", "second", "--base", "0")...)
+	require.Equal(t, 3, code)
+	require.Contains(t, fault, "lost against change first")
+	code, _, fault = execute(t, with("apply", "--drop-account", "nobody")...)
+	require.Equal(t, 1, code)
+	require.Contains(t, fault, "remedy: ")
+	code, _, fault = execute(t, with("apply", "--withdraw-key", "nobody")...)
+	require.Equal(t, 2, code, fault)
+
+	for _, p := range processes {
+		require.NoError(t, p.Process.Kill())
+		p.Wait()
+	}
+	for i := range processes {
+		start(i)
+	}
+	code, out, fault = execute(t, with("apply", "--file", file, "--id", "first", "--base", "0")...)
+	require.Zero(t, code, fault)
+	require.Contains(t, out, "accepted as version 1", "the first outcome")
+	code, out, fault = execute(t, with("status", "--configuration")...)
+	require.Zero(t, code, fault)
+	require.Equal(t, strings.TrimSpace(groupFile), strings.TrimSpace(out))
+	code, out, _ = execute(t, with("status")...)
+	require.Zero(t, code)
+	require.Contains(t, out, "1 (change first)")
+}
+
+// Guards against a leader that is killed in the middle of changes and takes accepted ones along.
+func TestControlLeaderKilled(t *testing.T) {
+	addresses, start := group(t)
+	processes := []*exec.Cmd{start(0), start(1), start(2)}
+	args := []string{"--timeout", "20s"}
+	for _, a := range addresses {
+		args = append(args, "--control", a)
+	}
+	file := filepath.Join(t.TempDir(), "c.ini")
+	for i := range 8 {
+		text := fmt.Sprintf("[account a%d]\nrate = 1\nburst = 1\n", i)
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+		if i%3 == 1 {
+			_, out, _ := execute(t, append([]string{"status", "--json"}, args...)...)
+			for j, a := range addresses {
+				if strings.Contains(strings.ReplaceAll(out, " ", ""), `"leader":"`+a) {
+					require.NoError(t, processes[j].Process.Kill())
+					processes[j].Wait()
+					processes[j] = start(j)
+				}
+			}
+		}
+		code, out, fault := execute(t, append([]string{"apply", "--file", file, "--base", fmt.Sprint(i)}, args...)...)
+		require.Zero(t, code, fault)
+		require.Contains(t, out, fmt.Sprintf("version %d", i+1))
+	}
+}
