--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -98,9 +98,12 @@
 		h.Conn.Close()
 		return nil, errors.Wrapf(err, "backend: connect to %s", t.Server)
 	}
-	h.Frontend.SetMaxBodyLen(maxMessage)
+	// SyncConn left nothing unread, so a new Frontend loses nothing. That of pgconn reads through a
+	// background reader, which costs a lock for each read.
+	front := pgproto3.NewFrontend(h.Conn, nil)
+	front.SetMaxBodyLen(maxMessage)
 	return &Conn{
-		Target: t, Status: h.TxStatus, net: h.Conn, front: h.Frontend, pid: h.PID, secret: h.SecretKey,
+		Target: t, Status: h.TxStatus, net: h.Conn, front: front, pid: h.PID, secret: h.SecretKey,
 		prepared: make(map[string]string), opened: time.Now(),
 	}, nil
 }
