--- /dev/null
+++ b/internal/entryvm/chaos_test.go
@@ -0,0 +1,198 @@
+package entryvm_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// chaosSeed fixes what goes wrong and when.
+const chaosSeed = 20261204
+
+// fate is what a writer was told about one value.
+type fate struct {
+	acknowledged bool
+	notRun       bool // every attempt was said not to have run
+	once         bool // sent with a request id
+}
+
+// Guards against acknowledged writes that are lost, writes that run twice under a request id, and
+// "not run" about a write that did run, while primaries are cut off, replicas are isolated and
+// connections reset.
+func TestWritesSurviveFailures(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	entries := []*entry{w.entry(nil), w.entry(nil)}
+	setup := entries[0].connect(t, nil)
+	run(t, setup, "CREATE TABLE claim (id bigint NOT NULL, owner text NOT NULL)")
+	ctx, stop := context.WithTimeout(background, 8*time.Second)
+	defer stop()
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	fates := map[int]fate{}
+	for writer := range 6 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for i := 0; ctx.Err() == nil; i++ {
+				id := writer*1_000_000 + i
+				f := write(entries[(writer+i)%2], id, writer%3)
+				mu.Lock()
+				fates[id] = f
+				mu.Unlock()
+			}
+		}()
+	}
+	w.trouble(ctx, rand.New(rand.NewPCG(chaosSeed, 0)))
+	group.Wait()
+	w.control.late.Store(0)
+	for _, s := range w.servers {
+		s.Hooks().Isolate(false)
+	}
+	counts := map[int]int{}
+	rows, err := entries[0].connect(t, nil).Query(background, "SELECT id FROM claim")
+	require.NoError(t, err)
+	var id int
+	_, err = pgx.ForEachRow(rows, []any{&id}, func() error {
+		counts[id]++
+		return nil
+	})
+	require.NoError(t, err)
+	acknowledged, unrun, unknown := 0, 0, 0
+	for id, f := range fates {
+		switch n := counts[id]; {
+		case f.acknowledged:
+			acknowledged++
+			require.Equal(t, 1, n, "value %d was acknowledged; %+v", id, f)
+		case f.notRun:
+			unrun++
+			require.Zero(t, n, "value %d was said not to have run", id)
+		default:
+			unknown++
+			require.LessOrEqual(t, n, 1, "value %d", id)
+		}
+	}
+	t.Logf("%d values: %d acknowledged, %d not run, %d unknown", len(fates), acknowledged, unrun, unknown)
+	require.Greater(t, acknowledged, 100)
+}
+
+// write inserts a value in one of three ways and tells what is known of it.
+func write(e *entry, id, way int) fate {
+	f := fate{notRun: true, once: way == 2}
+	for range 20 {
+		ctx, stop := context.WithTimeout(background, 10*time.Second)
+		err := attempt(ctx, e, id, way)
+		stop()
+		if err == nil {
+			return fate{acknowledged: true, once: f.once}
+		}
+		switch code(err) {
+		case "FR001", "FR002", "FR003", "FR004", "FR005", "25P02":
+		default:
+			f.notRun = false
+			if !f.once {
+				return f // the outcome is unknown and the write must not be repeated
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return f
+}
+
+func attempt(ctx context.Context, e *entry, id, way int) error {
+	c, err := e.dial(ctx, "tide", testKey, testRoute, nil)
+	if err != nil {
+		return fmt.Errorf("dial: %w", err)
+	}
+	defer c.Close(background)
+	const insert = "INSERT INTO claim (id, owner) VALUES ($1, 'a')"
+	switch way {
+	case 0:
+		_, err = c.Exec(ctx, insert, id)
+	case 1:
+		err = pgx.BeginFunc(ctx, c, func(tx pgx.Tx) error {
+			_, err := tx.Exec(ctx, insert, id)
+			return err
+		})
+	default:
+		if _, err = c.Exec(ctx, fmt.Sprintf("SET fireflyrudder.request = 'r%d'", id)); err == nil {
+			_, err = c.Exec(ctx, insert, id)
+		}
+	}
+	return err
+}
+
+// trouble makes things fail until ctx ends.
+func (w *world) trouble(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		time.Sleep(time.Duration(100+random.IntN(300)) * time.Millisecond)
+		w.control.late.Store(int64(random.IntN(2)) * int64(400*time.Millisecond)) // views of a superseded term
+		one := random.IntN(3)
+		switch random.IntN(4) {
+		case 0:
+			w.servers[one].Cut()
+		case 1:
+			w.servers[one].Hooks().Isolate(true)
+			time.Sleep(100 * time.Millisecond)
+			w.servers[one].Hooks().Isolate(false)
+		default:
+			w.failover(one, random)
+		}
+	}
+}
+
+// failover raises the next term without one server, which is cut off from replication meanwhile and
+// may go on as the superseded primary.
+func (w *world) failover(without int, random *rand.Rand) {
+	for i, s := range w.servers {
+		s.Hooks().Isolate(i == without)
+	}
+	w.raise()
+	time.Sleep(time.Duration(random.IntN(100)) * time.Millisecond)
+	best := -1
+	var highest position.Position
+	for i, s := range w.servers {
+		if i == without {
+			continue
+		}
+		status, err := s.Fence(position.Term(w.term))
+		if err != nil {
+			w.t.Error(err)
+			return
+		}
+		at := position.Position{Term: status.LastTerm, Offset: status.Offset}
+		if best < 0 || highest.Less(at) {
+			best, highest = i, at
+		}
+	}
+	status, err := w.servers[best].Promote(position.Term(w.term))
+	if err != nil {
+		w.t.Error(err)
+		return
+	}
+	w.control.apply(w.t, &wire.Entry{Entry: &wire.Entry_Promoted{Promoted: &wire.Promoted{
+		Group: testGroup, Term: w.term, Server: string(rune('a' + best)), Offset: uint64(status.Offset)}}})
+	w.follow(best, without)
+	time.Sleep(time.Duration(random.IntN(300)) * time.Millisecond)
+	w.servers[without].Hooks().Isolate(false)
+	w.follow(best, -1)
+}
+
+func (w *world) follow(primary, without int) {
+	for i, s := range w.servers {
+		if i == primary || i == without {
+			continue
+		}
+		if _, err := s.Follow(background, position.Term(w.term), w.servers[primary].Address()); err != nil {
+			w.t.Error(err)
+		}
+	}
+}
--- a/internal/entryvm/harness_test.go
+++ b/internal/entryvm/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,6 +37,7 @@
 	watchers map[chan struct{}]bool
 	silent   bool // answers no Renew
 	left     []string
+	late     atomic.Int64 // delay of updates to entry VMs, in nanoseconds
 	address  string
 }
 
@@ -122,6 +124,7 @@
 	}()
 	version, index := r.Version, r.Index
 	for {
+		time.Sleep(time.Duration(c.late.Load()))
 		c.mu.Lock()
 		u, ok := c.book.Since(version, index, r.Groups)
 		if !ok {
