--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -201,3 +201,88 @@
 	require.Equal(t, last, own.voter.Committed())
 	require.Same(t, own, c.leader())
 }
+
+// Guards against two changes of membership at a time, whose majorities need not intersect.
+func TestOneMembershipChange(t *testing.T) {
+	c := newCluster(t, 5, 3, 0)
+	c.until(10*time.Second, "forming the group", c.whole)
+	l := c.leader()
+	l.cutoff = true
+	for _, id := range []string{"x", "y"} {
+		hello := &wire.VoterMessage{From: id, Address: id, Body: &wire.VoterMessage_Hello{Hello: &wire.Hello{}}}
+		c.handle(l, controllog.Received{Message: hello})
+	}
+	require.Len(t, l.voter.Membership().Members, 4)
+}
+
+// Guards against a vote for a candidate that lacks committed records, also if a pre-vote was given
+// before they were committed.
+func TestShorterLogGetsNoVote(t *testing.T) {
+	c := newCluster(t, 6, 3, 0)
+	c.until(10*time.Second, "forming the group", c.whole)
+	m := c.machines[0]
+	m.cutoff = true
+	c.run(2 * time.Second)
+	ballot := &wire.Ballot{Term: m.voter.Term() + 5, Last: 1, LastTerm: 1}
+	body := &wire.VoterMessage_Ballot{Ballot: ballot}
+	c.handle(m, controllog.Received{Message: &wire.VoterMessage{From: "id002", Address: "vm1", Term: ballot.Term, Body: body}})
+	require.Equal(t, ballot.Term, m.durable.Term)
+	require.Empty(t, m.durable.Vote)
+}
+
+// records makes records of one term; the first one of the log is a membership of others.
+func records(from, to, term uint64) []*wire.LogRecord {
+	var out []*wire.LogRecord
+	for i := from; i <= to; i++ {
+		r := &wire.LogRecord{Index: i, Term: term}
+		if i == 1 {
+			members := []*wire.VoterMember{{Identity: "x", Address: "x"}, {Identity: "y", Address: "y"}}
+			r.Body = &wire.LogRecord_Membership{Membership: &wire.Membership{Group: "x", Voters: 2, Members: members}}
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// fromLeader is a message of the leader x.
+func fromLeader(term uint64, a *wire.AppendRecords, i *wire.InstallSnapshot) controllog.Event {
+	m := &wire.VoterMessage{Group: "x", From: "x", Address: "x", Term: term}
+	if a != nil {
+		m.Body = &wire.VoterMessage_Append{Append: a}
+	} else {
+		m.Body = &wire.VoterMessage_Install{Install: i}
+	}
+	return controllog.Received{Message: m}
+}
+
+// Guards against a delayed snapshot that drops records behind it, which the leader has counted.
+func TestDelayedSnapshotKeepsRecords(t *testing.T) {
+	c := newCluster(t, 7, 2, 0)
+	m := c.machines[1]
+	log := records(1, 5, 1)
+	c.handle(m, fromLeader(1, &wire.AppendRecords{Records: log}, nil))
+	require.Len(t, m.durable.Records, 5)
+	book := &wire.Book{Configuration: &wire.Configuration{Change: "digest"}}
+	c.digests[3] = "digest"
+	s := &wire.VoterSnapshot{Index: 3, Term: 1, Membership: log[0].GetMembership(), Book: book}
+	c.handle(m, fromLeader(1, nil, &wire.InstallSnapshot{Snapshot: s}))
+	require.EqualValues(t, 3, m.voter.Committed())
+	require.Len(t, m.durable.Records, 2)
+	c.handle(m, fromLeader(1, &wire.AppendRecords{Previous: 5, PreviousTerm: 1, Commit: 5}, nil))
+	require.EqualValues(t, 5, m.voter.Committed())
+}
+
+// Guards against records reported as held that replace durable ones and are not durable yet.
+func TestReplacedRecordsAreNotDurable(t *testing.T) {
+	c := newCluster(t, 8, 1, 0)
+	m := c.machines[0]
+	restored := controllog.State{Term: 1, Records: records(1, 5, 1)}
+	v := controllog.New(c.now(m), "y", controllog.Place{Address: "y"}, c.random, restored)
+	replaced := &wire.AppendRecords{Previous: 2, PreviousTerm: 1, Records: records(3, 3, 2), Commit: 3}
+	for _, e := range v.Step(c.now(m), fromLeader(2, replaced, nil)) {
+		if s, ok := e.(controllog.Send); ok {
+			require.Less(t, s.Message.GetAppendReply().GetMatched(), uint64(3))
+		}
+	}
+	require.LessOrEqual(t, v.Committed(), uint64(2))
+}
