entryvm, load: report who served a read; reconnect after an idle connection ended

The entry VM now sends the parameter status fireflyrudder.served when it changes between replica and primary; a read that repeats costs nothing.

When an entry VM stops, it ends idle connections with 57P01. The load tool now reconnects once, as a pool would, and reports such connections apart. A write that was refused so and yet ran is still found, since it is sent again under the same id.

--- a/internal/entryvm/run.go
+++ b/internal/entryvm/run.go
@@ -296,6 +296,12 @@
 	s.note(x, r)
 	s.transaction.readOnly = s.transaction.readOnly || (s.status != idle && r.readOnly())
 	group, server := s.route.group, l.server.id
+	if r.read {
+		if err := s.tellServed(l.replica); err != nil {
+			s.hold(l, before, r)
+			return err
+		}
+	}
 	s.hold(l, before, r)
 	if !x.position.IsZero() {
 		if !s.vm.confirm(group, server, x.position) {
@@ -318,6 +324,19 @@
 	return s.ready()
 }
 
+// tellServed reports which kind of server ran a read, if it is not what was reported last.
+func (s *callerSession) tellServed(replica bool) error {
+	served := servedPrimary
+	if replica {
+		served = servedReplica
+	}
+	if s.served == served {
+		return nil
+	}
+	s.served = served
+	return s.conn.Send(&pgproto3.ParameterStatus{Name: caller.Prefix + parameterServed, Value: served})
+}
+
 // hold keeps the lane for the open transaction or gives it back.
 func (s *callerSession) hold(l *lane, before byte, r *request) {
 	switch {
--- a/internal/entryvm/session.go
+++ b/internal/entryvm/session.go
@@ -44,6 +44,7 @@
 	portals    map[string]*prepared // of the open transaction
 	settings   []setting            // SET of the session, replayed on each connection
 	revision   int                  // counts changes of settings
+	served     string               // kind of server reported last for a read
 
 	status      byte          // I, T or E
 	held        *backend.Conn // connection of the open transaction
@@ -71,6 +72,13 @@
 	phase   phase              // guarded by mu
 }
 
+// Parameter status that tells callers which kind of server ran their last read.
+const (
+	parameterServed = "served"
+	servedReplica   = "replica"
+	servedPrimary   = "primary"
+)
+
 // phase tells the owner goroutine whether the session may be interrupted.
 type phase uint8
 
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -86,6 +86,18 @@
 	c.read(ctx, a, due)
 }
 
+// moves reports whether the server had ended the connection while it was idle, so that the statement
+// did not run. The caller then goes on at another address, as a connection pool would.
+func (c *caller) moves(ctx context.Context, err error) bool {
+	if stateOf(err) != string(outcome.Withdrawn) && !pgconn.SafeToRetry(err) {
+		return false
+	}
+	c.tally.move()
+	c.disconnect(ctx)
+	c.address++
+	return c.connect(ctx) == nil
+}
+
 // roams reports whether it is time to move to another address.
 func (c *caller) roams() bool {
 	if c.run.workload.Roam <= 0 {
@@ -163,6 +175,9 @@
 	id := fmt.Sprintf("%s/%d", c.id, c.sequence)
 	c.ledger.begin(due, id, c.id, a.whole)
 	err := c.send(ctx, a, id)
+	if errors.As(err, new(*start)) && c.moves(ctx, err) {
+		err = c.send(ctx, a, id)
+	}
 	v := verdict(err)
 	if v == Unknown && c.run.workload.Requests && !a.whole {
 		v, err = c.resend(ctx, a, id, err)
@@ -204,15 +219,18 @@
 func (c *caller) send(ctx context.Context, a arrival, id string) error {
 	if c.run.workload.Requests && !a.whole {
 		if _, err := c.conn.Exec(ctx, fmt.Sprintf("SET %s = '%s'", parameterRequest, id)); err != nil {
-			return &before{err}
+			return &start{before{err}}
 		}
 	}
 	if !a.whole {
 		_, err := c.conn.Exec(ctx, sqlInsert, id, c.run.id, c.id)
+		if err != nil && verdict(err) == NotRun && !c.run.workload.Requests {
+			return &start{before{err}}
+		}
 		return err
 	}
 	if _, err := c.conn.Exec(ctx, "BEGIN"); err != nil {
-		return &before{err}
+		return &start{before{err}}
 	}
 	for _, step := range []struct {
 		sql  string
@@ -246,6 +264,15 @@
 	return b.error
 }
 
+// start marks an error of the first statement of a request.
+type start struct {
+	before
+}
+
+func (s *start) Unwrap() error {
+	return &s.before
+}
+
 // read sends one read and checks that it shows what it must.
 func (c *caller) read(ctx context.Context, a arrival, due time.Time) {
 	id, own := c.lastWrite, true
@@ -256,6 +283,9 @@
 	}
 	var n int
 	err := c.conn.QueryRow(ctx, sqlLook, id).Scan(&n)
+	if err != nil && c.moves(ctx, err) {
+		err = c.conn.QueryRow(ctx, sqlLook, id).Scan(&n)
+	}
 	if err != nil {
 		c.tally.refuse(stateOf(err))
 		c.drop(ctx, err)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -95,6 +95,9 @@
 		if a.Unknown > 0 {
 			other += fmt.Sprintf(" unknown=%d", a.Unknown)
 		}
+		if a.Moved > 0 {
+			other += fmt.Sprintf(" moved=%d", a.Moved)
+		}
 		if a.Expired > 0 {
 			other += fmt.Sprintf(" expired=%d", a.Expired)
 		}
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -31,6 +31,7 @@
 	due      int
 	done     int
 	unknown  int
+	moved    int // connections that the server ended while they were idle
 	expired  int // waited longer than the deadline in the load tool
 	refusals map[string]int
 	served   map[Served]int
@@ -67,6 +68,12 @@
 	t.unknown++
 }
 
+func (t *tally) move() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.moved++
+}
+
 func (t *tally) expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -81,6 +88,7 @@
 	Due      int            `json:"due"`      // sent, or what the rate allows if that is less
 	Done     int            `json:"done"`     //
 	Unknown  int            `json:"unknown"`  // writes with an unknown outcome
+	Moved    int            `json:"moved"`    // connections that the server ended while they were idle
 	Expired  int            `json:"expired"`  // given up in the load tool at the deadline
 	Goodput  float64        `json:"goodput"`  // done / due, at most 1
 	P50      float64        `json:"p50"`      // milliseconds since due
@@ -97,7 +105,7 @@
 		due = allowed
 	}
 	r := AccountReport{
-		Name: a.Name, Over: a.Over(), Sent: t.due, Due: due, Done: t.done, Unknown: t.unknown, Expired: t.expired,
+		Name: a.Name, Over: a.Over(), Sent: t.due, Due: due, Done: t.done, Unknown: t.unknown, Expired: t.expired, Moved: t.moved,
 		P50: milliseconds(t.latency.ValueAtQuantile(50)), P99: milliseconds(t.latency.ValueAtQuantile(99)),
 		Refusals: maps.Clone(t.refusals), Served: maps.Clone(t.served), Goodput: 1,
 	}
