local: drain the entry VMs before the control VMs stop

Cause: all members stopped at once, so entry VMs could not tell the control group that they leave and logged warnings.

--- a/examples/age/main.go
+++ b/examples/age/main.go
@@ -17,8 +17,9 @@
 		log.Fatal("usage: age URL-OF-AN-ENTRY-VM")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	if err := read(ctx, os.Args[1]); err != nil {
+	err := read(ctx, os.Args[1])
+	cancel()
+	if err != nil {
 		log.Fatal(err)
 	}
 }
--- a/examples/roam/main.go
+++ b/examples/roam/main.go
@@ -17,8 +17,9 @@
 		log.Fatal("usage: roam URL-OF-ONE-ENTRY-VM URL-OF-ANOTHER")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	if err := roam(ctx, os.Args[1], os.Args[2]); err != nil {
+	err := roam(ctx, os.Args[1], os.Args[2])
+	cancel()
+	if err != nil {
 		log.Fatal(err)
 	}
 }
--- a/internal/local/site.go
+++ b/internal/local/site.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,8 +59,10 @@
 	Key string // key of the client account, made at start
 
 	options   Options
-	ctx       context.Context
+	ctx       context.Context // of the control VMs and stand-ins, which outlive the entry VMs
+	callers   context.Context // of the entry VMs
 	group     *errgroup.Group
+	draining  sync.WaitGroup // entry VMs that run
 	cleanup   []func()
 	instances []*standin.Server
 	entries   []*entryvm.VM
@@ -67,14 +70,26 @@
 	announce  []string
 }
 
-// Start starts every member and returns when the entry VMs serve. The members stop when ctx ends;
-// Wait returns then.
+// Start starts every member and returns when the entry VMs serve. When ctx ends the entry VMs drain,
+// then the other members stop; Wait returns then.
 func Start(ctx context.Context, options Options) (*Site, error) {
-	group, ctx := errgroup.WithContext(ctx)
-	s := &Site{Key: rand.Text(), options: options, ctx: ctx, group: group}
+	inner, stop := context.WithCancel(context.WithoutCancel(ctx))
+	group, inner := errgroup.WithContext(inner)
+	s := &Site{Key: rand.Text(), options: options, ctx: inner, callers: ctx, group: group}
+	s.cleanup = append(s.cleanup, stop)
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-inner.Done():
+		}
+		s.draining.Wait()
+		stop()
+		return nil
+	})
 	steps := []func() error{s.folder, s.startControls, s.startServers, s.configure, s.startEntries, s.serve}
 	for _, step := range steps {
 		if err := step(); err != nil {
+			stop()
 			return nil, errors.Wrap(err, "local")
 		}
 	}
@@ -231,7 +246,11 @@
 			return err
 		}
 		s.entries = append(s.entries, vm)
-		s.group.Go(func() error { return vm.Run(s.ctx) })
+		s.draining.Add(1)
+		s.group.Go(func() error {
+			defer s.draining.Done()
+			return vm.Run(s.callers)
+		})
 	}
 	return nil
 }
