controlvm: order failovers by failover.Coordinator

Announcements, the sights of entry VMs, the views of the book and the answers of backend servers go to the coordinator of the leader; its proposals and calls are performed. What follows from an applied entry runs after the step of the voter: a proposal made inside of it could be appended between a compaction and its answer and would be lost with the old write-ahead file. The coordinator compares logs by the term in which they end and its simulation takes that from the history. A backend server's last_term is that of its last record, so that the first primary of an empty group was never confirmed; the shell takes the term from the history. Found by TestFailover.

--- a/internal/controlvm/announce.go
+++ b/internal/controlvm/announce.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/failover"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
 // maxAnnouncement bounds the body of an announcement, in bytes.
@@ -30,6 +33,21 @@
 	Connections int    `json:"connections"`
 }
 
+// report is the announcement as the coordinator takes it.
+func (a *announcement) report() (failover.Report, error) {
+	history, err := position.ParseHistory(a.History)
+	if err != nil {
+		return failover.Report{}, err
+	}
+	i := instance{
+		Server: a.Server, Group: a.Group, Role: a.Role, Term: a.Term, LastTerm: a.LastTerm, Pos: a.Pos,
+		History: history, Primary: a.Primary, Promised: a.Promised, Slots: a.Slots, Connections: a.Connections,
+	}
+	r := i.report(a.Address)
+	r.Zone = a.Zone
+	return r, nil
+}
+
 // announcements answers POST /announce until the context ends.
 func (vm *VM) announcements(ctx context.Context) error {
 	listener := vm.options.Announce
@@ -58,6 +76,16 @@
 		http.Error(w, "controlvm: malformed announcement: "+err.Error(), http.StatusBadRequest)
 		return
 	}
+	report, err := a.report()
+	if err != nil {
+		http.Error(w, "controlvm: malformed announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
 	vm.metrics.announced.Add(1)
+	err = vm.post(r.Context(), func(now time.Time) { vm.order(now, failover.Announced{Report: report}) })
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
--- a/internal/controlvm/duty.go
+++ b/internal/controlvm/duty.go
@@ -2,24 +2,32 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/failover"
 	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
 // duties are what only the leader does. They are made anew with each term of office.
 type duties struct {
-	term     uint64
-	issuer   *lease.Issuer
-	leaving  map[lease.EntryID]bool // being forgotten
-	seen     uint64                 // index of the book last configured from
-	known    map[lease.EntryID]bool // registered
-	finished context.Context        // ends with the office
+	term    uint64
+	issuer  *lease.Issuer
+	leaving map[lease.EntryID]bool // being forgotten
+	seen    uint64                 // index of the book last configured from
+	known   map[lease.EntryID]bool // registered
+
+	coordinator *failover.Coordinator
+	version     uint64            // configuration last told to the coordinator
+	revisions   map[string]uint64 // of the views last told to the coordinator, by group; nil at first
+
+	finished context.Context // ends with the office
 	resign   context.CancelFunc
 }
 
@@ -32,10 +40,24 @@
 		term:    term,
 		issuer:  lease.NewIssuer(now, book.Configuration(), book.Registrations()),
 		leaving: map[lease.EntryID]bool{},
+
+		coordinator: failover.New(vm.folder.Identity()),
 	}
 	d.finished, d.resign = context.WithCancel(context.Background())
-	d.configure(now, book)
 	vm.duties = d
+	vm.changed = true
+}
+
+// react follows changes of the book. It runs between steps of the voter, because it may propose.
+func (vm *VM) react(now time.Time) {
+	vm.changed = false
+	for w := range vm.watchers {
+		signal(w.wake)
+	}
+	if d := vm.duties; d != nil {
+		d.configure(now, vm.book)
+		vm.watchGroups(now, d, vm.book)
+	}
 }
 
 // leaveOffice answers everybody who waits: their entries may still be committed by another leader.
@@ -77,6 +99,7 @@
 	if d == nil || !vm.voter.Lease(now) {
 		return
 	}
+	vm.order(now, failover.Tick{})
 	for _, e := range d.issuer.Expire(now) {
 		vm.terminate(d, e)
 	}
@@ -117,35 +140,38 @@
 
 // registered reports whether the log knows an entry VM as it describes itself.
 func (vm *VM) registered(r *wire.Registration) bool {
-	for _, known := range vm.book.Registrations() {
-		if known.Entry == r.Entry {
-			return proto.Equal(known, r)
-		}
-	}
-	return false
+	all := vm.book.Registrations()
+	i, ok := slices.BinarySearchFunc(all, r.Entry, func(known *wire.Registration, entry string) int {
+		return strings.Compare(known.Entry, entry)
+	})
+	return ok && proto.Equal(all[i], r)
 }
 
 // renew answers an entry VM under the leader lease. A request that was sent before the entry VM
 // heard of this term is redirected back here: it may be old, and a new issuer believes the first
 // report of each entry VM. A process that never had an answer holds nothing and needs no term.
-func (vm *VM) renew(now time.Time, r *wire.RenewRequest) *wire.RenewReply {
+// It is false for an entry VM that must be registered first.
+func (vm *VM) renew(now time.Time, r *wire.RenewRequest) (*wire.RenewReply, bool) {
 	reply := &wire.RenewReply{Sequence: r.Sequence, Redirect: vm.voter.LeaderAddress(now)}
 	d := vm.duties
 	if d == nil || !vm.voter.Lease(now) {
-		return reply
+		return reply, true
 	}
 	reply.Term = d.term
 	if !vm.registered(r.Registration) {
 		reply.Leader = r.Leaving // forgotten already
-		return reply
+		return reply, r.Leaving
 	}
 	if r.Term != 0 && r.Term != d.term {
-		return reply
+		return reply, true
+	}
+	if len(r.Sights) > 0 {
+		vm.order(now, failover.Sighted{Entry: r.Registration.Entry, Sights: r.Sights})
 	}
 	reply.Leader, reply.Redirect = true, ""
 	reply.Version = vm.book.Version()
 	reply.Lease = configurationLease.Milliseconds()
 	reply.Expiry = lease.Life.Milliseconds()
 	reply.Credits, reply.Budgets = d.issuer.Renew(now, r)
-	return reply
+	return reply, true
 }
--- a/internal/controlvm/effect.go
+++ b/internal/controlvm/effect.go
@@ -60,7 +60,7 @@
 	case controllog.Append:
 		vm.gather(e.Records)
 	case controllog.Commit:
-		vm.apply(now, e.Records)
+		vm.apply(e.Records)
 	case controllog.Compact:
 		vm.compact(now, e)
 	case controllog.Install:
@@ -113,12 +113,15 @@
 	return last
 }
 
-// settle syncs the disk and then lets the waiting messages go.
+// settle syncs the disk, follows what was applied and then lets the waiting messages go.
 func (vm *VM) settle() {
-	for len(vm.unsynced) > 0 {
+	for vm.fault == nil && (len(vm.unsynced) > 0 || vm.changed) {
 		if last := vm.flush(); last != nil {
 			vm.step(time.Now(), controllog.Synced{Index: last.Index, Term: last.Term})
 		}
+		if vm.changed {
+			vm.react(time.Now())
+		}
 	}
 	if vm.fault != nil {
 		return
@@ -130,7 +133,7 @@
 }
 
 // apply applies committed records to the book and answers who waits for them.
-func (vm *VM) apply(now time.Time, records []*wire.LogRecord) {
+func (vm *VM) apply(records []*wire.LogRecord) {
 	for _, r := range records {
 		var decision *wire.Decision
 		if e := r.GetEntry(); e != nil {
@@ -146,7 +149,7 @@
 			w.answer <- result{decision: decision}
 		}
 	}
-	vm.applied(now)
+	vm.changed = true
 }
 
 // compact writes a snapshot of the book.
@@ -177,7 +180,7 @@
 	log.WithField("index", e.Snapshot.Index).Info("snapshot installed")
 	vm.metrics.installs.Add(1)
 	vm.step(now, controllog.Installed{Snapshot: e.Snapshot})
-	vm.applied(now)
+	vm.changed = true
 }
 
 // propose hands an entry to the voter. The answer comes when the entry is committed, or when that
--- /dev/null
+++ b/internal/controlvm/order.go
@@ -0,0 +1,105 @@
+package controlvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/failover"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// order hands an event to the coordinator of failovers and performs its effects. The terms that
+// the coordinator names are in the log; a later leader supersedes them with a higher one.
+func (vm *VM) order(now time.Time, e failover.Event) {
+	d := vm.duties
+	if d == nil {
+		return
+	}
+	for _, effect := range d.coordinator.Step(now, e) {
+		switch e := effect.(type) {
+		case failover.Propose:
+			note(e.Entry)
+			vm.propose(now, e.Entry)
+		case failover.Call:
+			go vm.call(d, e)
+		}
+	}
+}
+
+// note logs what an operator wants to know of failovers.
+func note(e *wire.Entry) {
+	switch e := e.Entry.(type) {
+	case *wire.Entry_Raise:
+		fields := log.Fields{"group": e.Raise.Group, "term": e.Raise.Term, "reason": e.Raise.Reason}
+		log.WithFields(fields).Warn("raising the term of a database group")
+	case *wire.Entry_Promoted:
+		fields := log.Fields{"group": e.Promoted.Group, "term": e.Promoted.Term, "server": e.Promoted.Server, "offset": e.Promoted.Offset}
+		log.WithFields(fields).Info("backend server promoted")
+	case *wire.Entry_Admit:
+		log.WithFields(log.Fields{"group": e.Admit.Group, "server": e.Admit.Member.Server}).Info("admitting a backend server")
+	case *wire.Entry_Dismiss:
+		log.WithFields(log.Fields{"group": e.Dismiss.Group, "server": e.Dismiss.Server}).Info("dismissing a backend server")
+	}
+}
+
+// watchGroups tells the coordinator what changed in the book.
+func (vm *VM) watchGroups(now time.Time, d *duties, book *contract.Book) {
+	if c := book.Configuration(); c.GetVersion() != d.version || d.revisions == nil {
+		d.version = c.GetVersion()
+		vm.order(now, failover.Configured{Groups: c.GetGroups(), Retired: c.GetRetired()})
+	}
+	revisions := map[string]uint64{}
+	for _, v := range book.Views() {
+		revisions[v.Group] = v.Revision
+		if before, ok := d.revisions[v.Group]; !ok || before != v.Revision {
+			vm.order(now, failover.Viewed{View: v})
+		}
+	}
+	d.revisions = revisions
+}
+
+// call calls a function of a backend server and hands the answer to the coordinator.
+func (vm *VM) call(d *duties, c failover.Call) {
+	ctx, cancel := context.WithTimeout(d.finished, failover.CallTimeout)
+	defer cancel()
+	var i instance
+	var err error
+	switch term := uint64(c.Term); c.Function {
+	case failover.Fence:
+		i, err = vm.backends.fence(ctx, c.Address, term)
+	case failover.Promote:
+		i, err = vm.backends.promote(ctx, c.Address, term)
+	case failover.Follow:
+		i, err = vm.backends.follow(ctx, c.Address, term, c.Primary)
+	default:
+		i, err = vm.backends.status(ctx, c.Address)
+	}
+	if err == nil && (i.Server != string(c.Server) || i.Group != string(c.Group)) {
+		err = errors.Newf("controlvm: %s is %s of group %s, not %s of %s", c.Address, i.Server, i.Group, c.Server, c.Group)
+	}
+	answer := failover.Answered{Call: c, Report: i.report(c.Address), Err: err}
+	vm.post(d.finished, func(now time.Time) { //nolint:errcheck // the office has ended
+		if vm.duties == d {
+			vm.order(now, answer)
+		}
+	})
+}
+
+// report is the state as the coordinator takes it. The coordinator compares logs by the term in
+// which they end; that term may have no record yet, so it is taken from the history.
+func (i *instance) report(address string) failover.Report {
+	last := position.Term(i.LastTerm)
+	if n := len(i.History); n > 0 {
+		last = max(last, i.History[n-1].Term)
+	}
+	return failover.Report{
+		Server: failover.ServerID(i.Server), Group: failover.GroupID(i.Group), Address: address, Role: i.Role,
+		Term: position.Term(i.Term), LastTerm: last, Offset: position.Offset(i.Pos), History: i.History,
+		Promised: position.Term(i.Promised), Primary: i.Primary, Slots: i.Slots, Connections: i.Connections,
+	}
+}
--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -151,36 +151,22 @@
 		return nil, status.Error(codes.InvalidArgument, "controlvm: the entry VM gave no identity")
 	}
 	s.vm.metrics.renewals.Add(1)
-	if reply, err := s.enlist(ctx, r); reply != nil || err != nil {
-		return reply, err
+	reply, known, err := s.renew(ctx, r)
+	if err != nil || known {
+		return reply, failure(err)
 	}
-	var reply *wire.RenewReply
-	err := s.vm.do(ctx, func(now time.Time) { reply = s.vm.renew(now, r) })
-	if err != nil {
+	_, err = s.vm.commit(ctx, &wire.Entry{Entry: &wire.Entry_Register{Register: r.Registration}})
+	if err != nil && !errors.HasType(err, errRedirect{}) {
 		return nil, failure(err)
 	}
-	return reply, nil
+	reply, _, err = s.renew(ctx, r)
+	return reply, failure(err)
 }
 
-// enlist registers an unknown entry VM. It returns a reply only if this control VM does not lead.
-func (s *service) enlist(ctx context.Context, r *wire.RenewRequest) (*wire.RenewReply, error) {
-	var known bool
-	var leader string
-	err := s.vm.do(ctx, func(now time.Time) {
-		known = s.vm.registered(r.Registration) || !s.vm.voter.Lease(now)
-		leader = s.vm.voter.LeaderAddress(now)
-	})
-	if err != nil {
-		return nil, failure(err)
-	}
-	if known || r.Leaving {
-		return nil, nil
-	}
-	_, err = s.vm.commit(ctx, &wire.Entry{Entry: &wire.Entry_Register{Register: r.Registration}})
-	if errors.HasType(err, errRedirect{}) {
-		return &wire.RenewReply{Redirect: leader, Sequence: r.Sequence}, nil
-	}
-	return nil, failure(err)
+// renew is false for an entry VM that must be registered first.
+func (s *service) renew(ctx context.Context, r *wire.RenewRequest) (reply *wire.RenewReply, known bool, err error) {
+	err = s.vm.do(ctx, func(now time.Time) { reply, known = s.vm.renew(now, r) })
+	return reply, known, err
 }
 
 // failure turns an error into a gRPC status. Everything may be sent again.
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -60,6 +60,7 @@
 	proposed map[uint64]*waiter // by tag
 	waiting  map[uint64]*waiter // by log index
 	watchers map[*watcher]struct{}
+	changed  bool  // the book changed since react
 	fault    error // of the disk; ends the process
 	duties   *duties
 }
@@ -147,6 +148,9 @@
 		g.Go(func() error { return vm.console(ctx) })
 	}
 	err := g.Wait()
+	if vm.duties != nil {
+		vm.duties.resign()
+	}
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
--- a/internal/controlvm/vm_test.go
+++ b/internal/controlvm/vm_test.go
@@ -34,6 +34,7 @@
 	s.options.Control.Data = filepath.Join(t.TempDir(), "data")
 	s.options.Control.Listen = reserve(t)
 	s.options.Control.Announce = reserve(t)
+	s.options.Control.Server.User = "fireflyrudder"
 	t.Cleanup(s.stop)
 	return s
 }
--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -22,16 +22,6 @@
 	groups  []string
 }
 
-// applied tells the watchers that the book has changed.
-func (vm *VM) applied(now time.Time) {
-	if vm.duties != nil {
-		vm.duties.configure(now, vm.book)
-	}
-	for w := range vm.watchers {
-		signal(w.wake)
-	}
-}
-
 // Watch sends the state an entry VM lacks and then every change. Every control VM that hears from
 // the leader serves it: what it sends is committed, and an entry VM serves callers only at the
 // version that Renew names.
