--- a/internal/controlvm/client.go
+++ b/internal/controlvm/client.go
@@ -126,3 +126,18 @@
 	defer cancel()
 	return call(ctx, wire.NewControlClient(conn))
 }
+
+// Switch asks the leader for a planned switchover and waits for the outcome. It is not repeated
+// once a leader has taken it.
+func (c *Client) Switch(ctx context.Context, group, to string) (*wire.SwitchReply, error) {
+	if _, err := c.Status(ctx); err != nil {
+		return nil, err
+	}
+	var reply *wire.SwitchReply
+	err := c.each(ctx, func(_ context.Context, client wire.ControlClient) (bool, error) {
+		var err error
+		reply, err = client.Switch(ctx, &wire.SwitchRequest{Group: group, To: to})
+		return status.Code(err) != codes.FailedPrecondition, err
+	})
+	return reply, err
+}
--- /dev/null
+++ b/internal/controlvm/switch.go
@@ -0,0 +1,83 @@
+package controlvm
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"fireflyrudder.example/fireflyrudder/internal/failover"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Limits of a planned switchover. It is given up within a second; a failover may follow.
+const (
+	switchTimeout = 5 * time.Second
+	switchPoll    = 20 * time.Millisecond
+)
+
+// Switch moves the primary of a group in a planned way and waits for the outcome.
+func (s *service) Switch(ctx context.Context, r *wire.SwitchRequest) (*wire.SwitchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, switchTimeout)
+	defer cancel()
+	var before *wire.View
+	var refusal error
+	err := s.vm.do(ctx, func(now time.Time) {
+		vm := s.vm
+		if vm.duties == nil || !vm.voter.Lease(now) {
+			refusal = errRedirect{vm.voter.LeaderAddress(now)}
+			return
+		}
+		if before = vm.switchable(r); before != nil {
+			vm.order(now, failover.Switch{Group: failover.GroupID(r.Group), To: failover.ServerID(r.To)})
+		}
+	})
+	switch {
+	case err != nil:
+		return nil, failure(err)
+	case refusal != nil:
+		return nil, failure(refusal)
+	case before == nil:
+		return nil, status.Errorf(codes.InvalidArgument, "controlvm: group %q has no steady primary, or server %q cannot take over; see status", r.Group, r.To)
+	}
+	return s.awaitSwitch(ctx, r, before)
+}
+
+// switchable returns the view of a group that may be switched over, or nil.
+func (vm *VM) switchable(r *wire.SwitchRequest) *wire.View {
+	v, ok := vm.book.View(r.Group)
+	if !ok || v.Phase != wire.Phase_PHASE_STEADY || v.Primary == "" || v.Primary == r.To {
+		return nil
+	}
+	for _, m := range v.Members {
+		if r.To == "" || (m.Server == r.To && !m.Retired) {
+			return v
+		}
+	}
+	return nil
+}
+
+// awaitSwitch waits until the group is steady in a higher term.
+func (s *service) awaitSwitch(ctx context.Context, r *wire.SwitchRequest, before *wire.View) (*wire.SwitchReply, error) {
+	ticker := time.NewTicker(switchPoll)
+	defer ticker.Stop()
+	reply := &wire.SwitchReply{View: before}
+	for {
+		err := s.vm.do(ctx, func(time.Time) {
+			if v, ok := s.vm.book.View(r.Group); ok {
+				reply.View = v
+			}
+		})
+		v := reply.View
+		steady := v.Term > before.Term && v.Phase == wire.Phase_PHASE_STEADY && v.Primary != ""
+		if steady || err != nil {
+			reply.Done = steady && v.Primary != before.Primary
+			return reply, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
