--- a/internal/simulation/measure_test.go
+++ b/internal/simulation/measure_test.go
@@ -169,21 +169,3 @@
 		require.LessOrEqual(t, after.refused, refusals, u.name)
 	}
 }
-
-// Measures whether a second copy of a slow read pays.
-func TestHedging(t *testing.T) {
-	if !*tables {
-		t.Skip("a trial without a bound")
-	}
-	for _, u := range users {
-		for _, load := range []float64{0.4, 0.6} {
-			for _, slow := range []float64{1, 4} {
-				for _, hedge := range []time.Duration{0, 20 * time.Millisecond, 30 * time.Millisecond, 50 * time.Millisecond} {
-					s := usual(u)
-					s.load, s.slow, s.hedge = load, slow, hedge
-					t.Logf("%s load %.1f, last replica %.0f times slower, hedge after %v: %v", u.name, load, slow, hedge, simulate(s).summary())
-				}
-			}
-		}
-	}
-}
--- a/internal/simulation/world_test.go
+++ b/internal/simulation/world_test.go
@@ -57,7 +57,6 @@
 	fixed     bool
 	readShare float64
 	retry     retry.Policy
-	hedge     time.Duration                           // extra try of a read at the other replica, if idle, after this time
 	timeout   time.Duration                           // of requests; default timeout
 	lag       func(since time.Duration) time.Duration // of both replicas
 	slow      float64                                 // factor on the service times of the last replica
@@ -97,7 +96,6 @@
 	tries    int
 	waited   time.Duration
 	finished bool
-	hedged   bool
 }
 
 // instance runs statements in order of arrival on its slots.
@@ -349,24 +347,6 @@
 		})
 	}
 	w.at(w.way(e, server), func() { w.instances[server].receive(w, server, r, answer) })
-	if w.hedge > 0 && r.read && server != w.primary && !r.hedged {
-		w.at(w.hedge, func() { w.hedgeRead(e, r, server) })
-	}
-}
-
-// hedgeRead sends a second copy of a read to the other replica if that may serve it and is idle.
-func (w *world) hedgeRead(e *entryVM, r *request, first int) {
-	if r.finished {
-		return
-	}
-	candidates := w.candidates(e)
-	candidates[first].Down = true
-	choice := e.router.Choose(w.now, route.Request{Read: true, Floor: *r.session, MaxAge: route.AnyAge, Waited: route.MaxWait}, candidates)
-	if choice.Result != route.Chosen || choice.Index == w.primary || e.queues[choice.Index].Running() > 0 {
-		return
-	}
-	r.hedged = true
-	w.enqueue(e, r, choice.Index)
 }
 
 func (w *world) way(e *entryVM, server int) time.Duration {
