settings: put the environment before the file; name file, section and key of a refused line

Cause: go-flags reads the environment only for options that no INI file has set, so the file won. Ruled out: reading the file after the command line, since required lists would then mix both. The message for a malformed value named only the line.

--- /dev/null
+++ b/internal/settings/file.go
@@ -0,0 +1,91 @@
+package settings
+
+import (
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+// Read applies the INI file to the options of parser, as defaults below flags and environment.
+// It refuses unknown sections, unknown keys and malformed values, naming the file, the section, the
+// key and a remedy.
+func Read(parser *flags.Parser, file string) error {
+	if err := environment(parser.Command); err != nil {
+		return err
+	}
+	ini := flags.NewIniParser(parser)
+	ini.ParseAsDefaults = true
+	err := ini.ParseFile(file)
+	if err == nil {
+		return nil
+	}
+	err = errors.Wrapf(err, "settings: file %s%s", file, place(err, file))
+	return errors.WithHint(err, "see the sections and keys with: fireflyrudder <command> --help")
+}
+
+// environment sets the options of command and its subcommands whose variables exist. go-flags reads
+// the environment only for options that no file has set, which would put the file first.
+func environment(command *flags.Command) error {
+	for _, group := range command.Groups() {
+		if err := variables(group); err != nil {
+			return err
+		}
+	}
+	for _, sub := range command.Commands() {
+		if err := environment(sub); err != nil {
+			return err
+		}
+	}
+	return variables(command.Group)
+}
+
+// variables sets the options of group and its subgroups.
+func variables(group *flags.Group) error {
+	for _, option := range group.Options() {
+		value, ok := os.LookupEnv(option.EnvKeyWithNamespace())
+		if !ok || option.EnvKeyWithNamespace() == "" {
+			continue
+		}
+		values := []string{value}
+		if option.EnvDefaultDelim != "" {
+			values = strings.Split(value, option.EnvDefaultDelim)
+		}
+		for _, v := range values {
+			if err := option.Set(&v); err != nil {
+				err = errors.Wrapf(err, "settings: environment variable %s", option.EnvKeyWithNamespace())
+				return errors.WithHint(err, "correct or unset the variable")
+			}
+		}
+	}
+	for _, sub := range group.Groups() {
+		if err := variables(sub); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// place returns the section and the key of the line that the error names, or nothing.
+func place(err error, file string) string {
+	var fault *flags.IniError
+	if !errors.As(err, &fault) {
+		return ""
+	}
+	text, readErr := os.ReadFile(file)
+	lines := strings.Split(string(text), "\n")
+	if readErr != nil || fault.LineNumber == 0 || int(fault.LineNumber) > len(lines) {
+		return ""
+	}
+	lines = lines[:fault.LineNumber]
+	key, _, _ := strings.Cut(lines[len(lines)-1], "=")
+	section := ""
+	for _, line := range lines {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			section = line
+		}
+	}
+	return ", section " + section + ", key " + strings.TrimSpace(key)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jessevdk/go-flags"
 )
 
 // Node tells a process where it runs.
@@ -186,18 +185,6 @@
 	return nil
 }
 
-// Read applies the INI file to the options of parser, as defaults below flags and environment.
-// It refuses unknown sections, unknown keys and malformed values.
-func Read(parser *flags.Parser, file string) error {
-	ini := flags.NewIniParser(parser)
-	ini.ParseAsDefaults = true
-	err := ini.ParseFile(file)
-	if err != nil {
-		return errors.WithHint(errors.Wrap(err, "settings"), "see the sections and keys with: fireflyrudder <command> --help")
-	}
-	return nil
-}
-
 // address checks that text is IP:port, since the platform has no names.
 func address(section, key, text string) error {
 	if _, err := netip.ParseAddrPort(text); err != nil {
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,82 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/settings"
+)
+
+// parse reads an INI file and a command line the way the command does.
+func parse(t *testing.T, ini string, args ...string) (settings.Node, error) {
+	t.Helper()
+	var node settings.Node
+	parser := flags.NewParser(nil, flags.HelpFlag)
+	_, err := parser.AddGroup("node", "", &node)
+	require.NoError(t, err)
+	file := filepath.Join(t.TempDir(), "site.ini")
+	require.NoError(t, os.WriteFile(file, []byte(ini), 0o600))
+	if err := settings.Read(parser, file); err != nil {
+		return node, err
+	}
+	_, err = parser.ParseArgs(args)
+	return node, err
+}
+
+// Guards against a file that overrides the environment or a flag.
+func TestPrecedence(t *testing.T) {
+	ini := "[node]\nname = from-file\nzone = zone-file\n"
+	node, err := parse(t, ini)
+	require.NoError(t, err)
+	require.Equal(t, "from-file", node.Name)
+	t.Setenv("FIREFLYRUDDER_NODE_NAME", "from-environment")
+	node, err = parse(t, ini)
+	require.NoError(t, err)
+	require.Equal(t, "from-environment", node.Name)
+	require.Equal(t, "zone-file", node.Zone)
+	node, err = parse(t, ini, "--name", "from-flag")
+	require.NoError(t, err)
+	require.Equal(t, "from-flag", node.Name)
+}
+
+// Guards against settings that are ignored silently and against errors that do not say where.
+func TestRefusals(t *testing.T) {
+	for name, c := range map[string]struct{ ini, says string }{
+		"unknown key":     {"[node]\nnmae = x\n", "section [node], key nmae"},
+		"unknown section": {"[nodes]\nname = x\n", "site.ini"},
+		"no value":        {"[node]\nname\n", "section [node], key name"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := parse(t, c.ini)
+			require.ErrorContains(t, err, c.says)
+			require.NotEmpty(t, errors.GetAllHints(err))
+		})
+	}
+}
+
+// Guards against starting with settings that cannot work.
+func TestChecks(t *testing.T) {
+	require.Error(t, (&settings.Node{Name: "a"}).Check())
+	require.Error(t, (&settings.Console{Listen: "localhost:80"}).Check(), "the platform has no names")
+	require.NoError(t, (&settings.Console{}).Check())
+	require.Error(t, (&settings.TLS{Certificate: "a.pem"}).Check())
+	require.Error(t, (&settings.Control{Listen: "127.0.0.1:1", Announce: "127.0.0.1:2"}).Check())
+	require.Error(t, (&settings.Entry{Listen: "127.0.0.1:1"}).Check())
+	require.Error(t, (&settings.Standin{Listen: "127.0.0.1:1", Slots: 0, Connections: 1}).Check())
+}
+
+// Guards against a trailing line break becoming part of the password.
+func TestSecret(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "password")
+	require.NoError(t, os.WriteFile(file, []byte("secret\r\n"), 0o600))
+	secret, err := (&settings.Server{Password: file}).Secret()
+	require.NoError(t, err)
+	require.Equal(t, "secret", secret)
+	_, err = (&settings.Server{Password: file + ".missing"}).Secret()
+	require.Error(t, err)
+}
