entryvm: name the control term of the latest reply in each renewal

Cause: an issuer believes the first report of each entry VM, so a report sent before its term could hide credits granted meanwhile by the former leader. spec/ratelease.pml -DNAMELESS shows the overspend.

--- a/internal/entryvm/control.go
+++ b/internal/entryvm/control.go
@@ -38,6 +38,7 @@
 	due      chan struct{} // holds one token when a Renew is due now
 	moved    chan struct{} // holds one token when the time of the next Renew may be earlier
 	sequence uint64
+	term     uint64 // control log term of the latest reply; a leader grants only to requests that name its own
 	clients  map[string]wire.ControlClient
 	closers  []io.Closer
 	ended    chan struct{}
@@ -102,6 +103,7 @@
 		if redirect != "" {
 			address = redirect
 		}
+		term := c.term
 		reply, err := c.renew(ctx, address, false)
 		switch {
 		case err != nil || (!reply.GetLeader() && reply.GetRedirect() == ""):
@@ -109,7 +111,7 @@
 			at, redirect = at+1, ""
 		case !reply.GetLeader():
 			redirect = reply.GetRedirect()
-			if redirect == address {
+			if redirect == address && c.term == term {
 				at, redirect = at+1, ""
 			}
 		default:
@@ -170,6 +172,7 @@
 	request := &wire.RenewRequest{
 		Registration: &wire.Registration{Entry: c.vm.identity, Name: c.vm.options.Node.Name, Zone: c.vm.options.Node.Zone},
 		Leaving:      leaving,
+		Term:         c.term,
 	}
 	usages := c.observe(ctx, request)
 	c.sequence++
@@ -186,6 +189,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "entryvm: renew")
 	}
+	if reply.GetTerm() != 0 {
+		c.term = reply.GetTerm()
+	}
 	if !reply.GetLeader() || reply.GetSequence() != request.Sequence || leaving {
 		return reply, nil
 	}
