contract: add benchmarks, test deltas of moved routes and repeated indexes

Cause: docs/CAPACITY.md needs figures, and two removed safeguards (a route that moves out of the served groups, an index applied twice) were not seen by the tests.

Dropping whole versions from the kept edits turned out to be needless, since deltas start after base; that code is removed.

--- /dev/null
+++ b/internal/contract/bench_test.go
@@ -0,0 +1,95 @@
+package contract_test
+
+import (
+	"fmt"
+	"testing"
+
+	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// sizes are groups and accounts: the first users, a tenth of the design size, and the design size.
+var sizes = []struct{ groups, accounts int }{{3, 8}, {190, 100}, {1900, 1000}}
+
+func sized(b *testing.B, groups, accounts int) *tape {
+	t := &tape{Book: contract.New()}
+	put := func(e *wire.Edit) { t.apply(change(fmt.Sprint("c", t.index), t.Version(), e)) }
+	for i := range accounts {
+		put(account(fmt.Sprintf("account-%04d", i), "main"))
+	}
+	for i := range groups {
+		name := fmt.Sprintf("group-%04d", i)
+		put(group(name, 3))
+		put(route("route-"+name, name, fmt.Sprintf("account-%04d", i%accounts)))
+		for m := range 3 {
+			t.apply(admit(name, fmt.Sprint(name, "-", m)))
+		}
+	}
+	if len(t.Views()) != groups {
+		b.Fatal("the book is not filled")
+	}
+	return t
+}
+
+func each(b *testing.B, run func(b *testing.B, t *tape)) {
+	for _, s := range sizes {
+		b.Run(fmt.Sprintf("groups=%d/accounts=%d", s.groups, s.accounts), func(b *testing.B) {
+			t := sized(b, s.groups, s.accounts)
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, t)
+		})
+	}
+}
+
+func BenchmarkBookApplyChange(b *testing.B) {
+	each(b, func(b *testing.B, t *tape) {
+		entries := make([]*wire.Entry, b.N)
+		for i := range entries {
+			entries[i] = change(fmt.Sprint("b", i), t.Version()+uint64(i), account("account-0001", "main"))
+		}
+		b.ResetTimer()
+		for _, e := range entries {
+			t.apply(e)
+		}
+	})
+}
+
+func BenchmarkBookApplyRaise(b *testing.B) {
+	each(b, func(b *testing.B, t *tape) {
+		e := raise("group-0001", 0, wire.Phase_PHASE_RAISING)
+		for i := range b.N {
+			e.GetRaise().Term = uint64(i + 1)
+			t.apply(e)
+		}
+	})
+}
+
+// BenchmarkBookSince asks for one edit and one view that changed.
+func BenchmarkBookSince(b *testing.B) {
+	each(b, func(b *testing.B, t *tape) {
+		version, index := t.Version(), t.Index()
+		t.apply(change("last", version, account("account-0001", "main")))
+		t.apply(raise("group-0001", 1, wire.Phase_PHASE_RAISING))
+		for b.Loop() {
+			t.Since(version, index, nil)
+		}
+	})
+}
+
+func BenchmarkBookSnapshot(b *testing.B) {
+	each(b, func(b *testing.B, t *tape) {
+		for b.Loop() {
+			t.Snapshot()
+		}
+	})
+}
+
+// BenchmarkBookMarshal writes a snapshot as voters store and send it.
+func BenchmarkBookMarshal(b *testing.B) {
+	each(b, func(b *testing.B, t *tape) {
+		for b.Loop() {
+			b.SetBytes(int64(len(bytesOf(b, t.Book))))
+		}
+	})
+}
--- a/internal/contract/book_test.go
+++ b/internal/contract/book_test.go
@@ -240,6 +240,27 @@
 	require.Equal(t, []*wire.Start{{Term: 1}, {Term: 3, Offset: 9}}, view().GetHistory())
 }
 
+// Guards against an entry VM that keeps a route which moved to a group it does not serve, and against
+// an entry that is applied again after a restart.
+func TestSince(t *testing.T) {
+	b := filled(t)
+	b.apply(change("move", 1, route("r", "h")))
+	u, ok := b.Since(1, b.Index(), []string{"g"})
+	require.True(t, ok)
+	require.Len(t, u.GetEdits(), 1)
+	require.Equal(t, "r", u.GetEdits()[0].GetDropRoute())
+	u, _ = b.Since(1, b.Index(), []string{"h"})
+	require.Equal(t, "r", u.GetEdits()[0].GetPutRoute().GetName())
+	u, ok = b.Since(9, b.Index(), nil)
+	require.True(t, ok, "an entry VM ahead of this voter keeps what it has")
+	require.Empty(t, u.GetEdits())
+	first := b.Apply(b.Index(), change("move", 1, route("r", "h")))
+	require.EqualValues(t, 2, first.GetVersion())
+	before := bytesOf(t, b.Book)
+	b.Apply(b.Index(), raise("g", 9, wire.Phase_PHASE_RAISING))
+	require.Equal(t, before, bytesOf(t, b.Book))
+}
+
 // Guards against voters that disagree after a snapshot, entry VMs that revert or miss a change under
 // loss, duplication and reordering of updates, and two primaries of one term.
 func TestBookProperties(t *testing.T) {
--- a/internal/contract/change.go
+++ b/internal/contract/change.go
@@ -68,12 +68,10 @@
 		r.version = d.next.Version
 		b.edits = append(b.edits, r)
 	}
-	// Whole versions are dropped, so that a delta never carries a part of one.
-	for len(b.edits) > maxEdits {
-		b.base = b.edits[0].version
-		for len(b.edits) > 0 && b.edits[0].version == b.base {
-			b.edits = b.edits[1:]
-		}
+	// Deltas start after base, so a version of which only a part is kept is never sent.
+	if n := len(b.edits) - maxEdits; n > 0 {
+		b.base = b.edits[n-1].version
+		b.edits = b.edits[n:]
 	}
 	b.configuration = d.next
 	for _, e := range c.GetEdits() {
