--- a/internal/lease/bucket.go
+++ b/internal/lease/bucket.go
@@ -93,6 +93,7 @@
 // holder, and its return would make credit from nothing.
 func (i *Issuer) credit(now time.Time, h *holder, demands []*wire.Demand, first bool) []*wire.Credit {
 	credits := make([]*wire.Credit, 0, len(demands))
+	slab := make([]wire.Credit, len(demands)) // one allocation for all credits
 	for _, d := range demands {
 		b, ok := i.accounts[AccountID(d.GetAccount())]
 		if !ok {
@@ -113,7 +114,8 @@
 		if b.dropped {
 			continue
 		}
-		c := &wire.Credit{Account: d.GetAccount()}
+		c := &slab[len(credits)]
+		c.Account = d.GetAccount()
 		if i.policy == Static {
 			c.Amount = s.equal(now, d, len(i.holders))
 		} else {
