entryvm: answer application_name itself

A caller that set it changed the name of a shared connection at the server, by which the control group closes the connections of a dead entry VM. The value is kept for SHOW and never sent.

--- a/internal/entryvm/parameters.go
+++ b/internal/entryvm/parameters.go
@@ -25,11 +25,19 @@
 	age      time.Duration
 	aged     bool // age was stated; otherwise that of the route holds
 	deadline time.Duration
+	name     string // application_name as the caller set it
 	request  string // id of the next statement or transaction that writes
 }
 
+// parameterApplication is answered by the VM. At the servers it names the VM, by which the control group
+// closes the connections of a VM that died.
+const parameterApplication = "application_name"
+
 // own reports whether a run-time parameter is the proxy's, and its name without the prefix.
 func own(name string) (string, bool) {
+	if strings.EqualFold(name, parameterApplication) {
+		return parameterApplication, true
+	}
 	return strings.CutPrefix(strings.ToLower(name), caller.Prefix)
 }
 
@@ -56,6 +64,8 @@
 			return outcome.New(outcome.BadValue, "the request id is longer than "+strconv.Itoa(maxRequestID)+" bytes", "use a shorter id")
 		}
 		p.request = value
+	case parameterApplication:
+		p.name = value
 	case parameterSession:
 		return outcome.New(outcome.BadValue, "fireflyrudder.session is taken at connect only",
 			"give it as a startup option: -c fireflyrudder.session=...")
@@ -102,6 +112,8 @@
 		return s.parameters.deadline.String(), nil
 	case parameterRequest:
 		return s.parameters.request, nil
+	case parameterApplication:
+		return s.parameters.name, nil
 	case parameterSession:
 		return s.token(), nil
 	}
