entryvm: send begin and end of a replica read with the read

Three ReadyForQuery meant three reads per statement. An error leaves the transaction open at the server and costs one ROLLBACK.

--- a/internal/entryvm/exchange.go
+++ b/internal/entryvm/exchange.go
@@ -54,6 +54,9 @@
 	hidden   bool   // the error was not shown
 	tag      string // last command tag shown
 
+	wrapped   int // statements of the caller in a text with BEGIN and COMMIT around; 0: not wrapped
+	completes int // command tags seen
+
 	collects *sideRow // takes the last row of the VM's own statements; nil for requests of the caller
 	sideTag  string   // last command tag of the VM's own statements
 }
@@ -185,6 +188,9 @@
 	case *pgproto3.NoData:
 		return x.complete(m, 'D')
 	case *pgproto3.CommandComplete:
+		if x.completes++; x.wrapped > 0 && (x.completes == 1 || x.completes == x.wrapped+2) {
+			return nil // of BEGIN and COMMIT
+		}
 		x.completed(m, head.swallow)
 		return x.complete(m, 'E')
 	case *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
@@ -307,6 +313,9 @@
 	if head.swallow {
 		return nil
 	}
+	if x.wrapped > 0 && m.Position > int32(len(wrapPrefix)) {
+		m.Position -= int32(len(wrapPrefix))
+	}
 	if outcome.State(m.Code) == stateReadOnly && x.tentative {
 		x.hidden = true
 		return nil
--- a/internal/entryvm/once.go
+++ b/internal/entryvm/once.go
@@ -17,13 +17,15 @@
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
-// Statements on the table of request ids. The record commits with the request, so either both are
-// there or none.
+// Statements of the VM. The record of a request id commits with the request, so either both are there
+// or none.
 var (
-	insertRecord = ownStatement("INSERT INTO "+statement.RequestTable+" (account, id, digest, tag) VALUES ($1, $2, $3, $4)", 4)
-	updateRecord = ownStatement("UPDATE "+statement.RequestTable+" SET tag = $3 WHERE account = $1 AND id = $2", 3)
-	selectRecord = ownStatement("SELECT digest, tag FROM "+statement.RequestTable+" WHERE account = $1 AND id = $2", 2)
-	askStatus    = ownStatement("SELECT * FROM group_status()", 0)
+	insertRecord  = ownStatement("INSERT INTO "+statement.RequestTable+" (account, id, digest, tag) VALUES ($1, $2, $3, $4)", 4)
+	updateRecord  = ownStatement("UPDATE "+statement.RequestTable+" SET tag = $3 WHERE account = $1 AND id = $2", 3)
+	selectRecord  = ownStatement("SELECT digest, tag FROM "+statement.RequestTable+" WHERE account = $1 AND id = $2", 2)
+	beginReadOnly = ownStatement("BEGIN READ ONLY", 0)
+	endReadOnly   = ownStatement("COMMIT", 0)
+	askStatus     = ownStatement("SELECT * FROM group_status()", 0)
 )
 
 const createRecords = "CREATE TABLE IF NOT EXISTS " + statement.RequestTable +
--- a/internal/entryvm/request.go
+++ b/internal/entryvm/request.go
@@ -282,19 +282,21 @@
 	}
 }
 
-// sendWrapped sends a request. On a replica it runs in a read-only transaction.
+// wrapPrefix starts the read-only transaction of a simple query on a replica.
+const wrapPrefix = "BEGIN READ ONLY;"
+
+// sendWrapped sends a request. On a replica it runs in a read-only transaction, whose begin and end
+// travel with it: the server answers each ReadyForQuery by a write of its own.
 func (x *exchange) sendWrapped(r *request) (int, error) {
-	if !x.lane.replica || r.beginsReadOnly() {
+	if !x.lane.replica || r.beginsReadOnly() || len(r.runs) == 0 {
 		return x.send(r)
 	}
-	if err := x.query("BEGIN READ ONLY", true); err != nil {
-		return 0, err
-	}
-	size, err := x.send(r)
-	if err != nil {
-		return 0, err
+	if r.text == "" {
+		return x.sendSteps(r, true)
 	}
-	return size, x.query("COMMIT", true)
+	x.wrapped = max(1, len(r.kind.Parts))
+	// The newline ends a comment at the end of the text.
+	return len(r.text), x.query(wrapPrefix+r.text+"\n;COMMIT", false)
 }
 
 // send encodes a request and returns its size in bytes.
@@ -302,6 +304,16 @@
 	if r.text != "" {
 		return len(r.text), x.query(r.text, false)
 	}
+	return x.sendSteps(r, false)
+}
+
+// sendSteps encodes extended messages, within a read-only transaction if asked for.
+func (x *exchange) sendSteps(r *request, wrap bool) (int, error) {
+	if wrap {
+		if err := x.aside(beginReadOnly); err != nil {
+			return 0, err
+		}
+	}
 	size := 0
 	for i := range r.steps {
 		if err := x.sendStep(&r.steps[i]); err != nil {
@@ -309,6 +321,11 @@
 		}
 		size += stepSize(&r.steps[i])
 	}
+	if wrap {
+		if err := x.aside(endReadOnly); err != nil {
+			return 0, err
+		}
+	}
 	if !r.sync && x.session.status != idle {
 		x.session.unsynced = true
 		return size, x.conn.Send(&pgproto3.Flush{})
@@ -317,6 +334,19 @@
 	return size, x.conn.Send(&pgproto3.Sync{})
 }
 
+// aside adds a statement of the VM without parameters among extended messages.
+func (x *exchange) aside(p *prepared) error {
+	name, err := x.ensure(p)
+	if err != nil {
+		return err
+	}
+	x.expects = append(x.expects, expect{kind: 'B', swallow: true}, expect{kind: 'E', swallow: true})
+	if err := x.conn.Send(&pgproto3.Bind{PreparedStatement: name}); err != nil {
+		return err
+	}
+	return x.conn.Send(&pgproto3.Execute{})
+}
+
 func stepSize(one *step) int {
 	const overhead = 64
 	switch m := one.message.(type) {
--- a/internal/entryvm/run.go
+++ b/internal/entryvm/run.go
@@ -231,6 +231,12 @@
 	if err != nil || x.fatal {
 		return s.lostOutside(w, x, r, mark, err)
 	}
+	if l.replica && l.conn.Status != idle && !r.beginsReadOnly() {
+		// An error left the read-only transaction open.
+		if _, err := s.side(l, func(x *exchange) error { return x.query("ROLLBACK", true) }); err != nil {
+			l.conn.Doubt()
+		}
+	}
 	if x.hidden { // the server was not the primary any more and ran nothing
 		s.vm.leaveLane(l)
 		if s.conn.Rewind(mark) && s.mayRetry(w, outcome.NotRun, false, true) {
