statement: Refuse to drop, rename or alias what belongs to the proxy

Cause: DROP names its objects by strings, so DROP TABLE fireflyrudder_request passed as a write, which would let a request run twice. A renamed function, a cast, an aggregate or an operator could call the functions of the failover procedure under a name that the check does not see.

Ruled out: refusing every string equal to the table's name, which also refuses literals.

Conclusion: these forms are refused; test cases added. Functions that exist already and call refused ones are still not seen; only the platform's grants can close that.

--- a/internal/statement/classify_test.go
+++ b/internal/statement/classify_test.go
@@ -28,7 +28,7 @@
 		},
 		statement.Write: {
 			"INSERT INTO t VALUES (1)", "UPDATE t SET a = 1", "DELETE FROM t", "MERGE INTO t USING u ON true WHEN MATCHED THEN DELETE",
-			"TRUNCATE t", "CREATE TABLE t (a int)", "DROP TABLE t", "LOCK TABLE t",
+			"TRUNCATE t", "ALTER TABLE t RENAME TO u", "CREATE TYPE e AS ENUM ('a')", "DROP FUNCTION f", "CREATE TABLE t (a int)", "DROP TABLE t", "LOCK TABLE t",
 			"SELECT * FROM t FOR UPDATE", "SELECT * FROM t FOR SHARE", "SELECT * FROM t FOR NO KEY UPDATE SKIP LOCKED",
 			"SELECT * FROM (SELECT * FROM t FOR UPDATE) x", "SELECT * INTO u FROM t",
 			"WITH d AS (DELETE FROM t RETURNING *) SELECT * FROM d",
@@ -59,6 +59,10 @@
 			"SELECT set_config('standard_conforming_strings', 'o' || 'ff', true)",
 			"SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY", "EXPLAIN EXECUTE p", "CREATE TABLE t AS EXECUTE p",
 			"DELETE FROM fireflyrudder_request", "SELECT * FROM public.fireflyrudder_request",
+			"DROP TABLE a, public.fireflyrudder_request", "ALTER TABLE t RENAME TO fireflyrudder_request",
+			"ALTER TABLE fireflyrudder_request RENAME TO t", "TRUNCATE fireflyrudder_request",
+			"ALTER FUNCTION group_fence RENAME TO f", "CREATE CAST (bigint AS t) WITH FUNCTION group_fence(bigint)",
+			"CREATE AGGREGATE f (bigint) (SFUNC = group_fence, STYPE = bigint)", "CREATE OPERATOR <<>> (FUNCTION = group_fence, RIGHTARG = bigint)",
 			"SELECT 1; LISTEN c", "SELECT '\xff'", "SELECT 1\x00; DELETE FROM t",
 		},
 	}
--- a/internal/statement/refuse.go
+++ b/internal/statement/refuse.go
@@ -10,11 +10,14 @@
 // a changed record would let a request run twice.
 const RequestTable = "fireflyrudder_request"
 
+const ownTable = RequestTable + " belongs to the proxy"
+
 // refuseStatement refuses the statements that a pooled connection cannot carry, and those that act
 // on the backend server itself, since all callers share the system's own user.
 func refuseStatement(n *pg.Node) (Statement, bool) {
 	const pooled = "the connection is shared between sessions"
 	const direct = "run it directly against the backend server"
+	const hidden = "a function under another name cannot be checked and is not carried"
 	switch x := n.Node.(type) {
 	case *pg.Node_CopyStmt:
 		return unsupported("COPY is not carried", "use INSERT with several rows"), true
@@ -37,6 +40,27 @@
 	case *pg.Node_DoStmt, *pg.Node_CreateFunctionStmt, *pg.Node_CreatePlangStmt:
 		// The body is text in another language, so refused functions in it would go unseen.
 		return unsupported("server-side code cannot be checked and is not carried", direct), true
+	case *pg.Node_CreateCastStmt, *pg.Node_CreateTransformStmt:
+		return unsupported(hidden, direct), true
+	case *pg.Node_DefineStmt:
+		if kind := x.DefineStmt.Kind; kind == pg.ObjectType_OBJECT_AGGREGATE || kind == pg.ObjectType_OBJECT_OPERATOR {
+			return unsupported(hidden, direct), true
+		}
+	case *pg.Node_RenameStmt:
+		switch x.RenameStmt.RenameType {
+		case pg.ObjectType_OBJECT_FUNCTION, pg.ObjectType_OBJECT_PROCEDURE, pg.ObjectType_OBJECT_ROUTINE:
+			return unsupported(hidden, direct), true
+		}
+		if x.RenameStmt.Newname == RequestTable {
+			return unsupported(ownTable, "choose another name"), true
+		}
+	case *pg.Node_DropStmt:
+		// DROP names its objects by strings, not by RangeVar.
+		for _, object := range x.DropStmt.Objects {
+			if _, name := qualified(object.GetList().GetItems()); name == RequestTable {
+				return unsupported(ownTable, "leave the table in place"), true
+			}
+		}
 	case *pg.Node_VariableSetStmt:
 		if name := strings.ToLower(x.VariableSetStmt.Name); name == "role" || name == "session_authorization" {
 			return unsupported("all sessions run as the system's own user", "remove the statement"), true
@@ -119,7 +143,7 @@
 // refuseTable refuses temporary tables and the proxy's own table.
 func refuseTable(r *pg.RangeVar) (reason, remedy string) {
 	if r.Relname == RequestTable {
-		return RequestTable + " belongs to the proxy", "use the parameter fireflyrudder.request"
+		return ownTable, "use the parameter fireflyrudder.request"
 	}
 	if r.Relpersistence == "t" || r.Schemaname == "pg_temp" || strings.HasPrefix(r.Schemaname, "pg_temp_") {
 		return "temporary tables are not carried: the connection is shared between sessions",
