--- a/internal/entryvm/protocol_test.go
+++ b/internal/entryvm/protocol_test.go
@@ -127,6 +127,12 @@
 		hijacked.Conn.SetReadDeadline(time.Now().Add(5 * time.Second))
 		got, err := f.Receive()
 		require.NoError(t, err)
+		// The VM reports who served a read and the session token at any time before ReadyForQuery.
+		for status, ok := got.(*pgproto3.ParameterStatus); ok; status, ok = got.(*pgproto3.ParameterStatus) {
+			require.Contains(t, status.Name, "fireflyrudder.")
+			got, err = f.Receive()
+			require.NoError(t, err)
+		}
 		require.IsType(t, want, got)
 	}
 	send(&pgproto3.Parse{Name: "s", Query: "SELECT id FROM claim"}, &pgproto3.Describe{ObjectType: 'S', Name: "s"}, &pgproto3.Flush{})
