--- a/internal/entryvm/group.go
+++ b/internal/entryvm/group.go
@@ -110,9 +110,11 @@
 		}
 	}
 	for i := range state.servers {
-		if string(state.servers[i].id) == g.view.GetPrimary() {
+		primary := string(state.servers[i].id) == g.view.GetPrimary()
+		if primary {
 			state.primary = &state.servers[i]
 		}
+		state.servers[i].slots.boundReads(primary)
 	}
 	old := g.state.Swap(state)
 	close(old.next)
--- a/internal/entryvm/slots.go
+++ b/internal/entryvm/slots.go
@@ -22,6 +22,18 @@
 	return &slots{queue: admission.New(n)}
 }
 
+// boundReads limits the share of reads while writes wait, on a primary only: a lag storm sends it
+// the reads that its replicas cannot serve.
+func (s *slots) boundReads(primary bool) {
+	share := 0.0
+	if primary {
+		share = admission.PrimaryReads
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.SetReads(share)
+}
+
 // load returns the statements that run and wait.
 func (s *slots) load() (running, queued int) {
 	s.mu.Lock()
