controllog: ignore answers to messages of an earlier term of office

An answer echoes the send time of the message, counted from the start of the sender's term of office. A voter that lost and won again took the echo of its earlier term for one of the present and held its lease for too long, while another leader committed. Answers now carry the term of the message answered. The property test now also draws groups of five voters.

--- a/internal/controllog/replication.go
+++ b/internal/controllog/replication.go
@@ -101,7 +101,7 @@
 // the higher term from the reply.
 func (v *Voter) heed(now time.Time, m *wire.VoterMessage, sent int64) bool {
 	if m.Term < v.term {
-		v.reply(m.Address, m.From, &wire.AppendReply{Refused: true, Sent: sent})
+		v.reply(m.Address, m.From, &wire.AppendReply{Refused: true, Sent: sent, Answers: m.Term})
 		return false
 	}
 	if m.Term > v.term || v.role != Follower {
@@ -124,7 +124,7 @@
 	if a.Previous < v.commit {
 		records = records[min(v.commit-a.Previous, uint64(len(records))):]
 	} else if term, ok := v.log.term(a.Previous); !ok || term != a.PreviousTerm {
-		v.reply(m.Address, m.From, &wire.AppendReply{Refused: true, Sent: a.Sent, Hint: v.hint(a.Previous)})
+		v.reply(m.Address, m.From, &wire.AppendReply{Refused: true, Sent: a.Sent, Answers: m.Term, Hint: v.hint(a.Previous)})
 		return
 	}
 	end := max(v.commit, a.Previous+uint64(len(a.Records)))
@@ -135,9 +135,9 @@
 	}
 	v.verified = max(v.verified, end)
 	if v.verified > v.synced {
-		v.owed = &owed{m.Address, m.From, a.Sent}
+		v.owed = &owed{m.Address, m.From, m.Term, a.Sent}
 	} else {
-		v.reply(m.Address, m.From, &wire.AppendReply{Matched: v.verified, Sent: a.Sent})
+		v.reply(m.Address, m.From, &wire.AppendReply{Matched: v.verified, Sent: a.Sent, Answers: m.Term})
 	}
 	v.advance(min(v.promised, v.verified, v.synced))
 }
@@ -177,21 +177,28 @@
 	}
 	v.advance(min(v.promised, v.verified, v.synced))
 	if v.owed != nil {
-		v.reply(v.owed.address, v.owed.to, &wire.AppendReply{Matched: min(v.verified, v.synced), Sent: v.owed.sent})
+		v.pay()
 	}
 	if v.verified <= v.synced {
 		v.owed = nil
 	}
 }
 
-// appendReply notes what a follower holds.
+// pay sends the reply that waited for the disk.
+func (v *Voter) pay() {
+	r := &wire.AppendReply{Matched: min(v.verified, v.synced), Sent: v.owed.sent, Answers: v.owed.term}
+	v.reply(v.owed.address, v.owed.to, r)
+}
+
+// appendReply notes what a follower holds. A reply to a message of an earlier term of office says
+// nothing: its send time was counted from the start of that one.
 func (v *Voter) appendReply(now time.Time, m *wire.VoterMessage, r *wire.AppendReply) {
 	if m.Term > v.term {
 		v.follow(now, m.Term, "")
 		return
 	}
 	f := v.followers[Identity(m.From)]
-	if v.role != Leader || m.Term != v.term || f == nil {
+	if v.role != Leader || r.Answers != v.term || f == nil {
 		return
 	}
 	f.heard = now
@@ -260,10 +267,10 @@
 		return
 	}
 	if s.Snapshot.Index <= v.commit {
-		v.reply(m.Address, m.From, &wire.AppendReply{Matched: v.commit, Sent: s.Sent})
+		v.reply(m.Address, m.From, &wire.AppendReply{Matched: v.commit, Sent: s.Sent, Answers: m.Term})
 		return
 	}
-	v.owed = &owed{m.Address, m.From, s.Sent}
+	v.owed = &owed{m.Address, m.From, m.Term, s.Sent}
 	v.emit(Install{s.Snapshot, v.log.rest(s.Snapshot)})
 }
 
@@ -283,7 +290,7 @@
 	v.synced = v.log.last()
 	v.verified = max(v.verified, s.Index)
 	if v.owed != nil {
-		v.reply(v.owed.address, v.owed.to, &wire.AppendReply{Matched: min(v.verified, v.synced), Sent: v.owed.sent})
+		v.pay()
 		v.owed = nil
 	}
 }
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -86,6 +86,7 @@
 type owed struct {
 	address string
 	to      string
+	term    uint64
 	sent    int64
 }
 
--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -28,7 +28,8 @@
 // links, crashes before and after syncs, freezes and lost data folders.
 func TestClusterProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), 3, rapid.IntRange(0, 2).Draw(t, "spares"))
+		voters := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters")
+		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), voters, rapid.IntRange(0, 2).Draw(t, "spares"))
 		c.until(10*time.Second, "forming the group", c.whole)
 		index := rapid.IntRange(0, len(c.machines)-1)
 		which := func(t *rapid.T) *machine { return c.machines[index.Draw(t, "machine")] }
@@ -286,3 +287,20 @@
 	}
 	require.LessOrEqual(t, v.Committed(), uint64(2))
 }
+
+// Guards against a lease that is extended by the answer to a message of an earlier term of office,
+// whose send time was counted from another start.
+func TestOldAnswerDoesNotExtendLease(t *testing.T) {
+	c := newCluster(t, 9, 3, 0)
+	c.until(10*time.Second, "forming the group", c.whole)
+	l := c.leader()
+	for _, m := range c.machines {
+		a := &wire.AppendRecords{Sent: int64(time.Hour)}
+		old := &wire.VoterMessage{From: string(l.id), Address: l.place.Address, Term: l.voter.Term() - 1, Body: &wire.VoterMessage_Append{Append: a}}
+		c.handle(m, controllog.Received{Message: old})
+	}
+	c.run(50 * time.Millisecond)
+	l.cutoff = true
+	c.run(controllog.LeaderLease + 20*time.Millisecond)
+	require.False(t, l.voter.Lease(c.now(l)))
+}
