lease: bound the search in the queue of waiting holders

A share is queued exactly while its unmet demand is above 0, and only the holders that can be served within the default deadline are counted ahead.

--- a/internal/lease/bucket.go
+++ b/internal/lease/bucket.go
@@ -47,27 +47,32 @@
 	s.miss(0)
 }
 
-// miss notes what the holder wanted and did not get.
+// miss notes what the holder wanted and did not get. A share is in the queue while that is above 0.
 func (s *share) miss(unmet float64) {
 	b := s.bucket
-	at := slices.Index(b.queue, s)
 	switch {
-	case unmet > 0 && at < 0:
+	case unmet > 0 && s.unmet == 0:
 		b.queue = append(b.queue, s)
-	case unmet == 0 && at >= 0:
+	case unmet == 0 && s.unmet > 0:
+		at := slices.Index(b.queue, s)
 		b.queue = slices.Delete(b.queue, at, at+1)
 	}
 	b.unmet = max(0, b.unmet-s.unmet+unmet)
 	s.unmet = unmet
 }
 
-// ahead returns how many holders have waited longer for a credit.
+// ahead returns how many holders have waited longer for a credit. It stops counting at the number
+// that can be served within the default deadline.
 func (s *share) ahead() float64 {
-	at := slices.Index(s.bucket.queue, s)
-	if at < 0 {
-		at = len(s.bucket.queue)
+	b := s.bucket
+	if s.unmet == 0 {
+		return float64(len(b.queue))
+	}
+	served := min(len(b.queue), int(b.level+b.rate*patience.Seconds())+1)
+	if at := slices.Index(b.queue[:served], s); at >= 0 {
+		return float64(at)
 	}
-	return float64(at)
+	return float64(served)
 }
 
 // most returns how many credits one entry VM may hold.
