--- a/internal/failover/coordinator_test.go
+++ b/internal/failover/coordinator_test.go
@@ -94,6 +94,12 @@
 		s.settle()
 		s.run(time.Second)
 		to := s.instances[(slices.Index(s.instances, s.primary())+1)%3]
+		if seed%2 == 1 {
+			// The target is behind and catches up while the writes are queued.
+			to.faults = cutPeers
+			s.run(100 * time.Millisecond)
+			s.after(150*time.Millisecond, func() { to.faults = 0 })
+		}
 		s.gap = 0
 		s.step(failover.Switch{Group: "g", To: failover.ServerID(to.id)})
 		s.run(3 * time.Second)
@@ -108,10 +114,17 @@
 // Guards against promotions without need: jitter, 5% loss, and a primary that one side does not see.
 func TestNoPromotionWithoutNeed(t *testing.T) {
 	cases := map[string]func(s *simulation){
-		"jitter and loss":            func(s *simulation) { s.loss, s.jitter = 0.05, 200*time.Millisecond },
-		"unseen by the control VM":   func(s *simulation) { s.primary().faults = cutControl },
-		"unseen by entry VMs":        func(s *simulation) { s.primary().faults = cutEntries },
-		"control VM asleep for 10 s": func(s *simulation) { s.asleep = true; s.run(10 * time.Second); s.asleep = false },
+		"jitter and loss":          func(s *simulation) { s.loss, s.jitter = 0.05, 200*time.Millisecond },
+		"unseen by the control VM": func(s *simulation) { s.primary().faults = cutControl },
+		"unseen by entry VMs":      func(s *simulation) { s.primary().faults = cutEntries },
+		"control VM asleep for 10 s": func(s *simulation) {
+			for range 10 {
+				s.asleep = true
+				s.run(10 * time.Second)
+				s.asleep = false
+				s.run(2 * time.Second)
+			}
+		},
 	}
 	for name, disturb := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -149,6 +162,112 @@
 	}
 }
 
+// Guards against a promotion that is recorded while only the new primary holds its log: entry VMs
+// acknowledge older writes by that log, and they are lost with the server.
+func TestRecordedPromotionSurvives(t *testing.T) {
+	s := newSimulation(t, 1, 5, 5)
+	s.settle()
+	old := s.primary()
+	at := slices.Index(s.instances, old)
+	next := s.instances[(at+1)%5]
+	for i := range 3 {
+		s.instances[(at+2+i)%5].faults = cutPeers
+	}
+	s.run(100 * time.Millisecond)
+	old.faults = crashed
+	for range 400 {
+		if s.run(10 * time.Millisecond); next.role == "primary" {
+			break
+		}
+	}
+	require.Equal(t, "primary", next.role, "the most advanced member is promoted")
+	s.run(100 * time.Millisecond)
+	next.faults = crashed
+	for _, x := range s.instances {
+		x.faults &^= cutPeers
+	}
+	s.run(6 * time.Second)
+	s.settle()
+}
+
+// Guards against majorities that do not intersect: a retired member whose confirmations may still
+// count, or whose writes the others lack, must stay; a spare without these writes must wait.
+func TestMembersWaitForWrites(t *testing.T) {
+	s := newSimulation(t, 4, 3, 4)
+	s.settle()
+	at := slices.IndexFunc(s.instances, func(x *instance) bool { return x == s.primary() })
+	member := func(x *instance) bool {
+		return slices.ContainsFunc(s.view.GetMembers(), func(m *wire.Member) bool { return m.GetServer() == x.id })
+	}
+	var replicas []*instance
+	var spare *instance
+	for i := range s.instances {
+		switch x := s.instances[(at+i)%4]; {
+		case !member(x):
+			spare = x
+		case x != s.primary():
+			replicas = append(replicas, x)
+		}
+	}
+	leaving, staying := replicas[0], replicas[1]
+	staying.faults, spare.faults = cutPeers, cutPeers
+	s.run(200 * time.Millisecond)
+	s.apply(change(s.book, &wire.Edit{Edit: &wire.Edit_RetireServer{RetireServer: leaving.id}}))
+	s.run(6 * time.Second)
+	require.True(t, member(leaving), "the others lack writes that it confirmed")
+	staying.faults = 0
+	s.run(time.Second)
+	require.False(t, member(leaving))
+	s.run(3 * time.Second)
+	require.False(t, member(spare), "it lacks writes that the removed member confirmed")
+	spare.faults = 0
+	s.run(time.Second)
+	require.True(t, member(spare))
+	s.apply(change(s.book, &wire.Edit{Edit: &wire.Edit_RetireServer{RetireServer: spare.id}}))
+	s.run(2900 * time.Millisecond)
+	require.True(t, member(spare), "entry VMs may not know of the retirement yet")
+}
+
+// Guards against a promotion that is recorded because others have longer logs of a superseded term
+// instead of following the new primary.
+func TestConfirmationNeedsTheTerm(t *testing.T) {
+	s := newSimulation(t, 1, 5, 5)
+	s.settle()
+	fail := func(f fault, list ...*instance) {
+		for _, x := range list {
+			x.faults = f
+		}
+		s.run(300 * time.Millisecond)
+	}
+	others := func(not ...*instance) (list []*instance) {
+		for _, x := range s.instances {
+			if !slices.Contains(not, x) {
+				list = append(list, x)
+			}
+		}
+		return list
+	}
+	first := s.primary()
+	ally := others(first)[0]
+	rest := others(first, ally)
+	fail(cutPeers, rest...)
+	s.run(5 * time.Second) // the superseded branch becomes the longer one
+	fail(cutControl|cutEntries|cutPeers, first, ally)
+	fail(0, rest...)
+	s.run(3 * time.Second)
+	second := s.primary()
+	require.Contains(t, rest, second)
+	rest = others(first, ally, second)
+	fail(cutControl|cutPeers, rest[1])
+	fail(crashed, second)
+	fail(cutPeers, first, ally)
+	s.run(4 * time.Second)
+	fail(crashed, rest[0])
+	fail(0, rest[1], first, ally)
+	s.run(4 * time.Second)
+	s.settle()
+}
+
 // Guards against a lost acknowledged write, two primaries of a term, a call with a term that is not
 // durable, and a group that stays without primary, under any sequence of faults.
 func TestFailoverProperties(t *testing.T) {
