Test the system as processes with injected faults

Three control VMs, two entry VMs and a group of three stand-ins run as separate processes on loopback.

--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,131 @@
+// Package process_test runs the system as separate processes on loopback and injects faults.
+package process_test
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	patience = 30 * time.Second // bound of every wait for the system
+	poll     = 20 * time.Millisecond
+)
+
+// binary is the program under test, built once.
+var binary string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "fireflyrudder")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(folder, "fireflyrudder")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/fireflyrudder").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building the program: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+// process is one running program.
+type process struct {
+	t      *testing.T
+	name   string
+	cmd    *exec.Cmd
+	output *output
+	exited chan struct{}
+}
+
+// output collects what a process writes.
+type output struct {
+	sync.Mutex
+	bytes.Buffer
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.Lock()
+	defer o.Unlock()
+	return o.Buffer.Write(p)
+}
+
+// tail returns the end of the output.
+func (o *output) tail() string {
+	o.Lock()
+	defer o.Unlock()
+	const most = 4000
+	b := o.Bytes()
+	return string(b[max(0, len(b)-most):])
+}
+
+// launch starts a process, which ends with the test at the latest.
+func launch(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(binary, args...), output: &output{}, exited: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p.output, p.output
+	require.NoError(t, p.cmd.Start())
+	go func() {
+		p.cmd.Wait()
+		close(p.exited)
+	}()
+	t.Cleanup(func() {
+		p.signal(syscall.SIGCONT)
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+		if t.Failed() {
+			t.Logf("%s %v:\n%s", name, args, p.output.tail())
+		}
+	})
+	return p
+}
+
+// signal sends a signal to this process only. A process that has ended is left alone.
+func (p *process) signal(s syscall.Signal) {
+	select {
+	case <-p.exited:
+	default:
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// ends waits for the end of the process and returns its exit code.
+func (p *process) ends() int {
+	p.t.Helper()
+	select {
+	case <-p.exited:
+	case <-time.After(patience):
+		require.Fail(p.t, p.name+" did not end")
+	}
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// command runs the program to its end and returns its output.
+func command(t *testing.T, args ...string) (string, error) {
+	t.Helper()
+	out, err := exec.CommandContext(t.Context(), binary, args...).CombinedOutput()
+	return string(out), err
+}
+
+// addresses returns free addresses on loopback.
+func addresses(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer l.Close()
+		out = append(out, l.Addr().String())
+	}
+	return out
+}
--- /dev/null
+++ b/test/system_test.go
@@ -0,0 +1,251 @@
+package process_test
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/require"
+	"github.com/xdg-go/scram"
+
+	"fireflyrudder.example/fireflyrudder/internal/load"
+)
+
+// Sizes of the system under test.
+const (
+	controls = 3
+	entries  = 2
+	servers  = 3
+)
+
+// accounts have the key main, whose password is the account's name and "-key".
+var accounts = []string{"large", "small"}
+
+// system is a control group, entry VMs and one database group.
+type system struct {
+	t        *testing.T
+	control  []*process
+	entry    []*process
+	server   map[string]*process
+	listen   []string // gRPC of the control VMs
+	callers  []string // PostgreSQL of the entry VMs
+	backends map[string]string
+}
+
+// boot starts the system and waits until a write succeeds.
+func boot(t *testing.T) *system {
+	t.Helper()
+	s := &system{t: t, server: map[string]*process{}, backends: map[string]string{}}
+	s.listen = addresses(t, controls)
+	announce := addresses(t, controls)
+	for i := range controls {
+		args := []string{"control", "--name", fmt.Sprintf("control-%d", i), "--zone", zone(i), "--data", filepath.Join(t.TempDir(), "data"), "--listen", s.listen[i], "--announce", announce[i]}
+		s.control = append(s.control, launch(t, args[2], append(args, repeat("--peer", s.listen)...)...))
+	}
+	for i, address := range addresses(t, servers) {
+		name := string(rune('a' + i))
+		args := []string{"standin", "--server-name", name, "--group", "main", "--zone", zone(i), "--listen", address, "--open", "12ms", "--connections", "24", "--slots", "3"}
+		s.server[name] = launch(t, "server "+name, append(args, repeat("--announce", announce)...)...)
+		s.backends[name] = address
+	}
+	s.configure()
+	s.callers = addresses(t, entries)
+	token := filepath.Join(t.TempDir(), "token")
+	require.NoError(t, os.WriteFile(token, []byte("a secret of the test that signs session tokens"), 0o600))
+	for i, address := range s.callers {
+		args := []string{"entry", "--name", fmt.Sprintf("entry-%d", i), "--zone", zone(i), "--listen", address, "--token-file", token}
+		s.entry = append(s.entry, launch(t, args[2], append(args, repeat("--control", s.listen)...)...))
+	}
+	s.eventually("a write succeeds", func() error {
+		c, err := s.dial(0, "large")
+		if err != nil {
+			return err
+		}
+		defer c.Close(context.Background())
+		_, err = c.Exec(t.Context(), "CREATE TABLE IF NOT EXISTS note (id text PRIMARY KEY)")
+		return err
+	})
+	return s
+}
+
+func zone(i int) string {
+	return "zone-" + string(rune('a'+i%3))
+}
+
+// repeat gives a flag once per value.
+func repeat(flag string, values []string) []string {
+	var out []string
+	for _, v := range values {
+		out = append(out, flag, v)
+	}
+	return out
+}
+
+// configure applies the configuration of the tests.
+func (s *system) configure() {
+	s.t.Helper()
+	var b strings.Builder
+	fmt.Fprintf(&b, "[group main]\nmembers = %d\nslots = 3\nconnections = 24\n", servers)
+	for _, a := range accounts {
+		fmt.Fprintf(&b, "[account %s]\nrate = 400\nburst = 200\n[key %s/main]\nverifier = %s\n", a, a, verifier(s.t, a+"-key"))
+	}
+	fmt.Fprintf(&b, "[route main]\ngroup = main\ndatabase = main\naccounts = %s\n", strings.Join(accounts, ", "))
+	file := filepath.Join(s.t.TempDir(), "configuration.ini")
+	require.NoError(s.t, os.WriteFile(file, []byte(b.String()), 0o600))
+	s.eventually("the configuration is accepted", func() error { return s.apply("--file", file) })
+}
+
+// apply changes the configuration.
+func (s *system) apply(args ...string) error {
+	out, err := command(s.t, append(append([]string{"apply"}, repeat("--control", s.listen)...), args...)...)
+	if err != nil {
+		return fmt.Errorf("%w: %s", err, out)
+	}
+	return nil
+}
+
+// verifier returns the stored form of a key, as PostgreSQL writes it.
+func verifier(t *testing.T, key string) string {
+	t.Helper()
+	client, err := scram.SHA256.NewClient("", key, "")
+	require.NoError(t, err)
+	const salt, iterations = "salt of the test", 4096
+	c, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: salt, Iters: iterations})
+	require.NoError(t, err)
+	encode := base64.StdEncoding.EncodeToString
+	return fmt.Sprintf("SCRAM-SHA-256$%d:%s$%s:%s", iterations, encode([]byte(salt)), encode(c.StoredKey), encode(c.ServerKey))
+}
+
+// eventually repeats an action until it succeeds.
+func (s *system) eventually(what string, f func() error) {
+	s.t.Helper()
+	var err error
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(poll) {
+		if err = f(); err == nil {
+			return
+		}
+	}
+	require.NoError(s.t, err, what)
+}
+
+// dial connects to an entry VM.
+func (s *system) dial(entry int, account string) (*pgx.Conn, error) {
+	return connect(s.t, s.callers[entry], account+"/main", account+"-key")
+}
+
+func connect(t *testing.T, address, user, password string) (*pgx.Conn, error) {
+	c, err := pgx.ParseConfig("postgres://" + address + "/main?sslmode=disable&connect_timeout=3")
+	if err != nil {
+		return nil, err
+	}
+	c.User, c.Password = user, password
+	return pgx.ConnectConfig(t.Context(), c)
+}
+
+// must connects to an entry VM for the length of the test.
+func (s *system) must(entry int, account string) *pgx.Conn {
+	s.t.Helper()
+	c, err := s.dial(entry, account)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
+
+// state is what the status command tells.
+type state struct {
+	Leader string `json:"leader"`
+	Views  []struct {
+		Group   string `json:"group"`
+		Term    string `json:"term"`
+		Primary string `json:"primary"`
+	} `json:"views"`
+}
+
+// status asks the control group.
+func (s *system) status() (state, error) {
+	out, err := command(s.t, append([]string{"status", "--json"}, repeat("--control", s.listen)...)...)
+	if err != nil {
+		return state{}, fmt.Errorf("%w: %s", err, out)
+	}
+	var v state
+	if err := json.Unmarshal([]byte(out), &v); err != nil {
+		return state{}, err
+	}
+	if v.Leader == "" || len(v.Views) != 1 || v.Views[0].Primary == "" {
+		return v, fmt.Errorf("no leader or primary: %s", out)
+	}
+	return v, nil
+}
+
+// primary returns the name of the primary.
+func (s *system) primary() string {
+	s.t.Helper()
+	var name string
+	s.eventually("status names a primary", func() error {
+		v, err := s.status()
+		if err == nil {
+			name = v.Views[0].Primary
+		}
+		return err
+	})
+	return name
+}
+
+// leader returns the control VM that leads.
+func (s *system) leader() *process {
+	s.t.Helper()
+	var p *process
+	s.eventually("status names a leader", func() error {
+		v, err := s.status()
+		if err != nil {
+			return err
+		}
+		for i, address := range s.listen {
+			if address == v.Leader {
+				p = s.control[i]
+				return nil
+			}
+		}
+		return fmt.Errorf("unknown leader %s", v.Leader)
+	})
+	return p
+}
+
+// underLoad drives both entry VMs while a fault is injected, and checks the audit. Writes carry request
+// ids and are resent after an unknown outcome.
+func (s *system) underLoad(seed uint64, lasts time.Duration, fault func()) *load.Report {
+	s.t.Helper()
+	w := &load.Workload{Name: "process", Duration: lasts, Seed: seed, Limit: 20000, Deadline: 10 * time.Second, Roam: time.Second, Tokens: 0.5, Requests: true}
+	for _, a := range accounts {
+		w.Accounts = append(w.Accounts, load.Account{
+			Name: a, User: a + "/main", Password: a + "-key", Routes: []string{"main"}, Rate: 60, Send: 0.8, Writes: 0.4,
+			Ages: []time.Duration{0, 2 * time.Second}, Sessions: 4,
+		})
+	}
+	type result struct {
+		report *load.Report
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		r, err := load.Run(s.t.Context(), w, s.callers)
+		done <- result{r, err}
+	}()
+	time.Sleep(lasts / 4)
+	fault()
+	got := <-done
+	require.NoError(s.t, got.err)
+	var b strings.Builder
+	got.report.Write(&b)
+	s.t.Log(b.String())
+	require.True(s.t, got.report.Passed, "seed %d: %s", seed, b.String())
+	require.Positive(s.t, got.report.Audit.Acknowledged)
+	return got.report
+}
