controlvm: pass over a control VM that just failed to answer

In a trial on loopback an operator's change took 2.1 to 4.0 s behind a frozen leader, because an attempt lasted 2 s and could go to the same control VM again.

--- a/internal/controlvm/client.go
+++ b/internal/controlvm/client.go
@@ -15,7 +15,7 @@
 
 // Limits of an operator's call.
 const (
-	attemptTimeout = 2 * time.Second
+	attemptTimeout = time.Second // above the longest election seen; a frozen control VM costs one attempt
 	attemptPause   = 100 * time.Millisecond
 )
 
@@ -87,20 +87,26 @@
 	return decision, nil
 }
 
-// each asks the leader, then the other control VMs in turn, until one call is done.
+// each asks the leader, then the other control VMs in turn, until one call is done. The one that
+// just failed is passed over.
 func (c *Client) each(ctx context.Context, call func(context.Context, wire.ControlClient) (bool, error)) error {
 	var last error
+	var failed string
 	for turn := 0; ctx.Err() == nil; turn++ {
 		address := c.controls[turn%len(c.controls)]
 		if c.preferred != "" {
 			address, c.preferred = c.preferred, ""
+		} else if address == failed && len(c.controls) > 1 {
+			failed = ""
+			continue
 		}
 		done, err := c.attempt(ctx, address, call)
 		if done {
 			return err
 		}
+		failed = ""
 		if err != nil {
-			last = err
+			last, failed = err, address
 		}
 		if c.preferred != "" && c.preferred != address {
 			continue
