--- a/cmd/fireflyrudder/control_test.go
+++ b/cmd/fireflyrudder/control_test.go
@@ -155,3 +155,10 @@
 		require.Contains(t, out, fmt.Sprintf("version %d", i+1))
 	}
 }
+
+// Guards against a control VM that waits for ever because its peers do not include itself.
+func TestControlSettings(t *testing.T) {
+	code, _, fault := execute(t, "control", "--check", "--data", t.TempDir(), "--listen", "127.0.0.1:1", "--peer", "127.0.0.1:2")
+	require.Equal(t, 2, code)
+	require.Contains(t, fault, "127.0.0.1:1 included")
+}
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -26,6 +26,7 @@
 	tick      = 20 * time.Millisecond
 	maxBatch  = 256             // events handled before the disk is synced
 	stopGrace = 2 * time.Second // for calls in progress when the process stops
+	formGrace = 5 * time.Second // after which a process without a group says what it waits for
 )
 
 // Options are the settings of a control VM.
@@ -60,8 +61,10 @@
 	proposed map[uint64]*waiter // by tag
 	waiting  map[uint64]*waiter // by log index
 	watchers map[*watcher]struct{}
-	changed  bool  // the book changed since react
-	fault    error // of the disk; ends the process
+	changed  bool      // the book changed since react
+	started  time.Time // first tick
+	told     bool      // that no group was found
+	fault    error     // of the disk; ends the process
 	duties   *duties
 }
 
@@ -176,6 +179,7 @@
 			now := time.Now()
 			vm.step(now, controllog.Tick{})
 			vm.duty(now)
+			vm.lonely(now)
 		case event := <-vm.events:
 			event(time.Now())
 			vm.drain()
@@ -185,6 +189,19 @@
 	return vm.fault
 }
 
+// lonely says once that the process has found no group.
+func (vm *VM) lonely(now time.Time) {
+	switch {
+	case vm.started.IsZero():
+		vm.started = now
+	case !vm.told && now.Sub(vm.started) >= formGrace:
+		vm.told = true
+		if !vm.voter.Formed() {
+			log.WithField("peers", vm.options.Control.Peers).Warn("no group yet: a first start needs all peers, a later one the leader")
+		}
+	}
+}
+
 // drain handles events that wait already, so that one sync serves them all.
 func (vm *VM) drain() {
 	for range maxBatch {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,6 +98,10 @@
 			return err
 		}
 	}
+	if len(c.Peers) > 0 && !slices.Contains(c.Peers, c.Listen) {
+		return errors.WithHint(errors.New("settings: [control] peer does not name this control VM's listen address"),
+			"name the same addresses as peer on every control VM, "+c.Listen+" included")
+	}
 	return c.Server.Check()
 }
 
