questionnaire: check a team's answers and generate its configuration

Cause: a new team states databases, client accounts, rates and tolerance for stale reads; nobody should write verifiers by hand.

--- /dev/null
+++ b/cmd/fireflyrudder/questionnaire.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"crypto/rand"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"fireflyrudder.example/fireflyrudder/internal/configuration"
+	"fireflyrudder.example/fireflyrudder/internal/questionnaire"
+)
+
+const questionnaireLong = "Sets up a new team: write a blank questionnaire, check a filled one, and generate the configuration for apply --file."
+
+// addQuestionnaire registers the command and its subcommands.
+func addQuestionnaire(parser *flags.Parser) {
+	c := must(parser.AddCommand("questionnaire", "set up a new team", questionnaireLong, &struct{}{}))
+	must(c.AddCommand("blank", "write a blank questionnaire", "Writes a commented blank questionnaire to standard output.", &blankCommand{}))
+	must(c.AddCommand("check", "check a filled questionnaire", "Names the file, section, key and remedy of the first fault.", &checkCommand{}))
+	must(c.AddCommand("generate", "generate the configuration",
+		"Writes the configuration and makes the keys. The keys in clear are written once, to a new file that only its owner can read; "+
+			"the configuration has their verifiers.", &generateCommand{}))
+}
+
+// blankCommand writes a blank questionnaire.
+type blankCommand struct{}
+
+// Execute runs the command.
+func (c *blankCommand) Execute([]string) error {
+	_, err := fmt.Print(questionnaire.Blank())
+	return err
+}
+
+// checkCommand checks a filled questionnaire.
+type checkCommand struct {
+	File string `long:"file" required:"true" description:"filled questionnaire"`
+
+	filled *questionnaire.Questionnaire
+}
+
+// Check returns an error that names the remedy if the questionnaire is faulty.
+func (c *checkCommand) Check() error {
+	filled, err := questionnaire.Read(c.File)
+	c.filled = filled
+	return err
+}
+
+// Execute runs the command.
+func (c *checkCommand) Execute([]string) error {
+	_, err := fmt.Printf("%s: %d databases and %d accounts are valid\n", c.filled.Title, len(c.filled.Databases), len(c.filled.Accounts))
+	return err
+}
+
+// generateCommand writes the configuration and the keys.
+type generateCommand struct {
+	checkCommand
+	Keys   string `long:"keys" required:"true" description:"new file for the keys in clear, one ACCOUNT/NAME KEY per line, mode 0600"`
+	Output string `long:"output" description:"file for the configuration; standard output if empty"`
+}
+
+// Execute runs the command.
+func (c *generateCommand) Execute([]string) error {
+	wanted, secrets, err := c.filled.Generate(rand.Reader)
+	if err != nil {
+		return err
+	}
+	// The keys go first: a configuration whose keys nobody has would be of no use.
+	if err := questionnaire.WriteSecrets(c.Keys, secrets); err != nil {
+		return err
+	}
+	out := io.WriteCloser(os.Stdout)
+	if c.Output != "" {
+		if out, err = os.Create(c.Output); err != nil {
+			return errors.WithHint(errors.Wrap(err, "questionnaire: output"), "remove the file with the keys, name a file that you can write to and try again")
+		}
+	}
+	_, err = fmt.Fprintf(out, "; %s\n\n", c.filled.Title)
+	err = errors.CombineErrors(err, configuration.Write(out, wanted))
+	if c.Output != "" {
+		err = errors.CombineErrors(err, out.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/questionnaire/generate.go
@@ -0,0 +1,117 @@
+package questionnaire
+
+import (
+	"encoding/base64"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/xdg-go/scram"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+const (
+	keySize    = 24 // bytes; 192 bits cannot be guessed
+	saltSize   = 16 // bytes, as PostgreSQL uses
+	iterations = 4096
+)
+
+// Secret is a key in clear, as its owner needs it. It is not stored anywhere but in the file that
+// the operator names.
+type Secret struct {
+	User     string // account/key
+	Password string
+}
+
+// Generate returns the configuration and the new keys in clear. The configuration has only their
+// SCRAM-SHA-256 verifiers. Each call makes new keys from the random source.
+func (q *Questionnaire) Generate(random io.Reader) (*wire.Configuration, []Secret, error) {
+	c := &wire.Configuration{}
+	var secrets []Secret
+	for _, a := range q.Accounts {
+		w := &wire.Account{Name: a.Name, Rate: a.Rate, Burst: a.Burst, Weight: uint32(a.Weight)}
+		for _, name := range a.Keys {
+			s := Secret{User: a.Name + "/" + name}
+			verifier, err := s.make(random)
+			if err != nil {
+				return nil, nil, err
+			}
+			w.Keys = append(w.Keys, &wire.Key{Name: name, Verifier: verifier})
+			secrets = append(secrets, s)
+		}
+		c.Accounts = append(c.Accounts, w)
+	}
+	for _, d := range q.Databases {
+		c.Groups = append(c.Groups, &wire.Group{
+			Name:        d.Name,
+			Members:     uint32(d.Instances),
+			Slots:       uint32(d.Slots),
+			Connections: uint32(d.Connections),
+		})
+		c.Routes = append(c.Routes, &wire.Route{
+			Name:       d.Name,
+			Group:      d.Name,
+			Database:   d.Database,
+			Open:       d.Open,
+			Accounts:   q.users(d.Name),
+			Age:        d.Stale.Milliseconds(),
+			Repeatable: d.Repeatable,
+		})
+	}
+	return c, secrets, nil
+}
+
+// users returns the accounts that may use a database. An open one has no list.
+func (q *Questionnaire) users(database string) []string {
+	var users []string
+	for _, d := range q.Databases {
+		if d.Name == database && d.Open {
+			return nil
+		}
+	}
+	for _, a := range q.Accounts {
+		if len(a.Databases) == 0 || slices.Contains(a.Databases, database) {
+			users = append(users, a.Name)
+		}
+	}
+	return users
+}
+
+// make fills in a random password and returns its verifier as PostgreSQL writes it.
+func (s *Secret) make(random io.Reader) (string, error) {
+	raw := make([]byte, keySize+saltSize)
+	if _, err := io.ReadFull(random, raw); err != nil {
+		return "", errors.WithHint(errors.Wrap(err, "questionnaire: random source"), "run the command again")
+	}
+	s.Password = base64.RawURLEncoding.EncodeToString(raw[:keySize])
+	salt := raw[keySize:]
+	client, err := scram.SHA256.NewClient(s.User, s.Password, "")
+	if err != nil {
+		return "", errors.Wrap(err, "questionnaire: key")
+	}
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: iterations})
+	if err != nil {
+		return "", errors.Wrap(err, "questionnaire: key")
+	}
+	encode := base64.StdEncoding.EncodeToString
+	return fmt.Sprintf("SCRAM-SHA-256$%d:%s$%s:%s", iterations, encode(salt), encode(stored.StoredKey), encode(stored.ServerKey)), nil
+}
+
+// WriteSecrets writes keys in clear to a new file that only its owner can read. It never overwrites
+// a file, since the keys in it could not be made again.
+func WriteSecrets(file string, secrets []Secret) error {
+	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, 0o600)
+	if err != nil {
+		return errors.WithHint(errors.Wrap(err, "questionnaire: keys"), "name a new file in a folder that you can write to")
+	}
+	var b strings.Builder
+	for _, s := range secrets {
+		fmt.Fprintf(&b, "%s %s\n", s.User, s.Password)
+	}
+	_, err = f.WriteString(b.String())
+	return errors.Wrap(errors.CombineErrors(errors.CombineErrors(err, f.Sync()), f.Close()), "questionnaire: keys")
+}
