entryvm: let reads wait for a replica that is about to catch up

The router does not wait when an age is stated, so a read after the session's own write went to the primary at once. The age is now checked beforehand, and a read of current data takes the result of its majority round as its floor.

--- a/internal/entryvm/protocol_test.go
+++ b/internal/entryvm/protocol_test.go
@@ -125,9 +125,14 @@
 	receive := func(want pgproto3.BackendMessage) {
 		t.Helper()
 		hijacked.Conn.SetReadDeadline(time.Now().Add(5 * time.Second))
-		got, err := f.Receive()
-		require.NoError(t, err)
-		require.IsType(t, want, got)
+		for { // the status of a parameter may come at any time
+			got, err := f.Receive()
+			require.NoError(t, err)
+			if _, status := got.(*pgproto3.ParameterStatus); !status {
+				require.IsType(t, want, got)
+				return
+			}
+		}
 	}
 	send(&pgproto3.Parse{Name: "s", Query: "SELECT id FROM claim"}, &pgproto3.Describe{ObjectType: 'S', Name: "s"}, &pgproto3.Flush{})
 	receive(&pgproto3.ParseComplete{})
--- a/internal/entryvm/readlane.go
+++ b/internal/entryvm/readlane.go
@@ -12,9 +12,6 @@
 // zoneDistance is the one-way delay to another availability zone of the same region.
 const zoneDistance = 5 * time.Millisecond
 
-// settleWait is the pause for a state that includes the answers of a round which just ended.
-const settleWait = 5 * time.Millisecond
-
 // router shares the router of a group between traffic goroutines.
 type router struct {
 	mu         sync.Mutex
@@ -22,8 +19,9 @@
 	candidates []route.Candidate
 }
 
-// choose places a read on a server of the state.
-func (r *router) choose(now time.Time, q route.Request, state *groupState) route.Choice {
+// choose places a read on a server of the state. A server whose data is older than the stated age is
+// out of question; 0 states none, since the floor already asks for current data.
+func (r *router) choose(now time.Time, q route.Request, age time.Duration, state *groupState) route.Choice {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.candidates = r.candidates[:0]
@@ -31,7 +29,7 @@
 		s := &state.servers[i]
 		running, queued := s.slots.load()
 		r.candidates = append(r.candidates, route.Candidate{
-			Server: route.ServerID(s.id), Primary: s == state.primary, Retired: s.retired, Down: !s.alive(now),
+			Server: route.ServerID(s.id), Primary: s == state.primary, Retired: s.retired, Down: !s.alive(now) || (age > 0 && now.Sub(s.member.Fresh) > age),
 			Distance: s.distance, Position: s.member.At, History: s.member.History, AsOf: s.member.Fresh,
 			Slots: s.allowed, Running: running, Queued: queued,
 		})
@@ -66,11 +64,21 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	q := route.Request{Read: true, Floor: floor, MaxAge: s.parameters.ageOn(s.route), Arrived: arrived, Deadline: w.deadline}
+	age := s.parameters.ageOn(s.route)
+	if age == 0 {
+		// Current data is what holds everything that a round sent now shows. A primary that is cut off
+		// does not know of newer writes, so its own word is not enough.
+		current, ok := s.receiveFloor(w, s.vm.askFloor(s.route.group))
+		if !ok {
+			return nil, noMajority(w)
+		}
+		floor = current
+	}
+	q := route.Request{Read: true, Floor: floor, MaxAge: route.AnyAge, Arrived: arrived, Deadline: w.deadline}
 	for {
 		now := time.Now()
 		state := s.route.group.state.Load()
-		choice := s.route.group.router.choose(now, q, state)
+		choice := s.route.group.router.choose(now, q, age, state)
 		if choice.Result == route.Chosen {
 			l, again, refusal := s.board(w, &state.servers[choice.Index], true)
 			if refusal != nil {
@@ -88,7 +96,7 @@
 			}
 			return l, nil
 		}
-		if refusal := s.untilPlaced(w, choice, state, &q); refusal != nil {
+		if refusal := untilPlaced(w, choice, state); refusal != nil {
 			return nil, refusal
 		}
 		if choice.Result == route.Wait {
@@ -97,30 +105,18 @@
 	}
 }
 
-// untilPlaced waits for what a read lacks. For a read of current data that is a majority round sent
-// after the statement came: a primary that is cut off does not know of newer writes, so its own word
-// is not enough.
-func (s *callerSession) untilPlaced(w *wait, choice route.Choice, state *groupState, q *route.Request) *outcome.Error {
+// untilPlaced waits for a newer state in which the read may find a server.
+func untilPlaced(w *wait, choice route.Choice, state *groupState) *outcome.Error {
 	pause := redialWait
-	switch choice.Result {
-	case route.Wait:
+	if choice.Result == route.Wait {
 		pause = choice.Wait
-	case route.Stale:
-		if q.MaxAge == 0 && !s.asked {
-			s.asked = true
-			defer func() { s.asked = false }()
-			if _, ok := s.receiveFloor(w, s.vm.askFloor(s.route.group)); !ok {
-				return noMajority(w)
-			}
-		}
-		pause = settleWait
 	}
-	if !w.until(state.next, pause) {
-		state := outcome.NotRun
-		if choice.Result == route.NoPrimary {
-			state = outcome.NoPrimary
-		}
-		return w.refusal(state, "no backend server holds the data that the read needs; the statement did not run", "send it again")
+	if w.until(state.next, pause) {
+		return nil
+	}
+	reason := outcome.NotRun
+	if choice.Result == route.NoPrimary {
+		reason = outcome.NoPrimary
 	}
-	return nil
+	return w.refusal(reason, "no backend server holds the data that the read needs; the statement did not run", "send it again")
 }
--- a/internal/entryvm/run.go
+++ b/internal/entryvm/run.go
@@ -302,7 +302,7 @@
 	s.note(x, r)
 	s.transaction.readOnly = s.transaction.readOnly || (s.status != idle && r.readOnly())
 	group, server := s.route.group, l.server.id
-	if r.read {
+	if r.read && len(r.runs) > 0 {
 		if err := s.tellServed(l.replica); err != nil {
 			s.hold(l, before, r)
 			return err
--- a/internal/entryvm/session.go
+++ b/internal/entryvm/session.go
@@ -64,7 +64,6 @@
 	atOnce atomic.Bool
 
 	ticket *ticket // for slots; nil before the first statement
-	asked  bool    // a round was asked for the read in progress
 
 	mu      sync.Mutex
 	running *backend.Conn      // what a cancel request reaches; guarded by mu
