entryvm: close connections to a replica that does not answer for 2 s

A read on a frozen replica waited as long as the replica was frozen, since nothing bounds a statement. It now runs again elsewhere. Ruled out: a deadline on every read, which would end long statements.

--- a/internal/entryvm/failure_test.go
+++ b/internal/entryvm/failure_test.go
@@ -310,3 +310,40 @@
 	_, err = c.Exec(background, "SELECT nothing FROM nowhere")
 	require.Equal(t, "42P01", code(err))
 }
+
+// Guards against callers that wait as long as a frozen server does not answer: what runs on a frozen
+// primary ends with its term, and reads on a frozen replica run elsewhere.
+func TestFrozenServers(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	e := w.entry(nil)
+	c, other, reader := e.connect(t, nil), e.connect(t, nil), e.connect(t, nil)
+	claims(t, c)
+	run(t, c, "INSERT INTO claim (id, owner) VALUES (1, 'a')")
+	w.control.change(t, &wire.Edit{Edit: &wire.Edit_RetireServer{RetireServer: "b"}})
+	time.Sleep(100 * time.Millisecond)
+	require.Equal(t, 1, number(t, reader, "SELECT count(*) FROM claim"))
+	require.Equal(t, "replica", reader.PgConn().ParameterStatus("fireflyrudder.served"))
+	w.servers[2].Hooks().SetDelay(time.Minute)
+	require.Equal(t, 1, number(t, reader, "SELECT count(*) FROM claim"))
+	require.Equal(t, "primary", reader.PgConn().ParameterStatus("fireflyrudder.served"))
+	w.servers[2].Hooks().SetDelay(0)
+	w.control.change(t, &wire.Edit{Edit: &wire.Edit_RestoreServer{RestoreServer: "b"}})
+
+	w.servers[0].Hooks().SetDelay(time.Minute)
+	answer := make(chan error, 1)
+	go func() {
+		_, err := c.Exec(background, "INSERT INTO claim (id, owner) VALUES (2, 'b')", pgx.QueryExecModeSimpleProtocol)
+		answer <- err
+	}()
+	time.Sleep(200 * time.Millisecond)
+	w.raise()
+	w.finish(1, map[int]bool{0: true})
+	run(t, other, "INSERT INTO claim (id, owner) VALUES (3, 'c')")
+	select {
+	case err := <-answer:
+		require.Equal(t, "08007", code(err))
+	case <-time.After(10 * time.Second):
+		t.Fatal("the write waits for the frozen primary")
+	}
+	require.Equal(t, 2, number(t, other, "SELECT count(*) FROM claim"))
+}
--- a/internal/entryvm/group.go
+++ b/internal/entryvm/group.go
@@ -37,6 +37,7 @@
 	servers  map[watermark.ServerID]*server
 	floors   map[watermark.WaitID]chan position.Position
 	verdicts map[watermark.WaitID]chan watermark.Verdict
+	swept    time.Time
 	dirty    bool
 	last     watermark.ServerID // last primary known
 }
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -24,6 +24,14 @@
 // opened anew. Three tries fit into the configuration lease.
 const lagWait = 600 * time.Millisecond
 
+const (
+	// frozenAfter is the silence of a replica after which its connections are closed. It is above several
+	// retransmissions of TCP, so that loss alone does not end reads.
+	frozenAfter = 2 * time.Second
+	// sweepInterval is the time between two looks for frozen replicas.
+	sweepInterval = 250 * time.Millisecond
+)
+
 // offer is a configuration lease for a version that is perhaps not applied yet.
 type offer struct {
 	version uint64
@@ -70,12 +78,30 @@
 func (vm *VM) tick(now time.Time) {
 	for _, g := range vm.groups {
 		vm.stepGroup(now, g, watermark.Tick{})
+		vm.sweep(now, g)
 		for _, s := range g.servers {
 			vm.budget(now, s)
 		}
 	}
 }
 
+// sweep closes the connections in use to replicas that have not answered for long. Reads on them would
+// wait for as long as the replica is frozen; they run again elsewhere. What runs on the primary ends
+// with its term.
+func (vm *VM) sweep(now time.Time, g *group) {
+	if now.Sub(g.swept) < sweepInterval {
+		return
+	}
+	g.swept = now
+	for _, m := range g.mark.Members() {
+		if m.Known && now.Sub(m.Answered) > frozenAfter && string(m.Server) != g.view.GetPrimary() {
+			if s, ok := g.servers[m.Server]; ok {
+				s.pool.Sever()
+			}
+		}
+	}
+}
+
 // budget keeps the connections to a server within its lease. The status link comes first.
 func (vm *VM) budget(now time.Time, s *server) {
 	n := vm.credits.connections(now, lease.ServerID(s.id))
