lease, entryvm: do not refuse for lack of credits while a new issuer settles

Cause: after a change of the control leader the new issuer counts every entry VM as holding half of the burst until it reports; with two entry VMs nothing is left, and a statement gave up after 250 ms. Ruled out: a start above level 0, which spec/ratelease.pml -DFULLSTART shows to overspend. Statements now wait until their deadline or the end of the configuration lease while no issuer that knows all holders has answered.

--- a/internal/controlvm/duty.go
+++ b/internal/controlvm/duty.go
@@ -173,5 +173,6 @@
 	reply.Lease = configurationLease.Milliseconds()
 	reply.Expiry = lease.Life.Milliseconds()
 	reply.Credits, reply.Budgets = d.issuer.Renew(now, r)
+	reply.Settling = d.issuer.Settling()
 	return reply, true
 }
--- a/internal/entryvm/acquire.go
+++ b/internal/entryvm/acquire.go
@@ -15,7 +15,9 @@
 
 // Waits of a statement before it runs.
 const (
-	// creditWait bounds the wait for rate credits, unless the deadline of the statement is nearer.
+	// leaseCheck bounds how late a statement that waits for credits learns that the lease has ended.
+	leaseCheck = 100 * time.Millisecond
+	// creditWait bounds the wait for rate credits once an issuer that knows all holders has answered.
 	creditWait = 250 * time.Millisecond
 	// redialWait is the pause after a server refused a connection.
 	redialWait = 20 * time.Millisecond
@@ -92,8 +94,7 @@
 // fatal tells that the session must end.
 func (s *callerSession) authorize(now time.Time) (refusal *outcome.Error, fatal bool) {
 	if !s.vm.leased(now) {
-		return outcome.New(outcome.NoLease, "this entry VM holds no configuration lease; the statement did not run",
-			"connect to another entry VM"), false
+		return noLease(), false
 	}
 	r, refusal := s.vm.table.Load().admit(&s.conn.Startup, s.conn.Startup.Proved)
 	if refusal != nil {
@@ -114,13 +115,21 @@
 	return nil, false
 }
 
+func noLease() *outcome.Error {
+	return outcome.New(outcome.NoLease, "this entry VM holds no configuration lease; the statement did not run",
+		"connect to another entry VM")
+}
+
 // pay takes rate credits. It waits for a grant, so that credits on another VM are no reason to refuse.
+// While no issuer answers, or a new one does not know all holders yet, it waits until the deadline:
+// the account may well be within its rate.
 func (s *callerSession) pay(w *wait, cost float64) *outcome.Error {
 	if cost == 0 || s.conn.Startup.Open() {
 		return nil
 	}
 	account := lease.AccountID(s.conn.Startup.Account)
-	limit := time.Now().Add(creditWait)
+	arrived := time.Now()
+	limit := w.deadline
 	for {
 		now := time.Now()
 		result, granted := s.vm.credits.take(now, account, cost)
@@ -130,7 +139,13 @@
 		case lease.Refused:
 			return overRate(result.Retry)
 		}
-		left := min(limit.Sub(now), w.deadline.Sub(now))
+		if limit.Equal(w.deadline) && s.vm.credits.settledAfter(arrived) {
+			limit = now.Add(creditWait)
+		}
+		if !s.vm.leased(now) {
+			return noLease()
+		}
+		left := min(limit.Sub(now), w.deadline.Sub(now), leaseCheck)
 		if left <= 0 || !w.until(granted, left) {
 			return w.refusal(outcome.OverRate, "the account is above its rate; the statement did not run", "send it again later")
 		}
--- a/internal/entryvm/credits.go
+++ b/internal/entryvm/credits.go
@@ -14,6 +14,7 @@
 	mu      sync.Mutex
 	holder  *lease.Holder
 	granted chan struct{} // closed and replaced by each grant
+	settled time.Time     // latest reply of an issuer that knows what all entry VMs hold
 	wake    func()        // has a Renew sent now
 }
 
@@ -46,10 +47,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.holder.Grant(sent, now, reply)
+	if !reply.GetSettling() {
+		c.settled = now
+	}
 	close(c.granted)
 	c.granted = make(chan struct{})
 }
 
+// settledAfter reports whether an issuer that knows all holders has answered since the given time.
+func (c *credits) settledAfter(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settled.After(t)
+}
+
 // next returns when the next Renew is due.
 func (c *credits) next() time.Time {
 	c.mu.Lock()
--- a/internal/lease/issuer.go
+++ b/internal/lease/issuer.go
@@ -141,6 +141,10 @@
 	return h.credits, h.budgets
 }
 
+// Settling reports whether registered entry VMs have yet to report to a new issuer. Until then
+// credits are short for accounts within their rate too.
+func (i *Issuer) Settling() bool { return i.unknown > 0 }
+
 // leave frees all that a holder had. It says itself that it holds nothing any more.
 func (i *Issuer) leave(now time.Time, h *holder) {
 	for _, s := range h.shares {
