entryvm: check key, route, lease and server again after a wait for a slot

Found by reading; TestWaitingStatementIsCheckedAgain failed before (the late insert was acknowledged).

--- a/internal/entryvm/acquire.go
+++ b/internal/entryvm/acquire.go
@@ -15,8 +15,6 @@
 
 // Waits of a statement before it runs.
 const (
-	// leaseCheck bounds how late a statement that waits for credits learns that the lease has ended.
-	leaseCheck = 100 * time.Millisecond
 	// creditWait bounds the wait for rate credits once an issuer that knows all holders has answered.
 	creditWait = 250 * time.Millisecond
 	// redialWait is the pause after a server refused a connection.
@@ -120,6 +118,22 @@
 		"connect to another entry VM")
 }
 
+// current checks again, after a wait, that the statement may run: the configuration lease may have
+// ended and the key may have been withdrawn meanwhile.
+func (s *callerSession) current(now time.Time) *outcome.Error {
+	if !s.vm.leased(now) {
+		return noLease()
+	}
+	r, refusal := s.vm.table.Load().admit(&s.conn.Startup, s.conn.Startup.Proved)
+	if refusal != nil {
+		return outcome.New(outcome.Withdrawn, refusal.Message, refusal.Remedy)
+	}
+	if r.group != s.route.group || r.database != s.route.database {
+		return outcome.New(outcome.NotRun, "the route changed; the statement did not run", "send it again")
+	}
+	return nil
+}
+
 // pay takes rate credits. It waits for a grant, so that credits on another VM are no reason to refuse.
 // While no issuer answers, or a new one does not know all holders yet, it waits until the deadline:
 // the account may well be within its rate.
@@ -145,7 +159,7 @@
 		if !s.vm.leased(now) {
 			return noLease()
 		}
-		left := min(limit.Sub(now), w.deadline.Sub(now), leaseCheck)
+		left := min(limit.Sub(now), w.deadline.Sub(now), s.vm.leaseLeft(now))
 		if left <= 0 || !w.until(granted, left) {
 			return w.refusal(outcome.OverRate, "the account is above its rate; the statement did not run", "send it again later")
 		}
@@ -199,6 +213,16 @@
 		conn, err = server.pool.Acquire(w.context(), target, s.id)
 	}
 	if err == nil {
+		if refusal := s.current(time.Now()); refusal != nil {
+			server.slots.leave(time.Now(), ticket, 0, false)
+			server.pool.Release(conn)
+			return nil, false, refusal
+		}
+		if s.route.group.state.Load().retires(server.id) {
+			server.slots.leave(time.Now(), ticket, 0, false)
+			server.pool.Release(conn)
+			return nil, true, nil
+		}
 		return &lane{conn: conn, server: server, slot: true, ticket: ticket, begun: time.Now()}, false, nil
 	}
 	server.slots.leave(time.Now(), ticket, 0, true)
--- a/internal/entryvm/group.go
+++ b/internal/entryvm/group.go
@@ -147,6 +147,16 @@
 	return s.primary, ""
 }
 
+// retires reports whether a server gets no new work, or is no member any more.
+func (s *groupState) retires(id watermark.ServerID) bool {
+	for i := range s.servers {
+		if s.servers[i].id == id {
+			return s.servers[i].retired
+		}
+	}
+	return true
+}
+
 // history converts the terms of a view.
 func history(v *wire.View) position.History {
 	h := make(position.History, 0, len(v.GetHistory()))
--- a/internal/entryvm/rules_test.go
+++ b/internal/entryvm/rules_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"fireflyrudder.example/fireflyrudder/internal/standin"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
@@ -130,6 +131,38 @@
 	run(t, c, "INSERT INTO claim (id, owner) VALUES (2, 'a')")
 }
 
+// Guards against a statement that waited for a slot and runs although its key was withdrawn meanwhile.
+func TestWaitingStatementIsCheckedAgain(t *testing.T) {
+	w := newWorld(t, 1, nil)
+	e := w.entry(nil)
+	other, err := e.dial(background, "tide/second", testKey, testRoute, nil)
+	require.NoError(t, err)
+	defer other.Close(background)
+	claims(t, other)
+	var busy errgroup.Group
+	for range 3 { // one for each slot
+		c, err := e.dial(background, "tide/second", testKey, testRoute, nil)
+		require.NoError(t, err)
+		defer c.Close(background)
+		busy.Go(func() error {
+			_, err := c.Exec(background, "SELECT pg_sleep(2)")
+			return err
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	waiter := e.connect(t, nil)
+	var waiting errgroup.Group
+	waiting.Go(func() error {
+		_, err := waiter.Exec(background, "INSERT INTO claim (id, owner) VALUES (1, 'late')", pgx.QueryExecModeSimpleProtocol)
+		return err
+	})
+	time.Sleep(200 * time.Millisecond)
+	w.control.change(t, &wire.Edit{Edit: &wire.Edit_WithdrawKey{WithdrawKey: &wire.KeyName{Account: "tide", Key: "main"}}})
+	require.Error(t, waiting.Wait())
+	require.NoError(t, busy.Wait())
+	require.Zero(t, number(t, other, "SELECT count(*) FROM claim"))
+}
+
 // Guards against statements above the rate of an account.
 func TestOverRate(t *testing.T) {
 	w := newWorld(t, 3, nil)
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -249,7 +249,12 @@
 
 // leased reports whether the configuration lease holds.
 func (vm *VM) leased(now time.Time) bool {
-	return now.Sub(vm.started) < time.Duration(vm.until.Load())
+	return vm.leaseLeft(now) > 0
+}
+
+// leaseLeft returns how long the configuration lease lasts.
+func (vm *VM) leaseLeft(now time.Time) time.Duration {
+	return time.Duration(vm.until.Load()) - now.Sub(vm.started)
 }
 
 // Ready reports why the VM does not serve, or nil.
