--- a/internal/entryvm/group.go
+++ b/internal/entryvm/group.go
@@ -80,6 +80,17 @@
 	return s.member.Known && s.member.Linked && now.Sub(s.member.Answered) < silence
 }
 
+// silent reports whether a server has not answered lately.
+func (g *group) silent(now time.Time, id watermark.ServerID) bool {
+	for _, m := range g.mark.Members() {
+		if m.Server == id {
+			s := serverState{member: m}
+			return !s.alive(now)
+		}
+	}
+	return true
+}
+
 // newGroup returns a group without servers.
 func newGroup(name string) *group {
 	g := &group{
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -246,11 +246,12 @@
 		Term: position.Term(v.GetTerm()), History: history(v), Primary: watermark.ServerID(v.GetPrimary()),
 		Members: members, Count: int(c.GetMembers()),
 	})
-	vm.superseded(g, old, v)
+	vm.superseded(now, g, old, v)
 }
 
-// superseded closes the connections to a former primary, so that a statement on a frozen one ends.
-func (vm *VM) superseded(g *group, old, v *wire.View) {
+// superseded closes the connections to a former primary, so that a statement on a frozen one ends:
+// at once if the former primary does not answer, else after it had time for its own answers.
+func (vm *VM) superseded(at time.Time, g *group, old, v *wire.View) {
 	if old.GetTerm() != v.GetTerm() || old.GetPrimary() != v.GetPrimary() {
 		log.WithField("group", g.name).WithField("term", v.GetTerm()).WithField("primary", v.GetPrimary()).Info("view changed")
 	}
@@ -259,7 +260,11 @@
 		return
 	}
 	if former, ok := g.servers[g.last]; ok {
-		time.AfterFunc(severWait, former.pool.Sever)
+		pause := severWait
+		if g.silent(at, g.last) {
+			pause = 0
+		}
+		time.AfterFunc(pause, former.pool.Sever)
 	}
 	g.last = now
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -47,7 +47,7 @@
 // Guards against settings that are ignored silently and against errors that do not say where.
 func TestRefusals(t *testing.T) {
 	for name, c := range map[string]struct{ ini, says string }{
-		"unknown key":     {"[node]\nnmae = x\n", "section [node], key nmae"},
+		"unknown key":     {"[node]\nzome = x\n", "section [node], key zome"},
 		"unknown section": {"[nodes]\nname = x\n", "site.ini"},
 		"no value":        {"[node]\nname\n", "section [node], key name"},
 	} {
