contract: keep a late update from bringing a dropped group back

Cause: a copy on an entry VM took over the view of a group that a newer version had dropped, when an older update came late. Found by TestBookProperties with 20,000 checks of 60 steps; the default 100 checks had not met it. A copy now takes views of groups in its configuration only.

Checked: TestSince failed before by the same sequence of the property run; 20,000 checks of 60 steps pass (19 s).

--- a/internal/contract/delta.go
+++ b/internal/contract/delta.go
@@ -106,6 +106,9 @@
 		b.configuration = d.next
 	}
 	for _, v := range u.GetViews() {
+		if _, ok := b.Group(v.GetGroup()); !ok {
+			continue // a late update from before the group was dropped
+		}
 		if old, ok := b.View(v.GetGroup()); !ok || v.GetRevision() > old.GetRevision() {
 			b.views = put(b.views, v, (*wire.View).GetGroup)
 		}
