failover: give simulated changes distinct ids, keep views over a sleep

Cause: two faults of the simulation. An invalid change of the simulated operator used the id of the next one, which then got its outcome, so retirements were never undone; and views applied while the control VM slept were lost, which no shell does. Both made groups stay without writes after about 1,400 and 2,100 random sequences; the coordinator was not at fault.

--- a/internal/failover/coordinator_test.go
+++ b/internal/failover/coordinator_test.go
@@ -121,7 +121,7 @@
 			for range 10 {
 				s.asleep = true
 				s.run(10 * time.Second)
-				s.asleep = false
+				s.wake()
 				s.run(2 * time.Second)
 			}
 		},
@@ -303,7 +303,7 @@
 			},
 			"lead":  func(*rapid.T) { s.lead() },
 			"sleep": func(*rapid.T) { s.asleep = true },
-			"wake":  func(*rapid.T) { s.asleep = false },
+			"wake":  func(*rapid.T) { s.wake() },
 			"switch": func(t *rapid.T) {
 				s.step(failover.Switch{Group: "g", To: failover.ServerID(some(t).id)})
 			},
@@ -318,7 +318,8 @@
 			x.faults = 0
 			s.apply(change(s.book, &wire.Edit{Edit: &wire.Edit_RestoreServer{RestoreServer: x.id}}))
 		}
-		s.loss, s.jitter, s.asleep = 0, 0, false
+		s.loss, s.jitter = 0, 0
+		s.wake()
 		s.run(10 * time.Second)
 		s.settle()
 	})
--- a/internal/failover/simulation_test.go
+++ b/internal/failover/simulation_test.go
@@ -142,7 +142,7 @@
 }
 
 func change(b *contract.Book, e *wire.Edit) *wire.Entry {
-	c := &wire.Change{Id: fmt.Sprint("change-", b.Version()), Base: b.Version(), Edits: []*wire.Edit{e}}
+	c := &wire.Change{Id: fmt.Sprint("change-", b.Index()), Base: b.Version(), Edits: []*wire.Edit{e}}
 	return &wire.Entry{Entry: &wire.Entry_Change{Change: c}}
 }
 
@@ -335,6 +335,13 @@
 	s.tell()
 }
 
+// wake lets the control leader go on. Views that were applied meanwhile are not lost, calls and
+// announcements are.
+func (s *simulation) wake() {
+	s.asleep = false
+	s.tell()
+}
+
 // write sends a write to the primary that the entry VMs know, unless they queue it.
 func (s *simulation) write() {
 	x := s.instance(s.view.GetPrimary())
