--- a/internal/failover/coordinator_test.go
+++ b/internal/failover/coordinator_test.go
@@ -121,7 +121,7 @@
 			for range 10 {
 				s.asleep = true
 				s.run(10 * time.Second)
-				s.asleep = false
+				s.wake()
 				s.run(2 * time.Second)
 			}
 		},
@@ -215,10 +215,11 @@
 	s.apply(change(s.book, &wire.Edit{Edit: &wire.Edit_RetireServer{RetireServer: leaving.id}}))
 	s.run(6 * time.Second)
 	require.True(t, member(leaving), "the others lack writes that it confirmed")
-	staying.faults = 0
+	staying.faults, spare.faults = 0, lagging
 	s.run(time.Second)
 	require.False(t, member(leaving))
-	s.run(3 * time.Second)
+	s.run(2 * time.Second)
+	require.Equal(t, s.primary().term, spare.term, "it follows and is behind")
 	require.False(t, member(spare), "it lacks writes that the removed member confirmed")
 	spare.faults = 0
 	s.run(time.Second)
@@ -303,7 +304,7 @@
 			},
 			"lead":  func(*rapid.T) { s.lead() },
 			"sleep": func(*rapid.T) { s.asleep = true },
-			"wake":  func(*rapid.T) { s.asleep = false },
+			"wake":  func(*rapid.T) { s.wake() },
 			"switch": func(t *rapid.T) {
 				s.step(failover.Switch{Group: "g", To: failover.ServerID(some(t).id)})
 			},
@@ -318,7 +319,8 @@
 			x.faults = 0
 			s.apply(change(s.book, &wire.Edit{Edit: &wire.Edit_RestoreServer{RestoreServer: x.id}}))
 		}
-		s.loss, s.jitter, s.asleep = 0, 0, false
+		s.loss, s.jitter = 0, 0
+		s.wake()
 		s.run(10 * time.Second)
 		s.settle()
 	})
