load: count statements, burst and only excess that is above both

The account above its rate kept the write gap open while its own backlog waited (4.9 s); gaps now count accounts within their rate only.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -76,7 +76,7 @@
 		if state == stateCut {
 			state = stateNoConnect
 		}
-		c.tally.refuse(state)
+		c.tally.refuse(a, state)
 		return
 	}
 	if a.write {
@@ -173,7 +173,7 @@
 func (c *caller) write(ctx context.Context, a arrival, due time.Time) {
 	c.sequence++
 	id := fmt.Sprintf("%s/%d", c.id, c.sequence)
-	c.ledger.begin(due, id, c.id, a.whole)
+	c.ledger.begin(due, id, c.id, a.whole, !c.account.Over())
 	err := c.send(ctx, a, id)
 	if errors.As(err, new(*start)) && c.moves(ctx, err) {
 		err = c.send(ctx, a, id)
@@ -189,7 +189,7 @@
 		c.lastWrite = id
 		c.tally.success(now.Sub(due), "")
 	case NotRun:
-		c.tally.refuse(stateOf(err))
+		c.tally.refuse(a, stateOf(err))
 	default:
 		c.tally.lose()
 	}
@@ -287,7 +287,7 @@
 		err = c.conn.QueryRow(ctx, sqlLook, id).Scan(&n)
 	}
 	if err != nil {
-		c.tally.refuse(stateOf(err))
+		c.tally.refuse(a, stateOf(err))
 		c.drop(ctx, err)
 		return
 	}
--- a/internal/load/ledger.go
+++ b/internal/load/ledger.go
@@ -21,6 +21,7 @@
 type entry struct {
 	session string
 	whole   bool
+	counts  bool // for gaps: accounts above their rate wait for their own excess
 	verdict Verdict
 }
 
@@ -49,10 +50,13 @@
 }
 
 // begin notes a write that is due and about to be sent. Its outcome is unknown until finish or record.
-func (l *ledger) begin(due time.Time, id, session string, whole bool) {
+func (l *ledger) begin(due time.Time, id, session string, whole, counts bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.writes[id] = entry{session, whole, Unknown}
+	l.writes[id] = entry{session, whole, counts, Unknown}
+	if !counts {
+		return
+	}
 	l.pending++
 	if !l.since.IsZero() {
 		return
@@ -67,11 +71,18 @@
 func (l *ledger) record(now time.Time, id, session string, whole bool, v Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.writes[id] = entry{session, whole, v}
-	l.pending--
+	counts := l.writes[id].counts
+	l.writes[id] = entry{session, whole, counts, v}
+	if counts {
+		l.pending--
+	}
 	if v != Acknowledged {
 		return
 	}
+	l.acked = append(l.acked, acknowledged{id, now})
+	if !counts {
+		return
+	}
 	l.stall = max(l.stall, now.Sub(l.since))
 	l.since = time.Time{}
 	if l.pending > 0 {
@@ -83,7 +94,6 @@
 		l.gap = max(l.gap, now.Sub(l.last))
 	}
 	l.last = now
-	l.acked = append(l.acked, acknowledged{id, now})
 }
 
 // finish closes the last gap and returns the longest gap and stall. A route whose writes all failed
@@ -109,6 +119,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	i := sort.Search(len(l.acked), func(i int) bool { return !l.acked[i].at.Before(before) })
+	for i > 0 && !l.acked[i-1].at.Before(before) {
+		i-- // entries are noted slightly out of order
+	}
 	if i == 0 {
 		return "", false
 	}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -43,7 +43,7 @@
 			continue
 		}
 		shares = append(shares, a.Goodput)
-		sent += a.Sent
+		sent += a.Due
 		for state, n := range a.Refusals {
 			r.Wrongful[state] += n
 			refused += n
@@ -92,6 +92,9 @@
 	fmt.Fprintf(w, "%-16s %7s %7s %7s %8s %9s %9s  %s\n", "account", "sent", "due", "done", "goodput", "p50 ms", "p99 ms", "other")
 	for _, a := range r.Accounts {
 		other := strings.TrimSpace(states(a.Refusals))
+		if len(a.Above) > 0 {
+			other += " above rate:" + states(a.Above)
+		}
 		if a.Unknown > 0 {
 			other += fmt.Sprintf(" unknown=%d", a.Unknown)
 		}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -73,7 +73,7 @@
 		report.Gap, report.Stall = max(report.Gap, gap), max(report.Stall, stall)
 	}
 	for i := range w.Accounts {
-		report.Accounts = append(report.Accounts, tallies[i].report(&w.Accounts[i], w.Duration))
+		report.Accounts = append(report.Accounts, tallies[i].report(&w.Accounts[i]))
 	}
 	report.Audit = r.audit(ctx, ledgers)
 	report.summarize()
@@ -190,7 +190,7 @@
 	tallies := make([]*tally, len(callers))
 	for i, sessions := range callers {
 		arrivals := r.workload.schedule(&r.workload.Accounts[i])
-		tallies[i] = newTally(len(arrivals))
+		tallies[i] = newTally(arrivals)
 		queue := make(chan arrival, queueLength)
 		for _, c := range sessions {
 			c.tally = tallies[i]
--- a/internal/load/tally.go
+++ b/internal/load/tally.go
@@ -28,20 +28,28 @@
 type tally struct {
 	mu       sync.Mutex
 	latency  *hdrhistogram.Histogram
-	due      int
+	sent     int
+	due      int // of sent, those within rate and burst
 	done     int
 	unknown  int
-	moved    int // connections that the server ended while they were idle
-	expired  int // waited longer than the deadline in the load tool
-	refusals map[string]int
+	moved    int            // connections that the server ended while they were idle
+	expired  int            // waited longer than the deadline in the load tool
+	refusals map[string]int // of requests within rate and burst, by SQLSTATE
+	above    map[string]int // of others
 	served   map[Served]int
 }
 
-func newTally(due int) *tally {
-	return &tally{
-		latency: hdrhistogram.New(1, latencyMost, latencyDigits), due: due,
-		refusals: map[string]int{}, served: map[Served]int{},
+func newTally(arrivals []arrival) *tally {
+	t := &tally{
+		latency: hdrhistogram.New(1, latencyMost, latencyDigits), sent: len(arrivals),
+		refusals: map[string]int{}, above: map[string]int{}, served: map[Served]int{},
 	}
+	for _, a := range arrivals {
+		if a.within {
+			t.due++
+		}
+	}
+	return t
 }
 
 // success counts a request that was done, with the time since it was due.
@@ -56,10 +64,14 @@
 	_ = t.latency.RecordValue(min(max(latency.Microseconds(), 1), latencyMost))
 }
 
-func (t *tally) refuse(state string) {
+func (t *tally) refuse(a arrival, state string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.refusals[state]++
+	if a.within {
+		t.refusals[state]++
+	} else {
+		t.above[state]++
+	}
 }
 
 func (t *tally) lose() {
@@ -85,7 +97,7 @@
 	Name     string         `json:"name"`
 	Over     bool           `json:"over"`     // sends more than its rate
 	Sent     int            `json:"sent"`     // requests of the open loop
-	Due      int            `json:"due"`      // sent, or what the rate allows if that is less
+	Due      int            `json:"due"`      // of sent, those that an ideal bucket with the rate and burst admits
 	Done     int            `json:"done"`     //
 	Unknown  int            `json:"unknown"`  // writes with an unknown outcome
 	Moved    int            `json:"moved"`    // connections that the server ended while they were idle
@@ -93,24 +105,21 @@
 	Goodput  float64        `json:"goodput"`  // done / due, at most 1
 	P50      float64        `json:"p50"`      // milliseconds since due
 	P99      float64        `json:"p99"`      //
-	Refusals map[string]int `json:"refusals"` // by SQLSTATE
+	Refusals map[string]int `json:"refusals"` // of requests within rate and burst, by SQLSTATE
+	Above    map[string]int `json:"above"`    // of the others
 	Served   map[Served]int `json:"served"`   // reads
 }
 
-func (t *tally) report(a *Account, lasted time.Duration) AccountReport {
+func (t *tally) report(a *Account) AccountReport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	due := t.due
-	if allowed := int(a.Rate * lasted.Seconds()); a.Over() && allowed < due {
-		due = allowed
-	}
 	r := AccountReport{
-		Name: a.Name, Over: a.Over(), Sent: t.due, Due: due, Done: t.done, Unknown: t.unknown, Expired: t.expired, Moved: t.moved,
+		Name: a.Name, Over: a.Over(), Sent: t.sent, Due: t.due, Done: t.done, Unknown: t.unknown, Expired: t.expired, Moved: t.moved,
 		P50: milliseconds(t.latency.ValueAtQuantile(50)), P99: milliseconds(t.latency.ValueAtQuantile(99)),
-		Refusals: maps.Clone(t.refusals), Served: maps.Clone(t.served), Goodput: 1,
+		Refusals: maps.Clone(t.refusals), Above: maps.Clone(t.above), Served: maps.Clone(t.served), Goodput: 1,
 	}
-	if due > 0 {
-		r.Goodput = min(1, float64(t.done)/float64(due))
+	if t.due > 0 {
+		r.Goodput = min(1, float64(t.done)/float64(t.due))
 	}
 	return r
 }
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -36,8 +36,9 @@
 	User     string // user name of the startup packet
 	Password string
 	Routes   []string // database names; sessions are spread over them
-	Rate     float64  // contracted requests per second
-	Send     float64  // requests sent, as a multiple of Rate
+	Rate     float64  // contracted statements per second
+	Burst    float64  // contracted statements at once
+	Send     float64  // statements sent, as a multiple of Rate
 	Writes   float64  // share of writes
 	Ages     []time.Duration
 	Sessions int // connections
@@ -51,7 +52,7 @@
 // Keys of the INI file.
 var (
 	workloadKeys = []string{"name", "duration", "seed", "limit", "deadline", "roam", "tokens", "requests"}
-	accountKeys  = []string{"user", "password", "password-file", "routes", "rate", "send", "writes", "ages", "sessions"}
+	accountKeys  = []string{"user", "password", "password-file", "routes", "rate", "burst", "send", "writes", "ages", "sessions"}
 )
 
 // accountPrefix begins the name of an account's section.
@@ -85,8 +86,8 @@
 	connections := 0
 	for _, a := range w.Accounts {
 		connections += a.Sessions
-		if a.Rate <= 0 || a.Send <= 0 || a.Writes < 0 || a.Writes > 1 || a.Sessions < 1 || len(a.Routes) == 0 || len(a.Ages) == 0 {
-			return refuse("[account "+a.Name+"]", "give rate and send above 0, writes from 0 to 1, at least one session, route and age")
+		if a.Rate <= 0 || a.Burst < costWhole || a.Send <= 0 || a.Writes < 0 || a.Writes > 1 || a.Sessions < 1 || len(a.Routes) == 0 || len(a.Ages) == 0 {
+			return refuse("[account "+a.Name+"]", "give rate and send above 0, a burst of at least 3, writes from 0 to 1, at least one session, route and age")
 		}
 	}
 	switch {
@@ -162,7 +163,8 @@
 		User:     s.Key("user").MustString(name),
 		Password: s.Key("password").String(),
 		Routes:   list(s.Key("routes")),
-		Rate:     value(r, s, "rate", 1, (*ini.Key).Float64, "give requests per second"),
+		Rate:     value(r, s, "rate", 10, (*ini.Key).Float64, "give statements per second"),
+		Burst:    value(r, s, "burst", 0, (*ini.Key).Float64, "give statements, such as twice the rate"),
 		Send:     value(r, s, "send", 1, (*ini.Key).Float64, "give a multiple of the rate, such as 5"),
 		Writes:   value(r, s, "writes", 0.2, (*ini.Key).Float64, "give a share such as 0.2"),
 		Sessions: value(r, s, "sessions", 4, (*ini.Key).Int, "give a whole number"),
@@ -181,6 +183,9 @@
 		}
 		a.Ages = append(a.Ages, age)
 	}
+	if !s.HasKey("burst") {
+		a.Burst = 2 * a.Rate
+	}
 	if len(a.Ages) == 0 {
 		a.Ages = []time.Duration{0}
 	}
