entryvm: test connections that are reset in the middle of an answer

An answer of 12 MB whose connection is reset is either whole, because the read ran again before the caller saw a row or the rest was on the way already, or ends with 08007.

--- a/internal/entryvm/failure_test.go
+++ b/internal/entryvm/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -347,3 +348,43 @@
 	}
 	require.Equal(t, 2, number(t, other, "SELECT count(*) FROM claim"))
 }
+
+// Guards against an answer that is shown as whole although its connection was reset in the middle, and
+// against rows that are shown twice because the read ran again.
+func TestResetDuringAnswer(t *testing.T) {
+	w := newWorld(t, 3, nil)
+	e := w.entry(nil)
+	c := e.connect(t, nil)
+	claims(t, c)
+	const rows = 24 // of 500 KB, more than the sockets on the way hold
+	for i := range rows {
+		run(t, c, "INSERT INTO claim (id, owner) VALUES ($1, $2)", i+1, strings.Repeat("x", 500_000))
+	}
+	whole, broken := 0, 0
+	for i := range 5 {
+		next := 0
+		answer, err := c.Query(background, "SELECT id, owner FROM claim ORDER BY id", pgx.QueryExecModeSimpleProtocol)
+		require.NoError(t, err)
+		for answer.Next() {
+			var n int
+			var owner string
+			require.NoError(t, answer.Scan(&n, &owner))
+			next++
+			require.Equal(t, next, n)
+			if next == 1+3*i {
+				w.servers[1].Cut()
+				w.servers[2].Cut()
+			}
+		}
+		if err := answer.Err(); err != nil {
+			require.Equal(t, "08007", code(err))
+			broken++
+			continue
+		}
+		require.Equal(t, rows, next)
+		whole++
+	}
+	t.Logf("%d whole answers, %d broken", whole, broken)
+	require.Positive(t, whole)
+	require.Positive(t, broken)
+}
