backend: take the term in which a log ends from its history

Cause: last_term is that of the last record, so a log that ends with the start of a new term reported the old term. A floor of the old term beyond that start, taken from a record that was never acknowledged, was then not covered by any instance until the next write, and reads of the session waited.

--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -217,6 +217,11 @@
 			return r, errors.Wrapf(err, "backend: group_status, column %s", column)
 		}
 	}
+	// The term in which the log ends may have no record yet. Without this a floor on a superseded branch
+	// would be covered only after the next write.
+	if n := len(r.History); n > 0 {
+		r.At.Term = max(r.At.Term, r.History[n-1].Term)
+	}
 	return r, nil
 }
 
