watermark: name the newest term in the floor of a write confirmed after a failover; ignore retired members

Cause 1: a write of term 1 may be confirmed by a majority of term 3 whose logs skip term 2. The model also checks sessions without a token (I4). Cause 2: a confirmation by a member that is being retired is lost with it, so the remaining members could promote a log without the record. Cost: while a member is being retired, all others of a group of three must confirm.

--- a/internal/entryvm/floor.go
+++ b/internal/entryvm/floor.go
@@ -106,9 +106,10 @@
 	return c
 }
 
-// confirm waits until a majority holds a commit. It returns false if that is not known in time.
-func (vm *VM) confirm(g *group, server watermark.ServerID, at position.Position) bool {
-	c := make(chan watermark.Verdict, 1)
+// confirm waits until a majority holds a commit and returns the floor of the session that wrote it.
+// It returns false if that is not known in time.
+func (vm *VM) confirm(g *group, server watermark.ServerID, at position.Position) (position.Position, bool) {
+	c := make(chan watermark.Settled, 1)
 	vm.post(func(now time.Time) {
 		id := vm.nextWait()
 		g.verdicts[id] = c
@@ -118,10 +119,10 @@
 	timer := time.NewTimer(watermark.CommitWait + time.Second)
 	defer timer.Stop()
 	select {
-	case v := <-c:
-		return v == watermark.Held
+	case s := <-c:
+		return s.At, s.Verdict == watermark.Held
 	case <-timer.C:
 	case <-vm.done:
 	}
-	return false
+	return position.Position{}, false
 }
--- a/internal/entryvm/group.go
+++ b/internal/entryvm/group.go
@@ -36,7 +36,7 @@
 	retired  map[string]bool
 	servers  map[watermark.ServerID]*server
 	floors   map[watermark.WaitID]chan position.Position
-	verdicts map[watermark.WaitID]chan watermark.Verdict
+	verdicts map[watermark.WaitID]chan watermark.Settled
 	swept    time.Time
 	dirty    bool
 	last     watermark.ServerID // last primary known
@@ -99,7 +99,7 @@
 		mark:     watermark.New(),
 		servers:  make(map[watermark.ServerID]*server),
 		floors:   make(map[watermark.WaitID]chan position.Position),
-		verdicts: make(map[watermark.WaitID]chan watermark.Verdict),
+		verdicts: make(map[watermark.WaitID]chan watermark.Settled),
 	}
 	g.state.Store(&groupState{next: make(chan struct{}), majority: 1})
 	return g
--- a/internal/entryvm/once.go
+++ b/internal/entryvm/once.go
@@ -284,11 +284,12 @@
 
 // acknowledge shows an answer once a majority holds the commit.
 func (s *callerSession) acknowledge(g *group, server watermark.ServerID, at position.Position, held []byte) error {
-	if !s.vm.confirm(g, server, at) {
+	floor, confirmed := s.vm.confirm(g, server, at)
+	if !confirmed {
 		s.vm.metrics.unconfirmed.Add(1)
 		return s.answer(unknown("the commit was not confirmed by a majority of the group"))
 	}
-	s.raise(at)
+	s.raise(floor)
 	if err := s.conn.Send(&pgproto3.ParameterStatus{Name: caller.Prefix + parameterSession, Value: s.token()}); err != nil {
 		return err
 	}
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/apex/log"
@@ -132,7 +133,7 @@
 			g.floors[f.Wait] <- f.Floor
 			delete(g.floors, f.Wait)
 		case watermark.Settled:
-			g.verdicts[f.Wait] <- f.Verdict
+			g.verdicts[f.Wait] <- f
 			delete(g.verdicts, f.Wait)
 		}
 	}
@@ -212,6 +213,7 @@
 	changed := g.view.GetRevision() != v.GetRevision() || g.view == nil || g.members != c.GetMembers()
 	old := g.view
 	g.view, g.members = v, c.GetMembers()
+	before := g.retired
 	g.retired = make(map[string]bool)
 	present := make(map[watermark.ServerID]bool)
 	for _, m := range v.GetMembers() {
@@ -235,16 +237,20 @@
 		}
 	}
 	g.dirty = true
-	if !changed {
+	if !changed && maps.Equal(before, g.retired) {
 		return
 	}
 	members := make([]watermark.ServerID, 0, len(v.GetMembers()))
+	var leaving []watermark.ServerID
 	for _, m := range v.GetMembers() {
 		members = append(members, watermark.ServerID(m.GetServer()))
+		if g.retired[m.GetServer()] {
+			leaving = append(leaving, watermark.ServerID(m.GetServer()))
+		}
 	}
 	vm.stepGroup(now, g, watermark.Viewed{
 		Term: position.Term(v.GetTerm()), History: history(v), Primary: watermark.ServerID(v.GetPrimary()),
-		Members: members, Count: int(c.GetMembers()),
+		Members: members, Retired: leaving, Count: int(c.GetMembers()),
 	})
 	vm.superseded(now, g, old, v)
 }
--- a/internal/entryvm/run.go
+++ b/internal/entryvm/run.go
@@ -310,11 +310,12 @@
 	}
 	s.hold(l, before, r)
 	if !x.position.IsZero() {
-		if !s.vm.confirm(group, server, x.position) {
+		floor, held := s.vm.confirm(group, server, x.position)
+		if !held {
 			s.vm.metrics.unconfirmed.Add(1)
 			return s.answer(unknown("the commit was not confirmed by a majority of the group"))
 		}
-		s.raise(x.position)
+		s.raise(floor)
 		if err := s.conn.Send(&pgproto3.ParameterStatus{Name: caller.Prefix + parameterSession, Value: s.token()}); err != nil {
 			return err
 		}
--- a/internal/watermark/event.go
+++ b/internal/watermark/event.go
@@ -29,7 +29,7 @@
 type Report struct {
 	Role     Role
 	Follows  position.Term     // term that it follows or leads
-	At       position.Position // term and offset of its last log record
+	At       position.Position // term in which its log ends and offset of its last record
 	Promised position.Term
 	History  position.History
 }
@@ -43,7 +43,8 @@
 	History position.History
 	Primary ServerID // empty while there is none
 	Members []ServerID
-	Count   int // configured number of members; a majority is counted of this
+	Retired []ServerID // members that are about to leave; they confirm nothing
+	Count   int        // configured number of members; a majority is counted of this
 }
 
 // Answered is the answer of an instance to the request of a round.
@@ -123,10 +124,13 @@
 	Unknown                    // superseded, or nothing was known within the commit wait
 )
 
-// Settled answers Committed.
+// Settled answers Committed. At is the floor of a session that wrote the commit. After a change of
+// term it names the newest term: an instance of a term between the two may have a log without the
+// record and would still cover the position of the old term.
 type Settled struct {
 	Wait    WaitID
 	Verdict Verdict
+	At      position.Position // zero unless Held
 }
 
 func (Ask) effect()     {}
--- a/internal/watermark/group.go
+++ b/internal/watermark/group.go
@@ -48,7 +48,8 @@
 // member is an instance with what it was seen to hold under each term.
 type member struct {
 	Member
-	held map[position.Term]position.Offset
+	held    map[position.Term]position.Offset
+	retired bool // its confirmation would be lost with it
 }
 
 // round is one question to every member.
@@ -169,6 +170,9 @@
 		})
 	}
 	g.members = members
+	for i := range g.members {
+		g.members[i].retired = slices.Contains(e.Retired, g.members[i].Server)
+	}
 	if g.flying != nil {
 		g.flying.answered = slices.DeleteFunc(g.flying.answered, func(s ServerID) bool { return g.find(s) == nil })
 	}
@@ -351,50 +355,52 @@
 	}
 	waiting := g.commits[:0]
 	for _, c := range g.commits {
-		verdict, known := g.decide(now, c)
+		settled, known := g.decide(now, c)
 		if !known {
 			waiting = append(waiting, c)
 			continue
 		}
-		effects = append(effects, Settled{Wait: c.wait, Verdict: verdict})
+		effects = append(effects, settled)
 	}
 	g.commits = waiting
 	return effects
 }
 
 // decide tells whether a majority holds a commit.
-func (g *Group) decide(now time.Time, c commitWait) (Verdict, bool) {
+func (g *Group) decide(now time.Time, c commitWait) (Settled, bool) {
 	if g.holders(c.at.Term, c.at.Offset) >= g.Majority() {
-		return Held, true
+		return Settled{Wait: c.wait, Verdict: Held, At: c.at}, true
 	}
-	if g.keepers(c.at) >= g.Majority() {
-		return Held, true
+	if newest := g.newest(); g.keepers(newest, c.at) >= g.Majority() {
+		return Settled{Wait: c.wait, Verdict: Held, At: position.Position{Term: newest, Offset: c.at.Offset}}, true
 	}
-	if g.cut(c.at) {
-		return Unknown, true
+	if g.cut(c.at) || !now.Before(c.deadline) {
+		return Settled{Wait: c.wait, Verdict: Unknown}, true
 	}
-	if !now.Before(c.deadline) {
-		return Unknown, true
+	return Settled{}, false
+}
+
+// newest returns the highest term in which a log is known to end.
+func (g *Group) newest() position.Term {
+	var newest position.Term
+	for i := range g.members {
+		newest = max(newest, g.members[i].At.Term)
 	}
-	return 0, false
+	return newest
 }
 
 // keepers counts the members that hold the record of an earlier term in the log of the newest term.
 // The log of the new primary alone is not enough: if it is lost before others copied the record, a
 // later promotion may take a log without it. A majority whose last term is the newest one decides
 // every later promotion, since that takes the log with the highest last term.
-func (g *Group) keepers(at position.Position) int {
-	var newest position.Term
-	for i := range g.members {
-		newest = max(newest, g.members[i].At.Term)
-	}
+func (g *Group) keepers(newest position.Term, at position.Position) int {
 	if newest <= at.Term {
 		return 0
 	}
 	n := 0
 	for i := range g.members {
 		m := &g.members[i]
-		if m.Role != Fenced && m.Follows == newest && m.At.Term == newest && m.At.Offset >= at.Offset && m.History.Survives(at) {
+		if !m.retired && m.Role != Fenced && m.Follows == newest && m.At.Term == newest && m.At.Offset >= at.Offset && m.History.Survives(at) {
 			n++
 		}
 	}
@@ -419,7 +425,7 @@
 func (g *Group) holders(term position.Term, offset position.Offset) int {
 	n := 0
 	for i := range g.members {
-		if held, ok := g.members[i].held[term]; ok && held >= offset {
+		if held, ok := g.members[i].held[term]; ok && held >= offset && !g.members[i].retired {
 			n++
 		}
 	}
--- a/internal/watermark/group_test.go
+++ b/internal/watermark/group_test.go
@@ -81,7 +81,7 @@
 	require.Empty(t, g.Step(start, watermark.Notified{Server: "c", At: at(1, 7)}))
 	require.Empty(t, g.Step(start, watermark.Notified{Server: "x", At: at(1, 8)}), "no member")
 	effects := g.Step(start, watermark.Notified{Server: "c", At: at(1, 8)})
-	require.Equal(t, []watermark.Effect{watermark.Settled{Wait: 1, Verdict: watermark.Held}}, effects)
+	require.Equal(t, []watermark.Effect{watermark.Settled{Wait: 1, Verdict: watermark.Held, At: at(1, 8)}}, effects)
 
 	require.Empty(t, g.Step(start, watermark.Committed{Wait: 2, Server: "a", At: at(1, 9)}))
 	effects = g.Step(after(watermark.CommitWait), watermark.Tick{})
@@ -110,7 +110,20 @@
 	require.Empty(t, settled(g.Step(start, answer("b", 9, watermark.Replica, 2, at(1, 7), first))))
 	require.Empty(t, settled(g.Step(start, answer("c", 9, watermark.Fenced, 2, at(2, 8), second))))
 	effects := g.Step(start, answer("b", 9, watermark.Replica, 2, at(2, 8), second))
-	require.Equal(t, []watermark.Settled{{Wait: 1, Verdict: watermark.Held}}, settled(effects))
+	require.Equal(t, []watermark.Settled{{Wait: 1, Verdict: watermark.Held, At: at(2, 8)}}, settled(effects),
+		"a log of a term between the two may lack the record and would cover 1/8")
+}
+
+// Guards against an acknowledgement that rests on a member which is about to leave the group: the
+// remaining members may promote a log without the record.
+func TestRetiredMemberConfirmsNothing(t *testing.T) {
+	g := group()
+	view := watermark.Viewed{Term: 1, History: first, Primary: "a", Members: []watermark.ServerID{"a", "b", "c"},
+		Retired: []watermark.ServerID{"c"}, Count: 3}
+	g.Step(start, view)
+	require.Empty(t, settled(g.Step(start, watermark.Committed{Wait: 1, Server: "a", At: at(1, 8)})))
+	require.Empty(t, settled(g.Step(start, watermark.Notified{Server: "c", At: at(1, 8)})))
+	require.Len(t, settled(g.Step(start, watermark.Notified{Server: "b", At: at(1, 8)})), 1)
 }
 
 // Guards against waiting for a record that the new primary does not hold, and against taking it for
--- a/spec/failover.pml
+++ b/spec/failover.pml
@@ -12,11 +12,14 @@
  * Invariants:
  *  I1 the primary promoted last holds every acknowledged write (at promotion and at acknowledgement);
  *  I2 a term has at most one primary;
- *  I3 a session read on an instance that covers the floor sees the acknowledged write.
+ *  I3 a session read on an instance that covers the floor sees the acknowledged write;
+ *  I4 the same for a session without a token, whose floor is the highest position on a majority.
  *
  * Switches that remove one safeguard each; every one must give a counterexample:
  *  NOCONFIRM  acknowledge when the primary alone has committed
  *  ANYTERM    count a confirmation of an instance that follows another term
+ *  NEWPRIMARY acknowledge a write of an older term when the new primary alone holds it
+ *  OLDFLOOR   keep the floor of the old term for such a write
  *  NOPROMISE  compare positions without a promise to refuse lower terms
  *  MINORITY   promote after one promise
  *  ANYMEMBER  promote any member that promised instead of the most advanced
@@ -34,7 +37,8 @@
 Log lg[N];               /* records by offset (1..size); has/start: own history of terms */
 byte promised[N], following[N], source[N];
 bool leads[N], down[N];
-byte wterm[W], woff[W], conf[W], wprim[W];
+byte wterm[W], woff[W], conf[W]; /* position of each write, confirmations */
+byte fterm[W];                   /* term of the floor of its session */
 bool acked[W];
 byte writes, crashes;
 byte term;               /* highest durable term in the control log */
@@ -51,6 +55,11 @@
 #else
 #define SAMETERM(i, w) (following[i] == wterm[w])
 #endif
+#ifdef NEWPRIMARY
+#define SETTLED(s) ((s) & (1 << primary))
+#else
+#define SETTLED(s) MAJORITY(s)
+#endif
 #define MAJORITY(s) ((s) == 3 || (s) == 5 || (s) == 6 || (s) == 7)
 
 inline last_term(i, out) {
@@ -108,16 +117,18 @@
   lg[i].size = k; j = 0; k = 0
 }
 
-inline covers(i, w, out) {
+/* Whether instance i covers the floor ft/fo by its own report. */
+inline covers(i, ft, fo, out) {
   out = 0;
 #ifdef OFFSETONLY
-  if :: lg[i].size >= woff[w] -> out = 1 :: else fi;
+  if :: lg[i].size >= fo -> out = 1 :: else fi;
 #else
+  last_term(i, y);
   if
-  :: following[i] == wterm[w] -> if :: lg[i].size >= woff[w] -> out = 1 :: else fi
-  :: following[i] > wterm[w] ->
+  :: y == ft -> if :: lg[i].size >= fo -> out = 1 :: else fi
+  :: y > ft ->
      /* start of the first later term in the instance's own history */
-     k = wterm[w] + 1;
+     k = ft + 1;
      do
      :: k <= T && !lg[i].has[k] -> k++
      :: else -> break
@@ -125,19 +136,47 @@
      if
      :: k <= T ->
         if
-        :: lg[i].size >= woff[w] || lg[i].size >= lg[i].start[k] -> out = 1
+        :: lg[i].size >= fo || lg[i].size >= lg[i].start[k] -> out = 1
         :: else
         fi
      :: else
      fi;
      k = 0
   :: else
-  fi
+  fi;
+  y = 0
 #endif
 }
 
+/* A session without a token takes the highest position on instances i and j as its floor and reads
+   on any instance that covers it. */
+inline fresh_read(i, j) {
+  if
+  :: !down[i] && !down[j] ->
+     last_term(i, x); last_term(j, y);
+     if
+     :: x > y || (x == y && lg[i].size >= lg[j].size) -> ft = x; fo = lg[i].size
+     :: else -> ft = y; fo = lg[j].size
+     fi;
+     x = 0; y = 0; p = 0;
+     do
+     :: p < N ->
+        covers(p, ft, fo, ok);
+        w = 0;
+        do
+        :: w < writes -> assert(!ok || !acked[w] || HOLDS(p, w)); w++ /* I4 */
+        :: else -> break
+        od;
+        p++
+     :: else -> break
+     od;
+     p = 0; w = 0; ok = 0; ft = 0; fo = 0
+  :: else
+  fi
+}
+
 active proctype system() {
-  byte i, p, w, k, j, best, x, y;
+  byte i, p, w, k, j, best, x, y, ft, fo;
   bool ok;
   atomic {
     /* term 1: instance 0 is primary, the others follow it */
@@ -153,7 +192,7 @@
        if :: i = 0 :: i = 1 :: i = 2 fi;
        if
        :: !down[i] && leads[i] && promised[i] <= following[i] && lg[i].size < W ->
-          wterm[writes] = following[i]; wprim[writes] = i;
+          wterm[writes] = following[i]; fterm[writes] = following[i];
           lg[i].id[lg[i].size] = writes + 1; lg[i].size++;
           woff[writes] = lg[i].size; conf[writes] = 1 << i; writes++
        :: else
@@ -196,6 +235,37 @@
        :: else -> break
        od; w = 0;
        check_held() }
+  /* after a change of term the entry VM acknowledges what a majority of the newest term holds */
+  :: atomic { writes > 0 ->
+       w = 0;
+       do
+       :: w < writes ->
+          if
+          :: wterm[w] < pterm ->
+             k = 0; x = 0;
+             do
+             :: k < N ->
+                if
+                :: !down[k] && following[k] == pterm && lg[k].has[pterm] && HOLDS(k, w) -> x = x | (1 << k)
+                :: else
+                fi; k++
+             :: else -> break
+             od;
+             k = 0;
+             if
+             :: SETTLED(x) && !acked[w] ->
+                acked[w] = 1;
+#ifndef OLDFLOOR
+                fterm[w] = pterm /* the session's floor names the newest term */
+#endif
+             :: else
+             fi;
+             x = 0
+          :: else
+          fi; w++
+       :: else -> break
+       od; w = 0;
+       check_held() }
   /* the control leader, old or new, makes the next term durable */
   :: atomic { term < T -> term++; fencing = 1; promises = 0; ready = 0 }
 #ifdef VOLATILE
@@ -271,11 +341,12 @@
        :: w < writes ->
           if
           :: acked[w] && !down[i] ->
-             covers(i, w, ok);
+             covers(i, fterm[w], woff[w], ok);
              assert(!ok || HOLDS(i, w)) /* I3 */
           :: else
           fi; w++
        :: else -> break
        od; i = 0; w = 0; ok = 0 }
+  :: atomic { writes > 0 -> fresh_read(0, 1); fresh_read(0, 2); fresh_read(1, 2) }
   od
 }
