--- a/internal/controlvm/vm_test.go
+++ b/internal/controlvm/vm_test.go
@@ -20,7 +20,7 @@
 
 // site is a control VM that a test starts and stops.
 type site struct {
-	t       *testing.T
+	t       testing.TB
 	options controlvm.Options
 	vm      *controlvm.VM
 	cancel  context.CancelFunc
@@ -28,7 +28,7 @@
 }
 
 // newSite reserves the addresses of a control VM.
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	s := &site{t: t}
 	s.options.Node.Zone = "zone-a"
 	s.options.Control.Data = filepath.Join(t.TempDir(), "data")
@@ -40,7 +40,7 @@
 }
 
 // reserve returns a loopback address that was free a moment ago.
-func reserve(t *testing.T) string {
+func reserve(t testing.TB) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer l.Close()
