questionnaire, configuration: carry amendments: keep keys, withdraw keys, retire servers

Cause: generating again after an amendment made new keys for every account, so all callers would have been locked out, and retired servers could not be stated.

--- a/cmd/fireflyrudder/questionnaire.go
+++ b/cmd/fireflyrudder/questionnaire.go
@@ -11,6 +11,7 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/configuration"
 	"fireflyrudder.example/fireflyrudder/internal/questionnaire"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
 const questionnaireLong = "Sets up a new team: write a blank questionnaire, check a filled one, and generate the configuration for apply --file."
@@ -57,19 +58,32 @@
 // generateCommand writes the configuration and the keys.
 type generateCommand struct {
 	checkCommand
-	Keys   string `long:"keys" required:"true" description:"new file for the keys in clear, one ACCOUNT/NAME KEY per line, mode 0600"`
-	Output string `long:"output" description:"file for the configuration; standard output if empty"`
+	Keys     string `long:"keys" description:"new file for new keys in clear, one ACCOUNT/NAME KEY per line, mode 0600; needed if there are any"`
+	Previous string `long:"previous" description:"configuration generated before, whose keys are kept"`
+	Output   string `long:"output" description:"file for the configuration; standard output if empty"`
 }
 
 // Execute runs the command.
 func (c *generateCommand) Execute([]string) error {
-	wanted, secrets, err := c.filled.Generate(rand.Reader)
+	var previous *wire.Configuration
+	if c.Previous != "" {
+		var err error
+		if previous, err = configuration.Read(c.Previous); err != nil {
+			return err
+		}
+	}
+	wanted, secrets, err := c.filled.Generate(rand.Reader, previous)
 	if err != nil {
 		return err
 	}
 	// The keys go first: a configuration whose keys nobody has would be of no use.
-	if err := questionnaire.WriteSecrets(c.Keys, secrets); err != nil {
-		return err
+	if len(secrets) > 0 {
+		if c.Keys == "" {
+			return errors.WithHint(errors.New("questionnaire: new keys were made and there is no file for them"), "name a new file with --keys")
+		}
+		if err := questionnaire.WriteSecrets(c.Keys, secrets); err != nil {
+			return err
+		}
 	}
 	out := io.WriteCloser(os.Stdout)
 	if c.Output != "" {
--- a/internal/configuration/file.go
+++ b/internal/configuration/file.go
@@ -21,6 +21,9 @@
 //	open = false
 //	repeatable = false
 //
+//	[server enrollment-2]
+//	retired = true
+//
 // Reading is strict: whatever it does not know is refused with the file, the section, the key and
 // a remedy. The control VMs check what the values mean.
 package configuration
@@ -48,10 +51,11 @@
 	"key":     {[]string{"verifier"}, readKey},
 	"route":   {[]string{"group", "database", "open", "accounts", "age", "repeatable"}, readRoute},
 	"group":   {[]string{"members", "slots", "connections"}, readGroup},
+	"server":  {[]string{"retired"}, readServer},
 }
 
 // order is the order in which sections are read and written: keys follow their accounts.
-var order = []string{"group", "account", "key", "route"}
+var order = []string{"group", "account", "key", "route", "server"}
 
 // reader holds what is needed for error messages.
 type reader struct{ file string }
@@ -90,6 +94,7 @@
 	slices.SortFunc(c.Accounts, func(a, b *wire.Account) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(c.Routes, func(a, b *wire.Route) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(c.Groups, func(a, b *wire.Group) int { return cmp.Compare(a.Name, b.Name) })
+	slices.Sort(c.Retired)
 	return c, nil
 }
 
@@ -109,7 +114,7 @@
 		name = strings.TrimSpace(name)
 		switch {
 		case !known:
-			return nil, r.refuse(s.Name(), "", "is not known", "use [account NAME], [key ACCOUNT/NAME], [route NAME] or [group NAME]")
+			return nil, r.refuse(s.Name(), "", "is not known", "use [account NAME], [key ACCOUNT/NAME], [route NAME], [group NAME] or [server NAME]")
 		case name == "":
 			return nil, r.refuse(s.Name(), "", "has no name", "write ["+word+" NAME]")
 		case seen[word+" "+name]:
@@ -162,6 +167,9 @@
 	for _, r := range c.GetRoutes() {
 		out = append(out, &wire.Edit{Edit: &wire.Edit_PutRoute{PutRoute: r}})
 	}
+	for _, server := range c.GetRetired() {
+		out = append(out, &wire.Edit{Edit: &wire.Edit_RetireServer{RetireServer: server}})
+	}
 	return out
 }
 
@@ -177,6 +185,9 @@
 	for _, name := range missing(present.GetGroups(), wanted.GetGroups(), (*wire.Group).GetName) {
 		out = append(out, &wire.Edit{Edit: &wire.Edit_DropGroup{DropGroup: name}})
 	}
+	for _, name := range missing(present.GetRetired(), wanted.GetRetired(), strings.Clone) {
+		out = append(out, &wire.Edit{Edit: &wire.Edit_RestoreServer{RestoreServer: name}})
+	}
 	return out
 }
 
--- a/internal/configuration/section.go
+++ b/internal/configuration/section.go
@@ -23,6 +23,17 @@
 	return nil
 }
 
+func readServer(r *reader, s *section, c *wire.Configuration) error {
+	retired := false
+	if err := r.flag(s, "retired", &retired); err != nil {
+		return err
+	}
+	if retired {
+		c.Retired = append(c.Retired, s.name)
+	}
+	return nil
+}
+
 func readAccount(r *reader, s *section, c *wire.Configuration) error {
 	a := &wire.Account{Name: s.name, Weight: 1}
 	if err := r.number(s, "rate", &a.Rate); err != nil {
--- a/internal/configuration/write.go
+++ b/internal/configuration/write.go
@@ -34,6 +34,9 @@
 		}
 		fmt.Fprintf(&b, "age = %s\nrepeatable = %t\n\n", time.Duration(r.Age)*time.Millisecond, r.Repeatable)
 	}
+	for _, server := range c.GetRetired() {
+		fmt.Fprintf(&b, "[server %s]\nretired = true\n\n", server)
+	}
 	_, err := io.WriteString(w, b.String())
 	return errors.Wrap(err, "configuration")
 }
--- a/internal/contract/draft.go
+++ b/internal/contract/draft.go
@@ -219,7 +219,8 @@
 }
 
 func (d *draft) retire(server string) string {
-	if !d.trusted && d.book.member(server) == "" {
+	_, retired := slices.BinarySearch(d.next.GetRetired(), server)
+	if !d.trusted && !retired && d.book.member(server) == "" {
 		return fmt.Sprintf("server %q is no member of a group; list the members with status", server)
 	}
 	d.next.Retired = put(d.next.GetRetired(), server, self)
--- a/internal/questionnaire/generate.go
+++ b/internal/questionnaire/generate.go
@@ -28,13 +28,19 @@
 }
 
 // Generate returns the configuration and the new keys in clear. The configuration has only their
-// SCRAM-SHA-256 verifiers. Each call makes new keys from the random source.
-func (q *Questionnaire) Generate(random io.Reader) (*wire.Configuration, []Secret, error) {
-	c := &wire.Configuration{}
+// SCRAM-SHA-256 verifiers. Keys that the previous configuration has are kept, so that an amendment
+// leaves their callers alone; the others are made from the random source. previous may be nil.
+func (q *Questionnaire) Generate(random io.Reader, previous *wire.Configuration) (*wire.Configuration, []Secret, error) {
+	c := &wire.Configuration{Retired: q.Retired}
+	slices.Sort(c.Retired)
 	var secrets []Secret
 	for _, a := range q.Accounts {
 		w := &wire.Account{Name: a.Name, Rate: a.Rate, Burst: a.Burst, Weight: uint32(a.Weight)}
 		for _, name := range a.Keys {
+			if k := kept(previous, a.Name, name); k != nil {
+				w.Keys = append(w.Keys, k)
+				continue
+			}
 			s := Secret{User: a.Name + "/" + name}
 			verifier, err := s.make(random)
 			if err != nil {
@@ -65,6 +71,18 @@
 	return c, secrets, nil
 }
 
+// kept returns a key of an account in the previous configuration, or nil.
+func kept(previous *wire.Configuration, account, name string) *wire.Key {
+	for _, a := range previous.GetAccounts() {
+		for _, k := range a.GetKeys() {
+			if a.GetName() == account && k.GetName() == name && k.GetVerifier() != "" {
+				return k
+			}
+		}
+	}
+	return nil
+}
+
 // users returns the accounts that may use a database. An open one has no list.
 func (q *Questionnaire) users(database string) []string {
 	var users []string
--- a/internal/questionnaire/questionnaire.go
+++ b/internal/questionnaire/questionnaire.go
@@ -13,6 +13,7 @@
 // Questionnaire is what a team says of its site. Read returns only complete and consistent ones.
 type Questionnaire struct {
 	Title     string
+	Retired   []string   // backend servers that get no new work
 	Databases []Database // sorted by name
 	Accounts  []Account  // sorted by name
 }
@@ -45,11 +46,17 @@
 ; [database NAME] and [account NAME] for each database group and client account, then run:
 ;   fireflyrudder questionnaire check --file FILE
 ;   fireflyrudder questionnaire generate --file FILE --output configuration.ini --keys keys.txt
+;   fireflyrudder apply --file configuration.ini
+; To change a running site, amend this file and generate again with --previous configuration.ini, which
+; keeps the keys that both have; keys that are no longer named are withdrawn. Add --prune to apply to drop
+; databases and accounts that were removed here.
 ; Names have 1 to 63 letters, digits, "-", "_" or ".".
 
 [site]
 ; Title of the setup, for people.
 title =
+; Backend servers that leave, separated by commas: they get no new work.
+retired =
 
 ; One section for each database group; callers connect to it under this NAME.
 [database NAME]
--- a/internal/questionnaire/read.go
+++ b/internal/questionnaire/read.go
@@ -26,7 +26,7 @@
 
 // known lists the keys of each kind of section.
 var known = map[string][]string{
-	"site":     {"title"},
+	"site":     {"title", "retired"},
 	"database": {"database", "instances", "slots", "connections", "stale", "open", "repeatable"},
 	"account":  {"rate", "burst", "weight", "keys", "databases"},
 }
@@ -112,6 +112,7 @@
 	switch kind {
 	case "site":
 		q.Title = r.text("title", "give a title for people")
+		q.Retired = r.names("retired")
 	case "database":
 		q.Databases = append(q.Databases, Database{
 			Name:        name,
