--- a/internal/local/demonstration.go
+++ b/internal/local/demonstration.go
@@ -73,7 +73,7 @@
 		Name: "local", Duration: loadTime, Seed: seed, Limit: 20_000, Deadline: wait, Roam: 2 * time.Second,
 		Tokens: 0.5, Requests: true,
 		Accounts: []load.Account{{Name: accountName, User: accountName, Password: s.Key, Routes: []string{routeName},
-			Rate: rate, Send: 0.5, Writes: 0.2, Ages: []time.Duration{0, 2 * time.Second}, Sessions: sessions}},
+			Rate: rate, Burst: burst, Send: 0.5, Writes: 0.2, Ages: []time.Duration{0, 2 * time.Second}, Sessions: sessions}},
 	}
 	timer := time.AfterFunc(killTime, func() {
 		primary := s.Primary()
