Use the usual terms for leadership, balances and waits; give each checkout its own linter cache

Renames only: purse, patience, goodbye, board, expel, hurry, keepers and office become balance, maxWait, announceLeave, acquireLane, closeRevoked, askForCommits, survivors and leadership. The linter's shared cache returned findings of other checkouts, so that its verdict depended on them.

--- a/check.sh
+++ b/check.sh
@@ -22,6 +22,8 @@
 fi
 echo "== vet"
 go vet ./...
+# A cache shared by several checkouts returns results with the paths of another one.
+export GOLANGCI_LINT_CACHE="$PWD/.cache/golangci-lint"
 echo "== golangci-lint"
 golangci-lint run ./...
 
--- a/internal/controllog/election.go
+++ b/internal/controllog/election.go
@@ -86,7 +86,7 @@
 		v.poll(false, v.term)
 		v.count(now)
 	case Candidate:
-		v.takeOffice(now)
+		v.startLeading(now)
 	}
 }
 
@@ -154,9 +154,9 @@
 	v.count(now)
 }
 
-// takeOffice starts the term of office with an empty record, whose commitment shows that
+// startLeading starts the term with an empty record, whose commitment shows that
 // everything before it is committed.
-func (v *Voter) takeOffice(now time.Time) {
+func (v *Voter) startLeading(now time.Time) {
 	v.role = Leader
 	v.leader = v.place.Address
 	v.led, v.current = now, false
--- a/internal/controllog/replication.go
+++ b/internal/controllog/replication.go
@@ -190,7 +190,7 @@
 	v.reply(v.owed.address, v.owed.to, r)
 }
 
-// appendReply notes what a follower holds. A reply to a message of an earlier term of office says
+// appendReply notes what a follower holds. A reply to a message of an earlier term says
 // nothing: its send time was counted from the start of that one.
 func (v *Voter) appendReply(now time.Time, m *wire.VoterMessage, r *wire.AppendReply) {
 	if m.Term > v.term {
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -74,7 +74,7 @@
 	compacted uint64                        // index at which a snapshot was last asked for
 	resting   Synced                        // last record handed over with that snapshot
 
-	led       time.Time // leader: when the term of office began
+	led       time.Time // leader: when the term began
 	beat      time.Time // leader: when heartbeats were last sent
 	current   bool      // leader: an entry of the own term is committed
 	followers map[Identity]*follower
--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -288,7 +288,7 @@
 	require.LessOrEqual(t, v.Committed(), uint64(2))
 }
 
-// Guards against a lease that is extended by the answer to a message of an earlier term of office,
+// Guards against a lease that is extended by the answer to a message of an earlier term,
 // whose send time was counted from another start.
 func TestOldAnswerDoesNotExtendLease(t *testing.T) {
 	c := newCluster(t, 9, 3, 0)
--- a/internal/controlvm/effect.go
+++ b/internal/controlvm/effect.go
@@ -74,7 +74,7 @@
 		vm.proposed[e.Tag].answer <- result{err: errRedirect{e.Leader}}
 		delete(vm.proposed, e.Tag)
 	case controllog.BecameLeader:
-		vm.takeOffice(now, e.Term)
+		vm.startLeading(now, e.Term)
 	case controllog.LostLeader:
 		vm.leaveOffice(e.Term)
 	}
--- a/internal/controlvm/duty.go
+++ b/internal/controlvm/leadership.go
@@ -15,8 +15,8 @@
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
-// duties are what only the leader does. They are made anew with each term of office.
-type duties struct {
+// leadership is what only the leader does. It is made anew with each term.
+type leadership struct {
 	term    uint64
 	issuer  *lease.Issuer
 	leaving map[lease.EntryID]bool // being forgotten
@@ -27,24 +27,24 @@
 	version     uint64            // configuration last told to the coordinator
 	revisions   map[string]uint64 // of the views last told to the coordinator, by group; nil at first
 
-	finished context.Context // ends with the office
-	resign   context.CancelFunc
+	ctx    context.Context // ends with the leadership
+	cancel context.CancelFunc
 }
 
-// takeOffice starts the duties. Everything committed is applied.
-func (vm *VM) takeOffice(now time.Time, term uint64) {
+// startLeading starts the leadership of a term. Everything committed is applied.
+func (vm *VM) startLeading(now time.Time, term uint64) {
 	log.WithField("term", term).Info("control leader")
 	vm.metrics.elections.Add(1)
 	book := vm.book
-	d := &duties{
+	d := &leadership{
 		term:    term,
 		issuer:  lease.NewIssuer(now, book.Configuration(), book.Registrations()),
 		leaving: map[lease.EntryID]bool{},
 
 		coordinator: failover.New(vm.folder.Identity()),
 	}
-	d.finished, d.resign = context.WithCancel(context.Background())
-	vm.duties = d
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	vm.leadership = d
 	vm.changed = true
 }
 
@@ -54,7 +54,7 @@
 	for w := range vm.watchers {
 		signal(w.wake)
 	}
-	if d := vm.duties; d != nil {
+	if d := vm.leadership; d != nil {
 		d.configure(now, vm.book)
 		vm.watchGroups(now, d, vm.book)
 	}
@@ -67,14 +67,14 @@
 		delete(vm.waiting, index)
 		w.answer <- result{err: errUnknown}
 	}
-	if vm.duties != nil {
-		vm.duties.resign()
-		vm.duties = nil
+	if vm.leadership != nil {
+		vm.leadership.cancel()
+		vm.leadership = nil
 	}
 }
 
 // configure follows a change of the book.
-func (d *duties) configure(now time.Time, book *contract.Book) {
+func (d *leadership) configure(now time.Time, book *contract.Book) {
 	if d.seen == book.Index() && d.known != nil {
 		return
 	}
@@ -95,7 +95,7 @@
 
 // duty does what is due for a leader.
 func (vm *VM) duty(now time.Time) {
-	d := vm.duties
+	d := vm.leadership
 	if d == nil || !vm.voter.Lease(now) {
 		return
 	}
@@ -113,16 +113,16 @@
 
 // terminate closes the connections of a dead entry VM before they count as free. The issuer asks
 // again until that has succeeded.
-func (vm *VM) terminate(d *duties, e lease.Expired) {
+func (vm *VM) terminate(d *leadership, e lease.Expired) {
 	address := vm.address(string(e.Server))
 	if address == "" {
 		return
 	}
 	go func() {
-		if vm.backends.terminate(d.finished, address, string(e.Entry)) != nil {
+		if vm.backends.terminate(d.ctx, address, string(e.Entry)) != nil {
 			return
 		}
-		vm.post(d.finished, func(time.Time) { d.issuer.Terminated(e.Entry, e.Server) }) //nolint:errcheck // the office has ended
+		vm.post(d.ctx, func(time.Time) { d.issuer.Terminated(e.Entry, e.Server) }) //nolint:errcheck // the leadership has ended
 	}()
 }
 
@@ -153,7 +153,7 @@
 // It is false for an entry VM that must be registered first.
 func (vm *VM) renew(now time.Time, r *wire.RenewRequest) (*wire.RenewReply, bool) {
 	reply := &wire.RenewReply{Sequence: r.Sequence, Redirect: vm.voter.LeaderAddress(now)}
-	d := vm.duties
+	d := vm.leadership
 	if d == nil || !vm.voter.Lease(now) {
 		return reply, true
 	}
--- a/internal/controlvm/order.go
+++ b/internal/controlvm/order.go
@@ -16,7 +16,7 @@
 // order hands an event to the coordinator of failovers and performs its effects. The terms that
 // the coordinator names are in the log; a later leader supersedes them with a higher one.
 func (vm *VM) order(now time.Time, e failover.Event) {
-	d := vm.duties
+	d := vm.leadership
 	if d == nil {
 		return
 	}
@@ -48,7 +48,7 @@
 }
 
 // watchGroups tells the coordinator what changed in the book.
-func (vm *VM) watchGroups(now time.Time, d *duties, book *contract.Book) {
+func (vm *VM) watchGroups(now time.Time, d *leadership, book *contract.Book) {
 	if c := book.Configuration(); c.GetVersion() != d.version || d.revisions == nil {
 		d.version = c.GetVersion()
 		vm.order(now, failover.Configured{Groups: c.GetGroups(), Retired: c.GetRetired()})
@@ -64,8 +64,8 @@
 }
 
 // call calls a function of a backend server and hands the answer to the coordinator.
-func (vm *VM) call(d *duties, c failover.Call) {
-	ctx, cancel := context.WithTimeout(d.finished, failover.CallTimeout)
+func (vm *VM) call(d *leadership, c failover.Call) {
+	ctx, cancel := context.WithTimeout(d.ctx, failover.CallTimeout)
 	defer cancel()
 	var i instance
 	var err error
@@ -83,8 +83,8 @@
 		err = errors.Newf("controlvm: %s is %s of group %s, not %s of %s", c.Address, i.Server, i.Group, c.Server, c.Group)
 	}
 	answer := failover.Answered{Call: c, Report: i.report(c.Address), Err: err}
-	vm.post(d.finished, func(now time.Time) { //nolint:errcheck // the office has ended
-		if vm.duties == d {
+	vm.post(d.ctx, func(now time.Time) { //nolint:errcheck // the leadership has ended
+		if vm.leadership == d {
 			vm.order(now, answer)
 		}
 	})
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -53,19 +53,19 @@
 	ended    chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the listeners serve
 
-	voter    *controllog.Voter
-	book     *contract.Book
-	unsynced []*wire.LogRecord  // appended and not yet on disk
-	outgoing []controllog.Send  // waits for the disk
-	tag      uint64             // of the latest proposal
-	proposed map[uint64]*waiter // by tag
-	waiting  map[uint64]*waiter // by log index
-	watchers map[*watcher]struct{}
-	changed  bool      // the book changed since react
-	started  time.Time // first tick
-	told     bool      // that no group was found
-	fault    error     // of the disk; ends the process
-	duties   *duties
+	voter      *controllog.Voter
+	book       *contract.Book
+	unsynced   []*wire.LogRecord  // appended and not yet on disk
+	outgoing   []controllog.Send  // waits for the disk
+	tag        uint64             // of the latest proposal
+	proposed   map[uint64]*waiter // by tag
+	waiting    map[uint64]*waiter // by log index
+	watchers   map[*watcher]struct{}
+	changed    bool      // the book changed since react
+	started    time.Time // first tick
+	told       bool      // that no group was found
+	fault      error     // of the disk; ends the process
+	leadership *leadership
 }
 
 // New opens the data folder and restores the state.
@@ -151,8 +151,8 @@
 		g.Go(func() error { return vm.console(ctx) })
 	}
 	err := g.Wait()
-	if vm.duties != nil {
-		vm.duties.resign()
+	if vm.leadership != nil {
+		vm.leadership.cancel()
 	}
 	if errors.Is(err, context.Canceled) {
 		return nil
--- a/internal/entryvm/acquire.go
+++ b/internal/entryvm/acquire.go
@@ -183,7 +183,7 @@
 			}
 			continue
 		}
-		l, again, refusal := s.board(w, primary, false)
+		l, again, refusal := s.acquireLane(w, primary, false)
 		if refusal != nil {
 			return nil, refusal
 		}
@@ -200,9 +200,9 @@
 	}
 }
 
-// board waits for a slot and a connection of a server. again tells that the server should be chosen
+// acquireLane waits for a slot and a connection of a server. again tells that the server should be chosen
 // anew.
-func (s *callerSession) board(w *wait, server *serverState, read bool) (l *lane, again bool, refusal *outcome.Error) {
+func (s *callerSession) acquireLane(w *wait, server *serverState, read bool) (l *lane, again bool, refusal *outcome.Error) {
 	if refusal := s.enterSlot(w, server, read); refusal != nil {
 		return nil, false, refusal
 	}
--- a/internal/entryvm/control.go
+++ b/internal/entryvm/control.go
@@ -122,7 +122,7 @@
 			pause = failPause
 		}
 		if !c.pause(ctx, pause) {
-			c.goodbye(address)
+			c.announceLeave(address)
 			return
 		}
 	}
@@ -361,8 +361,8 @@
 	}
 }
 
-// goodbye sends the last Renew.
-func (c *control) goodbye(address string) {
+// announceLeave sends the last Renew.
+func (c *control) announceLeave(address string) {
 	ctx, stop := context.WithTimeout(context.Background(), leaveWait)
 	defer stop()
 	if _, err := c.renew(ctx, address, true); err != nil {
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -187,7 +187,7 @@
 	}
 	if vm.book.Version() != before || u.GetFull() != nil {
 		vm.table.Store(newTable(configuration, vm.groups))
-		vm.expel()
+		vm.closeRevoked()
 		log.WithField("version", vm.book.Version()).Info("configuration applied")
 	}
 	vm.extend()
@@ -333,8 +333,8 @@
 	}
 }
 
-// expel closes the sessions whose key or route was withdrawn.
-func (vm *VM) expel() {
+// closeRevoked closes the sessions whose key or route was withdrawn.
+func (vm *VM) closeRevoked() {
 	t := vm.table.Load()
 	for _, s := range vm.sessions.list() {
 		if _, refusal := t.admit(&s.conn.Startup, s.conn.Startup.Proved); refusal != nil {
--- a/internal/entryvm/readlane.go
+++ b/internal/entryvm/readlane.go
@@ -80,7 +80,7 @@
 		state := s.route.group.state.Load()
 		choice := s.route.group.router.choose(now, q, age, state)
 		if choice.Result == route.Chosen {
-			l, again, refusal := s.board(w, &state.servers[choice.Index], true)
+			l, again, refusal := s.acquireLane(w, &state.servers[choice.Index], true)
 			if refusal != nil {
 				return nil, refusal
 			}
--- a/internal/entryvm/run.go
+++ b/internal/entryvm/run.go
@@ -33,7 +33,7 @@
 	if s.gone() {
 		return s.afterFailure(r)
 	}
-	w := &wait{session: s, deadline: s.patience(now)}
+	w := &wait{session: s, deadline: s.deadlineOf(now)}
 	defer w.end()
 	if refusal := s.pay(w, r.charge); refusal != nil {
 		return s.refuse(refusal)
--- a/internal/entryvm/session.go
+++ b/internal/entryvm/session.go
@@ -408,7 +408,7 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) || errors.As(err, &network)
 }
 
-// patience returns the time until which the statement may wait.
-func (s *callerSession) patience(now time.Time) time.Time {
+// deadlineOf returns the time until which the statement may wait.
+func (s *callerSession) deadlineOf(now time.Time) time.Time {
 	return now.Add(s.parameters.deadline)
 }
--- a/internal/failover/event.go
+++ b/internal/failover/event.go
@@ -131,11 +131,11 @@
 	probeAfter = 600 * time.Millisecond
 	// probeInterval is the time between two probes, and between repeated calls.
 	probeInterval = 200 * time.Millisecond
-	// sightSilence is how long an entry VM must have been without the primary for its word to count.
+	// sightSilence is how long an entry VM must have been without the primary for its report to count.
 	sightSilence = time.Second
-	// sightAge is how long the word of an entry VM counts.
+	// sightAge is how long the report of an entry VM counts.
 	sightAge = time.Second
-	// blindSilence replaces the word of entry VMs if there is none.
+	// blindSilence replaces the reports of entry VMs if there are none.
 	blindSilence = 5 * time.Second
 	// pollInterval is the time between status calls while a group waits for replicas.
 	pollInterval = 20 * time.Millisecond
--- a/internal/failover/group.go
+++ b/internal/failover/group.go
@@ -52,7 +52,7 @@
 	planned time.Time // last planned switchover away from a retired primary
 }
 
-// sight is the word of an entry VM on the primary.
+// sight is the report of an entry VM on the primary.
 type sight struct {
 	at     time.Time
 	term   position.Term
@@ -241,7 +241,7 @@
 	}
 }
 
-// see notes the word of an entry VM. The words of entry VMs that no longer report are dropped.
+// see notes the report of an entry VM. Reports of entry VMs that no longer send any are dropped.
 func (g *group) see(now time.Time, entry string, w *wire.Sight) {
 	g.sights[entry] = sight{
 		at:     now,
--- a/internal/lease/bucket.go
+++ b/internal/lease/bucket.go
@@ -68,7 +68,7 @@
 	if s.unmet == 0 {
 		return float64(len(b.queue))
 	}
-	served := min(len(b.queue), int(b.level+b.rate*patience.Seconds())+1)
+	served := min(len(b.queue), int(b.level+b.rate*maxWait.Seconds())+1)
 	if at := slices.Index(b.queue[:served], s); at >= 0 {
 		return float64(at)
 	}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -34,8 +34,8 @@
 
 // Holder holds the credits and connection budgets of one entry VM. It is not safe for concurrent use.
 type Holder struct {
-	accounts map[AccountID]*purse
-	order    []*purse         // sorted by account
+	accounts map[AccountID]*balance
+	order    []*balance       // sorted by account
 	servers  map[ServerID]int // connection budgets, valid until expires
 	expires  time.Time        // everything held ends here
 	asked    time.Time        // time of the last Demands; replies to earlier requests are dropped
@@ -44,8 +44,8 @@
 	urgent   bool             // a request waits for credits
 }
 
-// purse holds the credits of one account.
-type purse struct {
+// balance holds the credits of one account.
+type balance struct {
 	account  AccountID
 	held     float64 // unspent credits, never negative
 	spent    float64 // since the process started
@@ -64,7 +64,7 @@
 
 // NewHolder returns a Holder without credits or budgets.
 func NewHolder() *Holder {
-	return &Holder{accounts: map[AccountID]*purse{}, servers: map[ServerID]int{}}
+	return &Holder{accounts: map[AccountID]*balance{}, servers: map[ServerID]int{}}
 }
 
 // Take spends the cost of a request from the credits of the account, or says to wait or refuse.
@@ -99,10 +99,10 @@
 }
 
 // open adds an account.
-func (h *Holder) open(account AccountID) *purse {
-	p := &purse{account: account}
+func (h *Holder) open(account AccountID) *balance {
+	p := &balance{account: account}
 	h.accounts[account] = p
-	i, _ := slices.BinarySearchFunc(h.order, account, func(p *purse, a AccountID) int { return cmp.Compare(p.account, a) })
+	i, _ := slices.BinarySearchFunc(h.order, account, func(p *balance, a AccountID) int { return cmp.Compare(p.account, a) })
 	h.order = slices.Insert(h.order, i, p)
 	return p
 }
@@ -220,9 +220,9 @@
 		return
 	}
 	p.ask = p.report
-	if wait > patience {
+	if wait > maxWait {
 		p.retry = p.ask
-		p.refuse = p.ask.Add(-patience)
+		p.refuse = p.ask.Add(-maxWait)
 	}
 }
 
--- a/internal/lease/issuer.go
+++ b/internal/lease/issuer.go
@@ -29,14 +29,14 @@
 	policy   Policy
 	start    time.Time
 	holders  map[EntryID]*holder
-	queue    []visit // accepted requests in order of time, to find silent holders
-	unknown  int     // registered holders that have not reported since start
+	queue    []contact // accepted requests in order of time, to find silent holders
+	unknown  int       // registered holders that have not reported since start
 	accounts map[AccountID]*bucket
 	servers  map[ServerID]*server
 }
 
-// visit notes that a holder was heard at a time.
-type visit struct {
+// contact notes that a holder was heard at a time.
+type contact struct {
 	at     time.Time
 	holder *holder
 }
@@ -132,7 +132,7 @@
 	h.sequence = r.GetSequence()
 	h.seen = now
 	h.silent = false
-	i.queue = append(i.queue, visit{now, h})
+	i.queue = append(i.queue, contact{now, h})
 	h.credits = i.credit(now, h, r.GetDemands(), first)
 	h.budgets = i.budget(h, r.GetNeeds())
 	if r.GetLeaving() {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -28,9 +28,9 @@
 	// counted is how long the issuer counts a grant, from the receipt of the request. It is Life plus
 	// the drift bound of 1%.
 	counted = Life + Life/100
-	// patience is the default deadline of a request that waits for a credit. A holder refuses at once
+	// maxWait is the default deadline of a request that waits for a credit. A holder refuses at once
 	// when the next credit comes later than that.
-	patience = 250 * time.Millisecond
+	maxWait = 250 * time.Millisecond
 	// minRetry bounds the requests of a holder for a scarce account to 40 per second.
 	minRetry = 25 * time.Millisecond
 	// elsewhereRetry is the longest advised wait while other holders may return credits.
@@ -38,7 +38,7 @@
 	// controlConnections is kept per backend server for fences, promotions and terminations.
 	controlConnections = 2
 	// stockRate is the least rate, per second, of accounts whose credits are stocked at entry VMs. Below
-	// it, a credit that idles at each of ten entry VMs takes longer than patience to earn again.
+	// it, a credit that idles at each of ten entry VMs takes longer than maxWait to earn again.
 	stockRate = 40
 	// smoothing is the time constant of measured demand. It forgets an ended burst in about two requests.
 	smoothing = 250 * time.Millisecond
--- a/internal/watermark/group.go
+++ b/internal/watermark/group.go
@@ -113,7 +113,7 @@
 			m.hold(e.At)
 		}
 		g.commits = append(g.commits, commitWait{wait: e.Wait, at: e.At, deadline: now.Add(CommitWait)})
-		return g.hurry(now, g.settle(now, nil))
+		return g.askForCommits(now, g.settle(now, nil))
 	case Abandoned:
 		g.abandon(e.Wait)
 		return nil
@@ -212,7 +212,7 @@
 	}
 	g.age(m)
 	effects := g.countAnswer(now, e, nil)
-	return g.hurry(now, g.settle(now, effects))
+	return g.askForCommits(now, g.settle(now, effects))
 }
 
 // countAnswer counts an answer for the round in flight and ends the round at a majority.
@@ -322,9 +322,9 @@
 	return append(effects, Ask{Round: g.flying.id, Servers: servers})
 }
 
-// hurry starts a round for commits that wait. Notifications alone would do, but instances coalesce
+// askForCommits starts a round for commits that wait. Notifications alone would do, but instances coalesce
 // them to 2 ms.
-func (g *Group) hurry(now time.Time, effects []Effect) []Effect {
+func (g *Group) askForCommits(now time.Time, effects []Effect) []Effect {
 	if len(g.commits) == 0 || g.flying != nil || now.Sub(g.started) < commitPace {
 		return effects
 	}
@@ -371,7 +371,7 @@
 	if g.holders(c.at.Term, c.at.Offset) >= g.Majority() {
 		return Settled{Wait: c.wait, Verdict: Held, At: c.at}, true
 	}
-	if newest := g.newest(); g.keepers(newest, c.at) >= g.Majority() {
+	if newest := g.newest(); g.survivors(newest, c.at) >= g.Majority() {
 		return Settled{Wait: c.wait, Verdict: Held, At: position.Position{Term: newest, Offset: c.at.Offset}}, true
 	}
 	if g.cut(c.at) || !now.Before(c.deadline) {
@@ -389,11 +389,11 @@
 	return newest
 }
 
-// keepers counts the members that hold the record of an earlier term in the log of the newest term.
+// survivors counts the members that hold the record of an earlier term in the log of the newest term.
 // The log of the new primary alone is not enough: if it is lost before others copied the record, a
 // later promotion may take a log without it. A majority whose last term is the newest one decides
 // every later promotion, since that takes the log with the highest last term.
-func (g *Group) keepers(newest position.Term, at position.Position) int {
+func (g *Group) survivors(newest position.Term, at position.Position) int {
 	if newest <= at.Term {
 		return 0
 	}
