--- a/internal/controlvm/metrics.go
+++ b/internal/controlvm/metrics.go
@@ -29,10 +29,10 @@
 	m := &metrics{all: new(expvar.Map).Init()}
 	named := map[string]**expvar.Int{
 		"changes": &m.changes, "renewals": &m.renewals, "updates": &m.updates, "announcements": &m.announced,
-		"elections": &m.elections, "snapshots": &m.snapshots, "snapshots_installed": &m.installs,
-		"messages_delivered": &m.delivered, "messages_undelivered": &m.undelivered, "messages_dropped": &m.dropped,
-		"disk_syncs": &m.syncs, "disk_records": &m.records, "disk_sync_microseconds": &m.syncTime,
-		"server_calls": &m.calls, "server_call_errors": &m.callErrors,
+		"elections": &m.elections, "snapshots": &m.snapshots, "installs": &m.installs,
+		"delivered": &m.delivered, "undelivered": &m.undelivered, "dropped": &m.dropped,
+		"syncs": &m.syncs, "records": &m.records, "syncing": &m.syncTime,
+		"calls": &m.calls, "faults": &m.callErrors,
 	}
 	for name, counter := range named {
 		*counter = new(expvar.Int)
--- a/internal/entryvm/dump.go
+++ b/internal/entryvm/dump.go
@@ -29,8 +29,8 @@
 	Phase    string `json:"phase"`
 	Primary  string `json:"primary"`
 	Writable string `json:"writable"` // why no write can be sent; empty if one can
-	Floors   int    `json:"waiting_floors"`
-	Commits  int    `json:"waiting_commits"`
+	Floors   int    `json:"floors"`   // sessions that wait for a floor
+	Commits  int    `json:"commits"`  // commits that wait for confirmation
 }
 
 // ServerDump is the state of a backend server.
@@ -43,7 +43,7 @@
 	History  string        `json:"history"`
 	Alive    bool          `json:"alive"`
 	Retired  bool          `json:"retired"`
-	Age      float64       `json:"age_seconds"` // of the data; negative: not known
+	Age      float64       `json:"age"` // of the data, seconds; negative: not known
 	Pool     backend.Usage `json:"pool"`
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,13 +30,13 @@
 
 // Log selects the form and level of log lines.
 type Log struct {
-	Format string `long:"log-format" env:"FIREFLYRUDDER_LOG_FORMAT" choice:"text" choice:"json" choice:"logfmt" default:"logfmt" description:"form of log lines"`
-	Level  string `long:"log-level" env:"FIREFLYRUDDER_LOG_LEVEL" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"least level logged"`
+	Format string `long:"log-format" ini-name:"format" env:"FIREFLYRUDDER_LOG_FORMAT" choice:"text" choice:"json" choice:"logfmt" default:"logfmt" description:"form of log lines"`
+	Level  string `long:"log-level" ini-name:"level" env:"FIREFLYRUDDER_LOG_LEVEL" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"least level logged"`
 }
 
 // Console is the HTTP listener for metrics, state dumps and readiness.
 type Console struct {
-	Listen string `long:"console" env:"FIREFLYRUDDER_CONSOLE_LISTEN" description:"IP:port of the HTTP console; empty switches it off"`
+	Listen string `long:"console" ini-name:"listen" env:"FIREFLYRUDDER_CONSOLE_LISTEN" description:"IP:port of the HTTP console; empty switches it off"`
 }
 
 // Check returns an error that names the remedy if the address is malformed.
@@ -49,9 +49,9 @@
 
 // TLS names certificate files. They are read again when they change.
 type TLS struct {
-	Certificate string `long:"tls-certificate" env:"FIREFLYRUDDER_TLS_CERTIFICATE" description:"PEM file with the certificate of this process"`
-	Key         string `long:"tls-key" env:"FIREFLYRUDDER_TLS_KEY" description:"PEM file with the private key"`
-	Authority   string `long:"tls-authority" env:"FIREFLYRUDDER_TLS_AUTHORITY" description:"PEM file with the authority that signed the certificates of the other processes"`
+	Certificate string `long:"tls-certificate" ini-name:"certificate" env:"FIREFLYRUDDER_TLS_CERTIFICATE" description:"PEM file with the certificate of this process"`
+	Key         string `long:"tls-key" ini-name:"key" env:"FIREFLYRUDDER_TLS_KEY" description:"PEM file with the private key"`
+	Authority   string `long:"tls-authority" ini-name:"authority" env:"FIREFLYRUDDER_TLS_AUTHORITY" description:"PEM file with the authority that signed the certificates of the other processes"`
 }
 
 // Enabled reports whether TLS is set up.
@@ -137,7 +137,7 @@
 	Listen   string        `long:"listen" env:"FIREFLYRUDDER_ENTRY_LISTEN" default:"127.0.0.1:7432" description:"IP:port of the PostgreSQL listener for callers"`
 	Controls []string      `long:"control" env:"FIREFLYRUDDER_ENTRY_CONTROLS" env-delim:"," default:"127.0.0.1:7400" description:"IP:port of the gRPC listener of a control VM; repeat"`
 	Groups   []string      `long:"serve" env:"FIREFLYRUDDER_ENTRY_GROUPS" env-delim:"," description:"database group served by this entry VM; repeat; none means all"`
-	Token    string        `long:"token-file" env:"FIREFLYRUDDER_ENTRY_TOKEN_FILE" description:"file with the secret that signs session tokens, the same on all entry VMs"`
+	Token    string        `long:"token-file" ini-name:"token" env:"FIREFLYRUDDER_ENTRY_TOKEN_FILE" description:"file with the secret that signs session tokens, the same on all entry VMs"`
 	Drain    time.Duration `long:"drain" env:"FIREFLYRUDDER_ENTRY_DRAIN" default:"30s" description:"longest time that a graceful shutdown waits for open transactions"`
 	Wait     time.Duration `long:"wait" env:"FIREFLYRUDDER_ENTRY_WAIT" default:"10s" description:"default deadline of a statement that waits for a slot, a credit or a primary"`
 	Server   Server        `group:"server" namespace:"server"`
