--- a/internal/standin/change.go
+++ b/internal/standin/change.go
@@ -126,7 +126,7 @@
 		return row{}, false, duplicate(o.base.name, key)
 	}
 	o.put(id, nil, values)
-	x.changes = append(x.changes, Change{Kind: ChangePut, Table: o.base.name, Row: id, Values: values})
+	x.changes = append(x.changes, rowChange{Kind: changePut, Table: o.base.name, Row: id, Values: values})
 	return row{id, values}, true, nil
 }
 
@@ -237,7 +237,7 @@
 		return duplicate(o.base.name, key)
 	}
 	o.put(old.id, old.values, values)
-	r.x.changes = append(r.x.changes, Change{Kind: ChangePut, Table: o.base.name, Row: old.id, Values: values})
+	r.x.changes = append(r.x.changes, rowChange{Kind: changePut, Table: o.base.name, Row: old.id, Values: values})
 	return nil
 }
 
@@ -290,7 +290,7 @@
 	}
 	for _, old := range rows {
 		o.remove(old)
-		r.x.changes = append(r.x.changes, Change{Kind: ChangeRemove, Table: name, Row: old.id})
+		r.x.changes = append(r.x.changes, rowChange{Kind: changeRemove, Table: name, Row: old.id})
 	}
 	return nil
 }
@@ -341,7 +341,7 @@
 		r.x.tables = map[string]*overlay{}
 	}
 	r.x.tables[t.name] = &overlay{base: t, next: t.next}
-	r.x.changes = append(r.x.changes, Change{Kind: ChangeCreate, Table: t.name, SQL: sql})
+	r.x.changes = append(r.x.changes, rowChange{Kind: changeCreate, Table: t.name, SQL: sql})
 	return out, nil
 }
 
@@ -365,16 +365,16 @@
 			return nil, err
 		}
 		o.dropped = true
-		r.x.changes = append(r.x.changes, Change{Kind: ChangeDrop, Table: name})
+		r.x.changes = append(r.x.changes, rowChange{Kind: changeDrop, Table: name})
 	}
 	return &result{tag: "DROP TABLE"}, nil
 }
 
 // apply makes committed changes visible. The caller holds Server.mu.
-func (s *Server) apply(changes []Change) error {
+func (s *Server) apply(changes []rowChange) error {
 	for _, c := range changes {
 		switch c.Kind {
-		case ChangeCreate:
+		case changeCreate:
 			tree, err := pg.Parse(c.SQL)
 			if err != nil {
 				return err
@@ -384,11 +384,11 @@
 				return err
 			}
 			s.tables[t.name] = t
-		case ChangeDrop:
+		case changeDrop:
 			delete(s.tables, c.Table)
-		case ChangePut:
+		case changePut:
 			s.tables[c.Table].put(c.Row, c.Values)
-		case ChangeRemove:
+		case changeRemove:
 			s.tables[c.Table].remove(c.Row)
 		}
 	}
--- a/internal/standin/group.go
+++ b/internal/standin/group.go
@@ -31,8 +31,8 @@
 	term     position.Term // led, or followed after agreement with its primary
 	promised position.Term // never falls
 	history  position.History
-	records  []Record // offsets 1, 2, ...
-	primary  string   // name of the primary's server
+	records  []logRecord // offsets 1, 2, ...
+	primary  string      // name of the primary's server
 	lead     leadership
 	follow   following
 }
@@ -65,7 +65,7 @@
 	return position.Position{Term: r.Term, Offset: r.Offset}
 }
 
-func (g *groupState) append(r Record) {
+func (g *groupState) append(r logRecord) {
 	g.records = append(g.records, r)
 }
 
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -209,7 +209,7 @@
 }
 
 // commit appends a record if the instance still leads the term.
-func (s *Server) commit(term position.Term, changes []Change) (position.Position, error) {
+func (s *Server) commit(term position.Term, changes []rowChange) (position.Position, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.state.role != RolePrimary || s.state.term != term {
@@ -218,7 +218,7 @@
 	if err := s.apply(changes); err != nil {
 		return position.Position{}, err
 	}
-	s.state.append(Record{Term: term, Offset: s.state.offset() + 1, Time: time.Now(), Changes: changes})
+	s.state.append(logRecord{Term: term, Offset: s.state.offset() + 1, Time: time.Now(), Changes: changes})
 	s.move()
 	return position.Position{Term: term, Offset: s.state.offset()}, nil
 }
--- a/internal/standin/stream.go
+++ b/internal/standin/stream.go
@@ -45,7 +45,7 @@
 
 // streamRecords carries records; none is a heartbeat.
 type streamRecords struct {
-	Records []Record
+	Records []logRecord
 }
 
 // feed serves a replica until the instance no longer leads the term.
@@ -109,7 +109,7 @@
 	}
 }
 
-func (s *Server) since(term position.Term, after position.Offset) ([]Record, <-chan struct{}, bool) {
+func (s *Server) since(term position.Term, after position.Offset) ([]logRecord, <-chan struct{}, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	g := &s.state
@@ -223,7 +223,7 @@
 
 // commonPart returns the offset of the last record that a log shares with the primary's. Each term has
 // one primary, so records with equal term and offset are equal, and so are all before them.
-func commonPart(records []Record, history position.History, end position.Offset) position.Offset {
+func commonPart(records []logRecord, history position.History, end position.Offset) position.Offset {
 	for o := min(position.Offset(len(records)), end); o > 0; o-- {
 		if records[o-1].Term == termAt(history, o) {
 			return o
@@ -256,7 +256,7 @@
 
 // cut drops the records above an offset and rebuilds the tables. The caller holds mu.
 func (s *Server) cut(o position.Offset) error {
-	s.state.records = append([]Record{}, s.state.records[:o]...)
+	s.state.records = append([]logRecord{}, s.state.records[:o]...)
 	s.tables = map[string]*table{}
 	for _, r := range s.state.records {
 		if err := s.apply(r.Changes); err != nil {
@@ -267,7 +267,7 @@
 }
 
 // replicate applies one record of the primary.
-func (s *Server) replicate(ctx context.Context, r Record, history position.History) bool {
+func (s *Server) replicate(ctx context.Context, r logRecord, history position.History) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil || r.Offset != s.state.offset()+1 {
--- a/internal/standin/transaction.go
+++ b/internal/standin/transaction.go
@@ -12,32 +12,32 @@
 // lockWait bounds the wait for another writer's transaction.
 const lockWait = 5 * time.Second
 
-// ChangeKind tells what a Change does.
-type ChangeKind uint8
+// changeKind tells what a rowChange does.
+type changeKind uint8
 
 // Kinds of changes.
 const (
-	ChangeCreate ChangeKind = iota + 1
-	ChangeDrop
-	ChangePut
-	ChangeRemove
+	changeCreate changeKind = iota + 1
+	changeDrop
+	changePut
+	changeRemove
 )
 
-// Change is one effect of a committed transaction.
-type Change struct {
-	Kind   ChangeKind
+// rowChange is one effect of a committed transaction.
+type rowChange struct {
+	Kind   changeKind
 	Table  string
-	SQL    string // definition, for ChangeCreate
+	SQL    string // definition, for changeCreate
 	Row    int64
 	Values []Value
 }
 
-// Record is a committed transaction in the log.
-type Record struct {
+// logRecord is a committed transaction in the log.
+type logRecord struct {
 	Term    position.Term
 	Offset  position.Offset
 	Time    time.Time // of the commit at the primary
-	Changes []Change
+	Changes []rowChange
 }
 
 // transaction holds the uncommitted changes of one session. It belongs to the goroutine of its
@@ -50,7 +50,7 @@
 	lock     chan struct{} // the writers' lock of the term, while it is held
 	fenced   <-chan struct{}
 	term     position.Term
-	changes  []Change
+	changes  []rowChange
 	tables   map[string]*overlay
 	now      time.Time
 }
