--- a/internal/entryvm/session.go
+++ b/internal/entryvm/session.go
@@ -29,7 +29,7 @@
 	failed = 'E'
 )
 
-// caller session: one caller connection. Its fields belong to its goroutine unless said otherwise.
+// callerSession is one caller connection. Its fields belong to its goroutine unless said otherwise.
 type callerSession struct {
 	vm    *VM
 	conn  *caller.Conn
