--- a/internal/controllog/cluster_test.go
+++ b/internal/controllog/cluster_test.go
@@ -36,8 +36,8 @@
 	deaf     map[string]bool // addresses whose messages do not arrive
 }
 
-// letter is a message under way.
-type letter struct {
+// envelope is a message under way.
+type envelope struct {
 	due     time.Duration
 	address string
 	message *wire.VoterMessage
@@ -45,20 +45,20 @@
 
 // cluster runs machines in simulated time and checks what must always hold.
 type cluster struct {
-	t        require.TestingT
-	random   *rand.Rand
-	elapsed  time.Duration
-	machines []*machine
-	letters  []letter
-	loss     float64
-	repeat   float64
-	delay    time.Duration // most
-	crashing float64       // chance of a crash before a sync
-	digests  map[uint64]string
-	records  map[uint64]*wire.LogRecord
-	highest  uint64
-	leaders  map[uint64]controllog.Identity // by term
-	made     int                            // identities and entries made
+	t         require.TestingT
+	random    *rand.Rand
+	elapsed   time.Duration
+	machines  []*machine
+	envelopes []envelope
+	loss      float64
+	repeat    float64
+	delay     time.Duration // most
+	crashing  float64       // chance of a crash before a sync
+	digests   map[uint64]string
+	records   map[uint64]*wire.LogRecord
+	highest   uint64
+	leaders   map[uint64]controllog.Identity // by term
+	made      int                            // identities and entries made
 }
 
 func newCluster(t require.TestingT, seed uint64, voters, spares int) *cluster {
@@ -207,7 +207,7 @@
 			continue
 		}
 		due := c.elapsed + time.Duration(c.random.Int64N(int64(c.delay)))
-		c.letters = append(c.letters, letter{due, s.Address, proto.CloneOf(s.Message)})
+		c.envelopes = append(c.envelopes, envelope{due, s.Address, proto.CloneOf(s.Message)})
 	}
 }
 
@@ -233,12 +233,12 @@
 
 // deliver puts the messages that are due into inboxes.
 func (c *cluster) deliver() {
-	due := c.letters
-	c.letters = nil
+	due := c.envelopes
+	c.envelopes = nil
 	sort.SliceStable(due, func(i, j int) bool { return due[i].due < due[j].due })
 	for _, l := range due {
 		if l.due > c.elapsed {
-			c.letters = append(c.letters, l)
+			c.envelopes = append(c.envelopes, l)
 			continue
 		}
 		for _, m := range c.machines {
