test: replace a silent control VM by a spare, then lose a second one

Three control VMs and a spare as processes: one follower is stopped, the spare becomes a voter, another follower is killed, and a change and a write still succeed. Not seen to fail, since the mechanism was there.

--- a/test/fault_test.go
+++ b/test/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -157,3 +158,40 @@
 	_, err = other.Exec(t.Context(), "SELECT 1")
 	require.NoError(t, err, "other accounts are not touched")
 }
+
+// Guards against a control VM that is silent for long without anyone noticing, and against a group that
+// does not survive the loss of a second control VM right after the repair.
+func TestSilentControlVMIsReplaced(t *testing.T) {
+	const replacement = 30 * time.Second // silence after which a spare takes over
+	s := boot(t)
+	own := addresses(t, 2)
+	peers := repeat("--peer", append([]string{own[0]}, s.listen...))
+	launch(t, "spare", append([]string{"control", "--name", "spare", "--zone", zone(0), "--data", filepath.Join(t.TempDir(), "data"),
+		"--listen", own[0], "--announce", own[1], "--join"}, peers...)...)
+	s.eventually("the spare is a learner", func() error {
+		if role := s.role(own[0]); role != "learner" {
+			return errors.New("role " + role)
+		}
+		return nil
+	})
+	leader := s.leader()
+	var followers []int
+	for i := range s.control {
+		if s.control[i] != leader {
+			followers = append(followers, i)
+		}
+	}
+	s.control[followers[0]].signal(syscall.SIGSTOP)
+	time.Sleep(replacement)
+	s.eventually("the spare votes and the silent control VM is out", func() error {
+		spare, silent := s.role(own[0]), s.role(s.listen[followers[0]])
+		if spare != "follower" || silent != "" {
+			return fmt.Errorf("spare %q, silent %q", spare, silent)
+		}
+		return nil
+	})
+	s.control[followers[1]].signal(syscall.SIGKILL)
+	require.NoError(t, s.apply("--withdraw-key", "small/main"))
+	_, err := s.must(0, "large").Exec(t.Context(), "INSERT INTO note (id) VALUES ('after the repair')")
+	require.NoError(t, err)
+}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	patience = 30 * time.Second // bound of every wait for the system
+	waitBound = 30 * time.Second // bound of every wait for the system
 	poll     = 20 * time.Millisecond
 )
 
@@ -104,7 +104,7 @@
 	p.t.Helper()
 	select {
 	case <-p.exited:
-	case <-time.After(patience):
+	case <-time.After(waitBound):
 		require.Fail(p.t, p.name+" did not end")
 	}
 	return p.cmd.ProcessState.ExitCode()
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -127,7 +127,7 @@
 func (s *system) eventually(what string, f func() error) {
 	s.t.Helper()
 	var err error
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(poll) {
+	for end := time.Now().Add(waitBound); time.Now().Before(end); time.Sleep(poll) {
 		if err = f(); err == nil {
 			return
 		}
@@ -161,7 +161,11 @@
 // state is what the status command tells.
 type state struct {
 	Leader string `json:"leader"`
-	Views  []struct {
+	Voters []struct {
+		Address string `json:"address"`
+		Role    string `json:"role"`
+	} `json:"voters"`
+	Views []struct {
 		Group   string `json:"group"`
 		Term    string `json:"term"`
 		Primary string `json:"primary"`
@@ -184,6 +188,20 @@
 	return v, nil
 }
 
+// role returns the role of a control VM in the control group, or "" if it is not listed.
+func (s *system) role(address string) string {
+	v, err := s.status()
+	if err != nil {
+		return ""
+	}
+	for _, voter := range v.Voters {
+		if voter.Address == address {
+			return voter.Role
+		}
+	}
+	return ""
+}
+
 // primary returns the name of the primary.
 func (s *system) primary() string {
 	s.t.Helper()
