--- a/test/process_test.go
+++ b/test/process_test.go
@@ -18,7 +18,7 @@
 
 const (
 	waitBound = 30 * time.Second // bound of every wait for the system
-	poll     = 20 * time.Millisecond
+	poll      = 20 * time.Millisecond
 )
 
 // binary is the program under test, built once.
