--- a/internal/questionnaire/questionnaire_test.go
+++ b/internal/questionnaire/questionnaire_test.go
@@ -199,3 +199,22 @@
 	require.Equal(t, "a/new", secrets[0].User)
 	require.Equal(t, []string{"old"}, after.GetRetired())
 }
+
+// FuzzRead guards against a questionnaire that panics, and against one that is accepted but generates a
+// configuration that cannot be read back.
+func FuzzRead(f *testing.F) {
+	f.Add(filled)
+	f.Add(questionnaire.Blank())
+	f.Fuzz(func(t *testing.T, text string) {
+		q, err := questionnaire.Read(file(t, text))
+		if err != nil {
+			return
+		}
+		c, _, err := q.Generate(rand.Reader, nil)
+		require.NoError(t, err)
+		var out bytes.Buffer
+		require.NoError(t, configuration.Write(&out, c))
+		_, err = configuration.Read(file(t, out.String()))
+		require.NoError(t, err)
+	})
+}
