--- a/internal/entryvm/acquire.go
+++ b/internal/entryvm/acquire.go
@@ -213,17 +213,15 @@
 		conn, err = server.pool.Acquire(w.context(), target, s.id)
 	}
 	if err == nil {
-		if refusal := s.current(time.Now()); refusal != nil {
-			server.slots.leave(time.Now(), ticket, 0, false)
-			server.pool.Release(conn)
-			return nil, false, refusal
-		}
-		if s.route.group.state.Load().retires(server.id) {
-			server.slots.leave(time.Now(), ticket, 0, false)
+		now := time.Now()
+		refusal := s.current(now)
+		again := refusal == nil && s.route.group.state.Load().retires(server.id)
+		if refusal != nil || again {
+			server.slots.leave(now, ticket, 0, false)
 			server.pool.Release(conn)
-			return nil, true, nil
+			return nil, again, refusal
 		}
-		return &lane{conn: conn, server: server, slot: true, ticket: ticket, begun: time.Now()}, false, nil
+		return &lane{conn: conn, server: server, slot: true, ticket: ticket, begun: now}, false, nil
 	}
 	server.slots.leave(time.Now(), ticket, 0, true)
 	if w.context().Err() != nil {
