--- /dev/null
+++ b/internal/console/metrics.go
@@ -0,0 +1,67 @@
+package console
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime/metrics"
+	"strings"
+)
+
+// prefix goes before every name in /metrics.
+const prefix = "fireflyrudder_"
+
+// metrics writes the metrics of the process as text, one value a line, in the form that usual
+// scrapers read. Maps become labels, histograms the values of a summary.
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	if s.process.Vars != nil {
+		s.process.Vars.Do(func(kv expvar.KeyValue) { writeVar(w, prefix+s.process.Name+"_"+kv.Key, kv.Value) })
+	}
+	writeRuntime(w)
+}
+
+// writeVar writes one variable.
+func writeVar(w io.Writer, name string, v expvar.Var) {
+	if m, ok := v.(*expvar.Map); ok {
+		m.Do(func(kv expvar.KeyValue) { fmt.Fprintf(w, "%s{kind=%q} %s\n", name, kv.Key, kv.Value) })
+		return
+	}
+	text := v.String()
+	if !strings.HasPrefix(text, "{") {
+		fmt.Fprintf(w, "%s %s\n", name, text)
+		return
+	}
+	writeSummary(w, name, text)
+}
+
+// writeSummary writes a variable that is an object of numbers.
+func writeSummary(w io.Writer, name, text string) {
+	var s struct {
+		Count              int64
+		Sum, P50, P90, P99 float64
+		Max                float64
+	}
+	if err := json.Unmarshal([]byte(text), &s); err != nil {
+		fmt.Fprintf(w, "# %s is not readable: %v\n", name, err)
+		return
+	}
+	for _, q := range []struct {
+		quantile string
+		value    float64
+	}{{"0.5", s.P50}, {"0.9", s.P90}, {"0.99", s.P99}, {"1", s.Max}} {
+		fmt.Fprintf(w, "%s_seconds{quantile=%q} %g\n", name, q.quantile, q.value)
+	}
+	fmt.Fprintf(w, "%s_seconds_sum %g\n%s_seconds_count %d\n", name, s.Sum, name, s.Count)
+}
+
+// writeRuntime writes memory and goroutines of the process.
+func writeRuntime(w io.Writer) {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/objects:bytes"}, {Name: "/sched/goroutines:goroutines"}}
+	metrics.Read(samples)
+	for i, name := range []string{"memory_bytes", "heap_bytes", "goroutines"} {
+		fmt.Fprintf(w, "%s%s %d\n", prefix, name, samples[i].Value.Uint64())
+	}
+}
--- a/internal/console/server.go
+++ b/internal/console/server.go
@@ -24,7 +24,7 @@
 	Ready func(ctx context.Context) error        // nil while the process serves; nil function means always
 }
 
-// Server answers GET /debug/vars, /dump and /ready.
+// Server answers GET /debug/vars, /metrics, /dump and /ready.
 type Server struct {
 	process  Process
 	listener net.Listener
@@ -42,6 +42,7 @@
 	mux.HandleFunc("GET /debug/vars", s.vars)
 	mux.HandleFunc("GET /dump", s.dump)
 	mux.HandleFunc("GET /ready", s.ready)
+	mux.HandleFunc("GET /metrics", s.metrics)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: answerTimeout}
 	return s, nil
 }
--- a/internal/contract/book.go
+++ b/internal/contract/book.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// Apply applies the committed entry at a log index. It returns a decision for a change and nil for
-// all else. Entries that no longer fit the state, such as a late promotion, have no effect. An index
+// Apply applies the committed entry at a log index. It returns a decision for a change or a
+// published configuration and nil for all else. Entries that no longer fit the state, such as a late promotion, have no effect. An index
 // that was applied before has no effect either; a change then gets its recorded decision.
 func (b *Book) Apply(index uint64, e *wire.Entry) *wire.Decision {
 	if index <= b.index {
@@ -118,6 +118,12 @@
 		if e.Register.GetEntry() != "" {
 			b.registrations = put(b.registrations, e.Register, (*wire.Registration).GetEntry)
 		}
+	case *wire.Entry_Publish:
+		return b.publish(e.Publish)
+	case *wire.Entry_Enlist:
+		b.enlist(e.Enlist)
+	case *wire.Entry_Delist:
+		b.delist(e.Delist.GetServer())
 	case *wire.Entry_Forget:
 		b.registrations = drop(b.registrations, e.Forget, (*wire.Registration).GetEntry)
 	}
--- a/internal/contract/delta.go
+++ b/internal/contract/delta.go
@@ -8,12 +8,15 @@
 
 // Full returns the state that an entry VM needs to serve the groups; none means all.
 func (b *Book) Full(groups []string) *wire.Update {
-	u := &wire.Update{Index: b.index, Version: b.Version(), Full: b.configuration, Views: b.views}
+	c := b.configuration
+	u := &wire.Update{Index: b.index, Version: b.Version(), Views: b.views}
+	u.Full = &wire.Configuration{
+		Version: c.GetVersion(), Change: c.GetChange(), Accounts: c.GetAccounts(), Retired: c.GetRetired(), Idle: c.GetIdle(),
+	}
 	if len(groups) == 0 {
+		u.Full.Routes, u.Full.Groups = c.GetRoutes(), c.GetGroups()
 		return u
 	}
-	c := b.configuration
-	u.Full = &wire.Configuration{Version: c.GetVersion(), Change: c.GetChange(), Accounts: c.GetAccounts(), Retired: c.GetRetired()}
 	u.Views = nil
 	for _, r := range c.GetRoutes() {
 		if slices.Contains(groups, r.GetGroup()) {
--- /dev/null
+++ b/internal/contract/publish.go
@@ -0,0 +1,181 @@
+package contract
+
+import (
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Arranged returns a copy of a configuration with accounts, routes, groups and retired servers
+// sorted by name, as a Book holds them. The error names what makes the configuration invalid.
+func Arranged(c *wire.Configuration) (*wire.Configuration, error) {
+	c = proto.CloneOf(c)
+	slices.SortFunc(c.Accounts, byName[*wire.Account])
+	slices.SortFunc(c.Routes, byName[*wire.Route])
+	slices.SortFunc(c.Groups, byName[*wire.Group])
+	slices.Sort(c.Retired)
+	if fault := invalid(c); fault != "" {
+		return nil, &InvalidError{Fault: fault}
+	}
+	return c, nil
+}
+
+// InvalidError tells why a published configuration was refused. It never takes effect.
+type InvalidError struct {
+	Fault string // what is wrong and the remedy
+}
+
+// Error returns the fault.
+func (e *InvalidError) Error() string { return "contract: invalid configuration: " + e.Fault }
+
+type named interface{ GetName() string }
+
+func byName[T named](a, b T) int {
+	switch {
+	case a.GetName() < b.GetName():
+		return -1
+	case a.GetName() > b.GetName():
+		return 1
+	}
+	return 0
+}
+
+// invalid returns what is wrong with a sorted configuration, or "".
+func invalid(c *wire.Configuration) string {
+	switch {
+	case !sorted(c.GetAccounts(), (*wire.Account).GetName):
+		return "two accounts have the same name; rename one"
+	case !sorted(c.GetRoutes(), (*wire.Route).GetName):
+		return "two routes have the same name; rename one"
+	case !sorted(c.GetGroups(), (*wire.Group).GetName):
+		return "two groups have the same name; rename one"
+	}
+	for _, r := range c.GetRoutes() {
+		if _, ok := get(c.GetGroups(), r.GetGroup(), (*wire.Group).GetName); !ok {
+			return fmt.Sprintf("route %q names the unknown group %q; add the group or correct the route", r.GetName(), r.GetGroup())
+		}
+		if r.GetTimeout() <= 0 {
+			return fmt.Sprintf("route %q has a timeout of %d ms; give one above 0", r.GetName(), r.GetTimeout())
+		}
+	}
+	return sharedKey(c)
+}
+
+// sharedKey returns what is wrong if two accounts share a key, or "".
+func sharedKey(c *wire.Configuration) string {
+	owners := map[string]string{}
+	for _, a := range c.GetAccounts() {
+		for _, k := range a.GetKeys() {
+			owner, used := owners[string(k.GetDigest())]
+			if used && owner != a.GetName() {
+				return fmt.Sprintf("accounts %q and %q share a key; withdraw it from one of them", owner, a.GetName())
+			}
+			owners[string(k.GetDigest())] = a.GetName()
+		}
+	}
+	return ""
+}
+
+// publish replaces the configuration by one of a higher version. A configuration of the present or
+// a lower version changes nothing. Deltas across a published version are not kept.
+func (b *Book) publish(c *wire.Configuration) *wire.Decision {
+	if c.GetVersion() > b.Version() {
+		b.configuration = c
+		b.base = c.GetVersion()
+		b.edits = nil
+		b.regroup()
+	}
+	return &wire.Decision{Verdict: wire.Verdict_VERDICT_ACCEPTED, Version: b.Version()}
+}
+
+// regroup makes views for new groups and drops those of groups that are gone.
+func (b *Book) regroup() {
+	kept := make([]*wire.View, 0, len(b.configuration.GetGroups()))
+	for _, g := range b.configuration.GetGroups() {
+		v, ok := b.View(g.GetName())
+		if !ok {
+			v = &wire.View{Group: g.GetName(), Revision: b.index}
+		}
+		kept = append(kept, v)
+	}
+	b.views = kept
+}
+
+// enlist takes over what an instance says of itself. The latest start of an instance counts, and at
+// one address only the instance that started last: an announcement that was delayed must not bring
+// back an instance that ended.
+func (b *Book) enlist(e *wire.Enlist) {
+	m := e.GetMember()
+	if _, ok := b.View(e.GetGroup()); !ok || m.GetServer() == "" || b.isOld(m) {
+		return
+	}
+	for _, other := range slices.Clone(b.views) {
+		b.vacate(other, m, other.GetGroup() == e.GetGroup())
+	}
+	v, _ := b.View(e.GetGroup())
+	b.amend(v, func(v *wire.View) {
+		v.Members = put(v.GetMembers(), m, (*wire.Member).GetServer)
+	})
+}
+
+// isOld reports whether a later announcement, or a later instance at the address, is known.
+func (b *Book) isOld(m *wire.Member) bool {
+	for _, v := range b.views {
+		for _, known := range v.GetMembers() {
+			if known.GetServer() == m.GetServer() && !follows(m, known) {
+				return true
+			}
+			if known.GetServer() != m.GetServer() && known.GetAddress() == m.GetAddress() && known.GetBorn() > m.GetBorn() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// follows reports whether m was announced after known by the same instance.
+func follows(m, known *wire.Member) bool {
+	if m.GetBorn() != known.GetBorn() {
+		return m.GetBorn() > known.GetBorn()
+	}
+	return m.GetSequence() > known.GetSequence()
+}
+
+// vacate removes members of a view that m replaces: others at its address, and m itself in another group.
+func (b *Book) vacate(v *wire.View, m *wire.Member, own bool) {
+	members := slices.DeleteFunc(slices.Clone(v.GetMembers()), func(o *wire.Member) bool {
+		if o.GetServer() == m.GetServer() {
+			return !own
+		}
+		return o.GetAddress() == m.GetAddress()
+	})
+	if len(members) != len(v.GetMembers()) {
+		b.amend(v, func(v *wire.View) { v.Members = members })
+	}
+}
+
+// delist removes an instance that ended. A primary stays named in its view, so that a successor is
+// looked for.
+func (b *Book) delist(server string) {
+	v, ok := b.View(b.member(server))
+	if !ok {
+		return
+	}
+	b.amend(v, func(v *wire.View) {
+		v.Members = drop(v.GetMembers(), server, (*wire.Member).GetServer)
+	})
+}
+
+// Member returns what is known of an instance and its group.
+func (b *Book) Member(server string) (m *wire.Member, group string, ok bool) {
+	group = b.member(server)
+	v, found := b.View(group)
+	if !found {
+		return nil, "", false
+	}
+	m, ok = get(v.GetMembers(), server, (*wire.Member).GetServer)
+	return m, group, ok
+}
--- a/internal/controllog/membership.go
+++ b/internal/controllog/membership.go
@@ -174,10 +174,10 @@
 	if f == nil {
 		return false
 	}
-	wait := ReplaceAfter
+	wait := v.place.Replace
 	for _, other := range v.Membership().Members {
 		if other.Learner && other.Address == m.Address {
-			wait = SupersededAfter
+			wait = min(wait, SupersededAfter)
 		}
 	}
 	return now.Sub(f.heard) >= wait
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -32,11 +32,12 @@
 
 // Place tells a voter where it runs.
 type Place struct {
-	Address string   // IP:port of the own gRPC listener
-	Zone    string   // availability zone
-	Peers   []string // addresses of all control VMs, the own one included; empty for a group of one
-	Spare   bool     // never forms a group; joins as a learner
-	Compact uint64   // committed records between snapshots; 0 means CompactAfter
+	Address string        // IP:port of the own gRPC listener
+	Zone    string        // availability zone
+	Peers   []string      // addresses of all control VMs, the own one included; empty for a group of one
+	Spare   bool          // never forms a group; joins as a learner
+	Compact uint64        // committed records between snapshots; 0 means CompactAfter
+	Replace time.Duration // silence after which a spare replaces a voter; 0 means ReplaceAfter
 }
 
 // State is what a voter finds in its data folder.
@@ -107,6 +108,9 @@
 	if place.Compact == 0 {
 		v.place.Compact = CompactAfter
 	}
+	if place.Replace == 0 {
+		v.place.Replace = ReplaceAfter
+	}
 	if s := restored.Snapshot; s != nil {
 		v.log.reset(s)
 		v.commit, v.compacted = s.Index, s.Index
--- a/internal/controlvm/dump.go
+++ b/internal/controlvm/dump.go
@@ -29,15 +29,18 @@
 
 // console answers HTTP until the context ends.
 func (vm *VM) console(ctx context.Context) error {
-	s, err := console.Listen(vm.options.Console.Listen, console.Process{
-		Name: "control", Vars: vm.metrics.all, Dump: vm.dump, Ready: vm.available,
-	})
+	s, err := console.Listen(vm.options.Console.Listen, vm.Process())
 	if err != nil {
 		return err
 	}
 	return s.Serve(ctx)
 }
 
+// Process returns what a console shows of this control VM.
+func (vm *VM) Process() console.Process {
+	return console.Process{Name: "control", Vars: vm.metrics.all, Dump: vm.dump, Ready: vm.available}
+}
+
 func (vm *VM) dump(ctx context.Context) (any, error) {
 	var d dump
 	var book *wire.Book
--- a/internal/controlvm/effect.go
+++ b/internal/controlvm/effect.go
@@ -6,6 +6,7 @@
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
+	"fireflyrudder.example/fireflyrudder/internal/clock"
 	"fireflyrudder.example/fireflyrudder/internal/controllog"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
@@ -103,9 +104,9 @@
 		return nil
 	}
 	last := vm.unsynced[n-1]
-	started := time.Now()
+	started := clock.Now()
 	vm.fail(vm.folder.Append(vm.unsynced))
-	vm.metrics.synced(time.Since(started), n)
+	vm.metrics.synced(clock.Since(started), n)
 	vm.unsynced = nil
 	if vm.fault != nil {
 		return nil
@@ -117,10 +118,10 @@
 func (vm *VM) settle() {
 	for vm.fault == nil && (len(vm.unsynced) > 0 || vm.changed) {
 		if last := vm.flush(); last != nil {
-			vm.step(time.Now(), controllog.Synced{Index: last.Index, Term: last.Term})
+			vm.step(clock.Now(), controllog.Synced{Index: last.Index, Term: last.Term})
 		}
 		if vm.changed {
-			vm.react(time.Now())
+			vm.react(clock.Now())
 		}
 	}
 	if vm.fault != nil {
--- a/internal/controlvm/export_test.go
+++ b/internal/controlvm/export_test.go
@@ -14,7 +14,7 @@
 }
 
 // Close ends all connections.
-func (b *Backends) Close() { b.b.close() }
+func (b *Backends) Close() { b.b.Close() }
 
 // Fence returns the role and the position that the instance promises with.
 func (b *Backends) Fence(ctx context.Context, address string, term uint64) (role string, pos uint64, err error) {
@@ -42,7 +42,7 @@
 
 // Terminate closes the connections of an entry VM.
 func (b *Backends) Terminate(ctx context.Context, address, entry string) error {
-	return b.b.terminate(ctx, address, entry)
+	return b.b.Terminate(ctx, address, entry)
 }
 
 // PromisedHigher tells a refusal from an instance out of reach.
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -23,7 +23,7 @@
 	seen    uint64                 // index of the book last configured from
 	known   map[lease.EntryID]bool // registered
 
-	coordinator *failover.Coordinator
+	coordinator failover.Policy
 	version     uint64            // configuration last told to the coordinator
 	revisions   map[string]uint64 // of the views last told to the coordinator, by group; nil at first
 
@@ -41,13 +41,21 @@
 		issuer:  lease.NewIssuer(now, book.Configuration(), book.Registrations()),
 		leaving: map[lease.EntryID]bool{},
 
-		coordinator: failover.New(vm.folder.Identity()),
+		coordinator: vm.policy(),
 	}
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	vm.leadership = d
 	vm.changed = true
 }
 
+// policy returns the failover policy of a new leader.
+func (vm *VM) policy() failover.Policy {
+	if vm.options.Policy != nil {
+		return vm.options.Policy(vm.folder.Identity())
+	}
+	return failover.New(vm.folder.Identity())
+}
+
 // react follows changes of the book. It runs between steps of the voter, because it may propose.
 func (vm *VM) react(now time.Time) {
 	vm.changed = false
@@ -119,7 +127,7 @@
 		return
 	}
 	go func() {
-		if vm.backends.terminate(d.ctx, address, string(e.Entry)) != nil {
+		if vm.fleet.Terminate(d.ctx, address, string(e.Entry)) != nil {
 			return
 		}
 		vm.post(d.ctx, func(time.Time) { d.issuer.Terminated(e.Entry, e.Server) }) //nolint:errcheck // the leadership has ended
@@ -174,5 +182,8 @@
 	reply.Expiry = lease.Life.Milliseconds()
 	reply.Credits, reply.Budgets = d.issuer.Renew(now, r)
 	reply.Settling = d.issuer.Settling()
+	for _, m := range vm.voter.Membership().Members {
+		reply.Controls = append(reply.Controls, m.Address)
+	}
 	return reply, true
 }
--- a/internal/controlvm/order.go
+++ b/internal/controlvm/order.go
@@ -65,24 +65,13 @@
 
 // call calls a function of a backend server and hands the answer to the coordinator.
 func (vm *VM) call(d *leadership, c failover.Call) {
-	ctx, cancel := context.WithTimeout(d.ctx, failover.CallTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, c.Timeout())
 	defer cancel()
-	var i instance
-	var err error
-	switch term := uint64(c.Term); c.Function {
-	case failover.Fence:
-		i, err = vm.backends.fence(ctx, c.Address, term)
-	case failover.Promote:
-		i, err = vm.backends.promote(ctx, c.Address, term)
-	case failover.Follow:
-		i, err = vm.backends.follow(ctx, c.Address, term, c.Primary)
-	default:
-		i, err = vm.backends.status(ctx, c.Address)
+	report, err := vm.fleet.Call(ctx, c)
+	if err == nil && (report.Server != c.Server || report.Group != c.Group) {
+		err = errors.Newf("controlvm: %s is %s of group %s, not %s of %s", c.Address, report.Server, report.Group, c.Server, c.Group)
 	}
-	if err == nil && (i.Server != string(c.Server) || i.Group != string(c.Group)) {
-		err = errors.Newf("controlvm: %s is %s of group %s, not %s of %s", c.Address, i.Server, i.Group, c.Server, c.Group)
-	}
-	answer := failover.Answered{Call: c, Report: i.report(c.Address), Err: err}
+	answer := failover.Answered{Call: c, Report: report, Err: err}
 	vm.post(d.ctx, func(now time.Time) { //nolint:errcheck // the leadership has ended
 		if vm.leadership == d {
 			vm.order(now, answer)
--- /dev/null
+++ b/internal/controlvm/publish.go
@@ -0,0 +1,210 @@
+package controlvm
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/failover"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// leaderPause is the wait before the leader is asked again, when none is known or it did not answer.
+const leaderPause = 50 * time.Millisecond
+
+// ErrNoLeader tells that no leader answered within the time of the call. The call may be sent
+// again, to any control VM.
+var ErrNoLeader = errors.New("controlvm: no leader answered; send the call again")
+
+// Publish makes a whole configuration durable if its version is above the present one. It returns
+// the version in force. A *contract.InvalidError means that the configuration was refused; after
+// any other error it may or may not come into force.
+func (vm *VM) Publish(ctx context.Context, c *wire.Configuration) (uint64, error) {
+	c, err := contract.Arranged(c)
+	if err != nil {
+		return 0, err
+	}
+	var version uint64
+	err = vm.lead(ctx, func(ctx context.Context) error {
+		version, err = vm.publish(ctx, c)
+		return err
+	}, func(ctx context.Context, leader wire.ControlClient) error {
+		reply, err := leader.Publish(ctx, &wire.PublishRequest{Configuration: c})
+		version = reply.GetVersion()
+		return err
+	})
+	return version, err
+}
+
+// Read returns the configuration in force. Only a leader under its lease knows which one that is.
+func (vm *VM) Read(ctx context.Context) (*wire.Configuration, error) {
+	var c *wire.Configuration
+	err := vm.lead(ctx, func(ctx context.Context) error {
+		var err error
+		c, err = vm.read(ctx)
+		return err
+	}, func(ctx context.Context, leader wire.ControlClient) error {
+		reply, err := leader.Read(ctx, &wire.ReadRequest{})
+		c = reply.GetConfiguration()
+		return err
+	})
+	return c, err
+}
+
+// Announce takes over what an instance says of itself. It returns once a change of the instance is
+// durable, so that every entry VM hears of it.
+func (vm *VM) Announce(ctx context.Context, r *wire.AnnounceRequest) error {
+	return vm.lead(ctx, func(ctx context.Context) error {
+		return vm.announced(ctx, r)
+	}, func(ctx context.Context, leader wire.ControlClient) error {
+		_, err := leader.Announce(ctx, r)
+		return err
+	})
+}
+
+// lead runs a call at the leader: here, or at the control VM that leads. It tries again while the
+// leader changes, until the context ends; so a call may run twice.
+func (vm *VM) lead(ctx context.Context, here func(context.Context) error, there func(context.Context, wire.ControlClient) error) error {
+	for {
+		err := here(ctx)
+		var redirect errRedirect
+		if !errors.As(err, &redirect) {
+			return err
+		}
+		if redirect.leader != "" {
+			client, dialError := vm.peers.client(redirect.leader)
+			if dialError != nil {
+				return dialError
+			}
+			if err = there(ctx, client); err == nil {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.CombineErrors(ErrNoLeader, err)
+		case <-time.After(leaderPause):
+		}
+	}
+}
+
+// publish proposes a configuration here.
+func (vm *VM) publish(ctx context.Context, c *wire.Configuration) (uint64, error) {
+	decided, err := vm.commit(ctx, &wire.Entry{Entry: &wire.Entry_Publish{Publish: c}})
+	if err != nil {
+		return 0, err
+	}
+	vm.metrics.changes.Add(1)
+	return decided.decision.GetVersion(), nil
+}
+
+// read returns the configuration if this control VM certainly leads. The lease is asked for again
+// after the configuration was taken, since the process may have slept in between.
+func (vm *VM) read(ctx context.Context) (*wire.Configuration, error) {
+	var c *wire.Configuration
+	refusal := error(errRedirect{})
+	err := vm.do(ctx, func(now time.Time) {
+		c = vm.book.Configuration()
+		if vm.voter.Lease(now) {
+			refusal = nil
+			return
+		}
+		if vm.voter.Role().String() != "leader" {
+			refusal = errRedirect{vm.voter.LeaderAddress(now)}
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return c, refusal
+}
+
+// announced steps the failover policy and makes a change of the instance durable.
+func (vm *VM) announced(ctx context.Context, r *wire.AnnounceRequest) error {
+	var entry *wire.Entry
+	var refusal error
+	err := vm.do(ctx, func(now time.Time) {
+		if vm.leadership == nil || !vm.voter.Lease(now) {
+			refusal = errRedirect{vm.otherLeader(now)}
+			return
+		}
+		vm.metrics.announced.Add(1)
+		entry = vm.news(now, r)
+	})
+	if err = errors.CombineErrors(err, refusal); err != nil || entry == nil {
+		return err
+	}
+	_, err = vm.commit(ctx, entry)
+	return err
+}
+
+// otherLeader returns the address of another control VM that leads, or "".
+func (vm *VM) otherLeader(now time.Time) string {
+	if leader := vm.voter.LeaderAddress(now); leader != vm.options.Control.Listen {
+		return leader
+	}
+	return ""
+}
+
+// news tells the failover policy and returns the entry that the log lacks, or nil.
+func (vm *VM) news(now time.Time, r *wire.AnnounceRequest) *wire.Entry {
+	a := r.GetAnnouncement()
+	if a == nil {
+		vm.order(now, failover.Ended{Server: failover.ServerID(r.GetEnded())})
+		if _, _, known := vm.book.Member(r.GetEnded()); !known {
+			return nil
+		}
+		return &wire.Entry{Entry: &wire.Entry_Delist{Delist: &wire.Delist{Server: r.GetEnded()}}}
+	}
+	m := a.GetMember()
+	known, group, ok := vm.book.Member(m.GetServer())
+	if ok && (m.GetBorn() < known.GetBorn() || m.GetBorn() == known.GetBorn() && m.GetSequence() < known.GetSequence()) {
+		return nil // overtaken by a later announcement
+	}
+	if _, configured := vm.book.Group(a.GetGroup()); !configured {
+		return nil
+	}
+	role := ""
+	if a.GetPrimary() {
+		role = "primary"
+	}
+	vm.order(now, failover.Announced{Report: failover.Report{
+		Server: failover.ServerID(m.GetServer()), Group: failover.GroupID(a.GetGroup()), Address: m.GetAddress(), Zone: m.GetZone(),
+		Role: role, Leaving: m.GetLeaving(),
+	}})
+	if ok && group == a.GetGroup() && sameMember(m, known) {
+		return nil
+	}
+	return &wire.Entry{Entry: &wire.Entry_Enlist{Enlist: &wire.Enlist{Group: a.GetGroup(), Member: m}}}
+}
+
+// sameMember reports whether an announcement tells nothing new.
+func sameMember(m, known *wire.Member) bool {
+	return m.GetAddress() == known.GetAddress() && m.GetZone() == known.GetZone() &&
+		m.GetLeaving() == known.GetLeaving() && m.GetBorn() == known.GetBorn()
+}
+
+// Publish takes a configuration at the leader.
+func (s *service) Publish(ctx context.Context, r *wire.PublishRequest) (*wire.PublishReply, error) {
+	c, err := contract.Arranged(r.GetConfiguration())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	version, err := s.vm.publish(ctx, c)
+	return &wire.PublishReply{Version: version}, failure(err)
+}
+
+// Read returns the configuration at the leader.
+func (s *service) Read(ctx context.Context, _ *wire.ReadRequest) (*wire.ReadReply, error) {
+	c, err := s.vm.read(ctx)
+	return &wire.ReadReply{Configuration: c}, failure(err)
+}
+
+// Announce takes an announcement at the leader.
+func (s *service) Announce(ctx context.Context, r *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
+	return &wire.AnnounceReply{}, failure(s.vm.announced(ctx, r))
+}
--- a/internal/controlvm/server.go
+++ b/internal/controlvm/server.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgxpool"
 
+	"fireflyrudder.example/fireflyrudder/internal/failover"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
@@ -57,8 +58,8 @@
 	}
 }
 
-// close ends all connections.
-func (b *backends) close() {
+// Close ends all connections.
+func (b *backends) Close() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, p := range b.pools {
@@ -92,6 +93,23 @@
 	return p, nil
 }
 
+// Call calls the function that the failover policy asks for.
+func (b *backends) Call(ctx context.Context, c failover.Call) (failover.Report, error) {
+	var i instance
+	var err error
+	switch term := uint64(c.Term); c.Function {
+	case failover.Fence:
+		i, err = b.fence(ctx, c.Address, term)
+	case failover.Promote:
+		i, err = b.promote(ctx, c.Address, term)
+	case failover.Follow:
+		i, err = b.follow(ctx, c.Address, term, c.Primary)
+	default:
+		i, err = b.status(ctx, c.Address)
+	}
+	return i.report(c.Address), err
+}
+
 // status asks an instance for its state.
 func (b *backends) status(ctx context.Context, address string) (instance, error) {
 	return b.state(ctx, callTimeout, address, "SELECT * FROM group_status()")
@@ -112,8 +130,8 @@
 	return b.state(ctx, followTimeout, address, "SELECT * FROM group_follow($1, $2)", int64(term), primary)
 }
 
-// terminate closes all connections of an entry VM at an instance.
-func (b *backends) terminate(ctx context.Context, address, entry string) error {
+// Terminate closes all connections of an entry VM at an instance.
+func (b *backends) Terminate(ctx context.Context, address, entry string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	p, err := b.pool(address)
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -14,9 +14,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"fireflyrudder.example/fireflyrudder/internal/certificate"
+	"fireflyrudder.example/fireflyrudder/internal/clock"
 	"fireflyrudder.example/fireflyrudder/internal/contract"
 	"fireflyrudder.example/fireflyrudder/internal/controllog"
 	"fireflyrudder.example/fireflyrudder/internal/disk"
+	"fireflyrudder.example/fireflyrudder/internal/failover"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
@@ -38,6 +40,12 @@
 	Listener net.Listener // gRPC listener; opened from the settings if nil
 	Announce net.Listener // announcement listener; opened from the settings if nil
 	Compact  uint64       // committed records between snapshots; 0 means the default
+	// Fleet makes the calls to backend servers; nil means instances that speak PostgreSQL.
+	Fleet Fleet
+	// Policy returns the failover policy of a new leader; nil means failover.New.
+	Policy func(identity string) failover.Policy
+	// Replace is the silence after which a spare replaces a voter; 0 means the default.
+	Replace time.Duration
 }
 
 // VM is one control process. Its fields below events belong to the goroutine of loop.
@@ -47,7 +55,8 @@
 	password string
 	folder   *disk.Folder
 	outbox   *outbox
-	backends *backends
+	fleet    Fleet
+	peers    *peers
 	metrics  *metrics
 	events   chan func(now time.Time)
 	ended    chan struct{} // closed when the loop has ended
@@ -92,12 +101,15 @@
 	if vm.folder, err = disk.Open(options.Control.Data); err != nil {
 		return nil, err
 	}
-	if err := vm.restore(time.Now()); err != nil {
+	if err := vm.restore(clock.Now()); err != nil {
 		_ = vm.folder.Close()
 		return nil, err
 	}
 	vm.outbox = newOutbox(vm.pair, vm.metrics)
-	vm.backends = newBackends(options.Control.Server.User, vm.password, vm.folder.Identity(), vm.metrics)
+	vm.peers = newPeers(vm.pair)
+	if vm.fleet = options.Fleet; vm.fleet == nil {
+		vm.fleet = newBackends(options.Control.Server.User, vm.password, vm.folder.Identity(), vm.metrics)
+	}
 	return vm, nil
 }
 
@@ -113,6 +125,7 @@
 	c := vm.options.Control
 	place := controllog.Place{
 		Address: c.Listen, Zone: vm.options.Node.Zone, Peers: c.Peers, Spare: c.Join, Compact: vm.options.Compact,
+		Replace: vm.options.Replace,
 	}
 	state := controllog.State{
 		Term: found.Vote.GetTerm(), Vote: controllog.Identity(found.Vote.GetCandidate()),
@@ -141,11 +154,14 @@
 // Run serves until the context ends or the disk fails. It returns nil after a planned stop.
 func (vm *VM) Run(ctx context.Context) error {
 	defer io.Closer(vm.folder).Close()
-	defer vm.backends.close()
+	defer vm.fleet.Close()
+	defer vm.peers.close()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return vm.loop(ctx) })
 	g.Go(func() error { return vm.serve(ctx) })
-	g.Go(func() error { return vm.announcements(ctx) })
+	if vm.options.Announce != nil || vm.options.Control.Announce != "" {
+		g.Go(func() error { return vm.announcements(ctx) })
+	}
 	g.Go(func() error { return vm.outbox.run(ctx) })
 	if vm.options.Console.Listen != "" {
 		g.Go(func() error { return vm.console(ctx) })
@@ -176,12 +192,12 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
-			now := time.Now()
+			now := clock.Now()
 			vm.step(now, controllog.Tick{})
 			vm.duty(now)
 			vm.lonely(now)
 		case event := <-vm.events:
-			event(time.Now())
+			event(clock.Now())
 			vm.drain()
 		}
 		vm.settle()
@@ -207,7 +223,7 @@
 	for range maxBatch {
 		select {
 		case event := <-vm.events:
-			event(time.Now())
+			event(clock.Now())
 		default:
 			return
 		}
--- a/internal/entryvm/acquire.go
+++ b/internal/entryvm/acquire.go
@@ -146,14 +146,14 @@
 	limit := w.deadline
 	for {
 		now := time.Now()
-		result, granted := s.vm.credits.take(now, account, cost)
+		result, granted := s.vm.credits.Take(now, account, cost)
 		switch result.Verdict {
 		case lease.Admitted:
 			return nil
 		case lease.Refused:
 			return overRate(result.Retry)
 		}
-		if limit.Equal(w.deadline) && s.vm.credits.settledAfter(arrived) {
+		if limit.Equal(w.deadline) && s.vm.credits.SettledAfter(arrived) {
 			limit = now.Add(creditWait)
 		}
 		if !s.vm.leased(now) {
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -105,7 +105,7 @@
 
 // budget keeps the connections to a server within its lease. The status link comes first.
 func (vm *VM) budget(now time.Time, s *server) {
-	n := vm.credits.connections(now, lease.ServerID(s.id))
+	n := vm.credits.Connections(now, lease.ServerID(s.id))
 	if n > 0 && s.linked != nil {
 		s.linked()
 		s.linked = nil
@@ -226,7 +226,7 @@
 		}
 		if _, ok := g.servers[id]; !ok {
 			g.servers[id] = vm.newServer(g, c, m)
-			vm.control.wake() // asks for its connections
+			vm.control.Wake() // asks for its connections
 		}
 	}
 	for id, s := range g.servers {
@@ -281,7 +281,7 @@
 		id:      watermark.ServerID(m.GetServer()),
 		address: m.GetAddress(),
 		zone:    m.GetZone(),
-		pool:    backend.NewPool(vm.options.Credentials, vm.identity+"/statement", vm.control.wake),
+		pool:    backend.NewPool(vm.options.Credentials, vm.identity+"/statement", vm.control.Wake),
 		allowed: int(max(c.GetSlots(), 1)),
 		slots:   newSlots(int(max(c.GetSlots(), 1))),
 		router:  g.router,
@@ -360,7 +360,7 @@
 		vm.lags = now
 	case now.Sub(vm.lags) > lagWait:
 		vm.lags = now
-		vm.control.rewatch()
+		vm.control.Rewatch()
 	}
 }
 
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -21,6 +21,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/backend"
 	"fireflyrudder.example/fireflyrudder/internal/caller"
 	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/internal/retry"
 	"fireflyrudder.example/fireflyrudder/internal/session"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
@@ -37,8 +38,6 @@
 	eventQueue = 4096
 	// cachedStatements is the number of classifications kept; a statement text is below 8 KB.
 	cachedStatements = 4096
-	// leaveWait bounds the last Renew of a process that leaves.
-	leaveWait = time.Second
 )
 
 // Options are what a VM is made of. They do not change.
@@ -67,12 +66,12 @@
 	started  time.Time
 	draining atomic.Bool
 	sessions *registry
-	credits  *credits
+	credits  *renewal.Credits
 	retries  retries
 	cache    *statement.Cache
 	records  sync.Map // recordPlace: the table of request ids exists
 	metrics  *metrics
-	control  *control
+	control  *renewal.Client
 
 	// owner goroutine only
 	book   *contract.Book
@@ -99,8 +98,13 @@
 		groups:   make(map[string]*group),
 	}
 	vm.ctx, vm.stop = context.WithCancel(context.Background())
-	vm.control = newControl(vm)
-	vm.credits = newCredits(vm.control.recheck)
+	vm.control = renewal.New(host{vm}, renewal.Options{
+		Registration: &wire.Registration{Entry: vm.identity, Name: o.Node.Name, Zone: o.Node.Zone},
+		Groups:       o.Entry.Groups,
+		Controls:     func() []string { return o.Entry.Controls },
+		Dial:         o.Dial, Now: time.Now, Pause: renewal.Pause,
+	})
+	vm.credits = vm.control.Credits()
 	vm.retries.budget = retry.New(mathrand.Uint64(), retry.Budgeted)
 	vm.table.Store(newTable(vm.book.Configuration(), nil))
 	if vm.options.Listener == nil {
@@ -128,13 +132,13 @@
 func (vm *VM) Run(ctx context.Context) error {
 	defer vm.stop()
 	go vm.own()
-	go vm.control.run(vm.ctx)
+	go vm.control.Run(vm.ctx)
 	acceptor := caller.NewAcceptor(vm, vm.cancel, vm.options.TLS)
 	go vm.accept(acceptor)
 	log.WithField("address", vm.Address()).WithField("identity", vm.identity).Info("entry VM serves")
 	<-ctx.Done()
 	vm.drain()
-	vm.control.leave(leaveWait)
+	vm.control.Leave(renewal.LeaveWait)
 	vm.stop()
 	<-vm.done
 	return nil
--- a/internal/failover/event.go
+++ b/internal/failover/event.go
@@ -28,6 +28,14 @@
 	Primary     string
 	Slots       int
 	Connections int
+	Leaving     bool          // it says that it shuts down
+	Lag         time.Duration // age of its data against the primary, as it states it
+}
+
+// Policy orders the failovers of all database groups. Each control leader makes a new one. It is
+// stepped by one goroutine.
+type Policy interface {
+	Step(now time.Time, e Event) []Effect
 }
 
 // rolePrimary is the role of an instance that accepts writes.
@@ -85,6 +93,9 @@
 	Err    error
 }
 
+// Ended tells that an instance ended as planned.
+type Ended struct{ Server ServerID }
+
 // Tick lets time pass; due every 50 ms.
 type Tick struct{}
 
@@ -99,6 +110,7 @@
 func (Announced) event()  {}
 func (Sighted) event()    {}
 func (Answered) event()   {}
+func (Ended) event()      {}
 func (Tick) event()       {}
 func (Switch) event()     {}
 
@@ -108,21 +120,30 @@
 // Propose appends an entry to the control log. It may be lost; the Coordinator proposes again.
 type Propose struct{ Entry *wire.Entry }
 
-// Call calls a function of an instance. The shell bounds it to CallTimeout.
+// Call calls a function of an instance. The shell bounds it to Timeout.
 type Call struct {
 	Group    GroupID
 	Server   ServerID
 	Address  string
 	Function Function
 	Term     position.Term
-	Primary  string // address to follow
+	Primary  string        // address to follow
+	Limit    time.Duration // longest wait for the answer; 0 means CallTimeout
+}
+
+// Timeout returns the longest time that a shell waits for the answer.
+func (c Call) Timeout() time.Duration {
+	if c.Limit > 0 {
+		return c.Limit
+	}
+	return CallTimeout
 }
 
 func (Propose) effect() {}
 func (Call) effect()    {}
 
 const (
-	// CallTimeout is the longest time that a shell waits for the answer to a Call.
+	// CallTimeout is the longest time that a shell waits for the answer to most calls.
 	CallTimeout = 300 * time.Millisecond
 	// silence of the primary towards the control VM before it is suspected. Three announcements and
 	// five probes are missed by then, so 5% loss does not reach it.
--- a/internal/failover/group.go
+++ b/internal/failover/group.go
@@ -196,7 +196,7 @@
 		}
 	}
 	s.calls[f] = request{now, true}
-	g.coordinator.made = append(g.coordinator.made, Call{g.id, s.id, s.address, f, term, primary})
+	g.coordinator.made = append(g.coordinator.made, Call{Group: g.id, Server: s.id, Address: s.address, Function: f, Term: term, Primary: primary})
 }
 
 func (g *group) answered(now time.Time, e Answered) {
--- /dev/null
+++ b/internal/histogram/histogram.go
@@ -0,0 +1,65 @@
+// Package histogram holds latencies as a metric of expvar.
+package histogram
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	most    = int64(time.Minute / time.Microsecond)
+	figures = 2 // significant decimal figures
+)
+
+// Histogram counts durations. It is safe for concurrent use and implements expvar.Var.
+type Histogram struct {
+	mu     sync.Mutex
+	counts *hdrhistogram.Histogram // microseconds
+	sum    time.Duration
+}
+
+// New returns an empty histogram.
+func New() *Histogram {
+	return &Histogram{counts: hdrhistogram.New(1, most, figures)}
+}
+
+// Add counts a duration. Durations above a minute count as a minute.
+func (h *Histogram) Add(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sum += d
+	_ = h.counts.RecordValue(min(max(d.Microseconds(), 1), most)) // the value is in range
+}
+
+// Snapshot is the content of a histogram, in seconds.
+type Snapshot struct {
+	Count int64   `json:"count"`
+	Sum   float64 `json:"sum"`
+	P50   float64 `json:"p50"`
+	P90   float64 `json:"p90"`
+	P99   float64 `json:"p99"`
+	Max   float64 `json:"max"`
+}
+
+// Snapshot returns the present content.
+func (h *Histogram) Snapshot() Snapshot {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := func(quantile float64) float64 { return float64(h.counts.ValueAtQuantile(quantile)) / 1e6 }
+	return Snapshot{
+		Count: h.counts.TotalCount(), Sum: h.sum.Seconds(), P50: at(50), P90: at(90), P99: at(99),
+		Max: float64(h.counts.Max()) / 1e6,
+	}
+}
+
+// String writes the snapshot as JSON.
+func (h *Histogram) String() string {
+	text, err := json.Marshal(h.Snapshot())
+	if err != nil {
+		return "null" // a struct of numbers always marshals
+	}
+	return string(text)
+}
--- /dev/null
+++ b/internal/placement/reader.go
@@ -0,0 +1,113 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+const (
+	// primaryCharge keeps reads off a primary while a replica answers about as fast: writes have no
+	// other place to run. It is about one statement of either user.
+	primaryCharge = 20 * time.Millisecond
+	// lagCharge is the cost of asking a replica that is known to lack the position: a refusal and a
+	// second way.
+	lagCharge = 25 * time.Millisecond
+	// missCharge keeps reads off an instance that does not answer while another one does.
+	missCharge = 2 * time.Second
+	// openCharge is the cost of a connection that must be opened first.
+	openCharge = 15 * time.Millisecond
+	// tie is the difference of costs below which instances take turns.
+	tie = time.Millisecond
+)
+
+// Candidate is what an entry VM knows of an instance that may serve a read.
+type Candidate struct {
+	Server  ServerID
+	Primary bool
+	// Distance is the way there and back.
+	Distance time.Duration
+	// Latency is the recent time from sending a statement to its answer.
+	Latency time.Duration
+	// Connections is how many statements this entry VM may have at the instance at once.
+	Connections int
+	// Running and Waiting count the statements of this entry VM at the instance.
+	Running, Waiting int
+	// Seen is the position that the instance reported last, Ago before now; zero if it never did.
+	Seen position.Position
+	Ago  time.Duration
+	// Warm says that a connection for the client account is open and idle.
+	Warm bool
+	// Missing says that the instance did not answer last.
+	Missing bool
+	// Tried says that this read was refused there already.
+	Tried bool
+}
+
+// Reader chooses an instance for each read. It answers two loads: one hot primary, whose slots the
+// writes need, and one replica that lags or does not answer, where waiting costs more than another way.
+// It is not safe for concurrent use.
+type Reader struct {
+	random *rand.Rand
+}
+
+// NewReader returns a Reader. The seed decides ties.
+func NewReader(seed uint64) *Reader {
+	return &Reader{random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// Choose returns the index of the candidate to ask for a read that must see a position, or -1 if
+// all were tried.
+func (r *Reader) Choose(floor position.Position, candidates []Candidate) int {
+	best, least := -1, time.Duration(math.MaxInt64)
+	ties := 0
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Tried {
+			continue
+		}
+		cost := Cost(floor, c)
+		switch {
+		case cost < least-tie:
+			best, least, ties = i, cost, 1
+		case cost <= least+tie:
+			ties++
+			if r.random.IntN(ties) == 0 {
+				best, least = i, min(cost, least)
+			}
+		}
+	}
+	return best
+}
+
+// Cost is the expected time to the answer, with charges for what is likely to fail.
+func Cost(floor position.Position, c *Candidate) time.Duration {
+	cost := c.Distance + max(c.Latency-c.Distance, 0)
+	if c.Connections > 0 {
+		ahead := max(c.Running+c.Waiting+1-c.Connections, 0)
+		cost += time.Duration(ahead) * c.Latency / time.Duration(c.Connections)
+	} else {
+		cost += missCharge
+	}
+	if !c.Warm {
+		cost += openCharge
+	}
+	if c.Missing {
+		cost += missCharge
+	}
+	switch {
+	case c.Primary:
+		cost += primaryCharge
+	case lags(floor, c):
+		cost += lagCharge
+	}
+	return cost
+}
+
+// lags reports whether the replica is likely to lack the position still: it lacked it a short while ago.
+func lags(floor position.Position, c *Candidate) bool {
+	const recent = 30 * time.Millisecond
+	return !floor.IsZero() && c.Seen.Less(floor) && c.Ago < recent
+}
--- /dev/null
+++ b/internal/relay/dump.go
@@ -0,0 +1,66 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/console"
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+)
+
+// dump is the state of an entry VM as the console shows it. Keys are left out.
+type dump struct {
+	Identity string               `json:"identity"`
+	Version  uint64               `json:"version"`
+	Leased   bool                 `json:"leased"`
+	Draining bool                 `json:"draining"`
+	Sessions int                  `json:"sessions"`
+	Groups   map[string]dumpGroup `json:"groups"`
+}
+
+// dumpGroup is the state of a group.
+type dumpGroup struct {
+	Primary string               `json:"primary"`
+	Term    uint64               `json:"term"`
+	Proof   string               `json:"proof"` // newest position that a primary proved
+	Age     time.Duration        `json:"age"`   // of that proof
+	Lanes   map[string]lane.Load `json:"lanes"`
+}
+
+// Console returns what a console shows of this entry VM.
+func (r *Relay) Console() console.Process {
+	return console.Process{Name: "entry", Vars: r.metrics.all, Dump: r.dump, Ready: r.Ready}
+}
+
+func (r *Relay) dump(ctx context.Context) (any, error) {
+	answer := make(chan dump, 1)
+	r.post(func(now time.Time) {
+		d := dump{
+			Identity: r.identity, Version: r.book.Version(), Leased: r.leased(now), Draining: r.draining.Load(),
+			Sessions: r.count(), Groups: map[string]dumpGroup{},
+		}
+		for name, g := range r.groups {
+			d.Groups[name] = g.dump(now)
+		}
+		answer <- d
+	})
+	select {
+	case d := <-answer:
+		return d, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (g *group) dump(now time.Time) dumpGroup {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d := dumpGroup{Primary: g.primary, Term: g.term, Lanes: map[string]lane.Load{}}
+	if sent, at, ok := g.record.Newest(); ok {
+		d.Proof, d.Age = at.String(), now.Sub(sent)
+	}
+	for _, m := range g.members {
+		d.Lanes[string(m.id)] = m.lane.Load(now, "")
+	}
+	return d
+}
--- /dev/null
+++ b/internal/relay/group.go
@@ -0,0 +1,307 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"fireflyrudder.example/fireflyrudder/internal/freshness"
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/placement"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+const (
+	// refreshAfter is the age of the newest proof at which another one is fetched, while the group is
+	// used. It is well below the least stated age of the first users, 1.5 s.
+	refreshAfter = 400 * time.Millisecond
+	// usedFor is how long a group counts as used after its last statement.
+	usedFor = 5 * time.Second
+	// proofTimeout bounds one attempt to fetch a proof; it takes no slot.
+	proofTimeout = 400 * time.Millisecond
+	// agingMargin is kept from the stated age for the way of the caller's request to this VM.
+	agingMargin = 20 * time.Millisecond
+	// silentLane is the silence of a former primary at which its connections are closed at once.
+	silentLane = 250 * time.Millisecond
+)
+
+// member is an instance of a group.
+type member struct {
+	id      placement.ServerID
+	lane    *lane.Lane
+	born    uint64
+	zone    string
+	leaving bool
+}
+
+// group is a database group as this VM sees it. It is safe for concurrent use.
+type group struct {
+	name     string
+	now      func() time.Time
+	distance func(zone string) time.Duration
+	flight   singleflight.Group
+
+	mu      sync.Mutex
+	members []*member // sorted by id
+	primary string    // as the control group names it
+	term    uint64    // of the control group
+	holding bool      // a planned switchover runs; new writes wait
+	finder  *placement.Finder
+	reader  *placement.Reader
+	record  freshness.Record
+	used    time.Time
+	changed chan struct{} // closed and replaced when the view changes
+
+	revision uint64 // of the view followed last; owner goroutine only
+}
+
+func newGroup(name string, now func() time.Time, distance func(zone string) time.Duration) *group {
+	return &group{
+		name: name, now: now, distance: distance,
+		finder: placement.NewFinder(), reader: placement.NewReader(rand.Uint64()), changed: make(chan struct{}),
+	}
+}
+
+// follow takes over a view. It returns the lanes of instances that left.
+func (g *group) follow(now time.Time, v *wire.View, retired map[string]bool, open func(m *wire.Member) *lane.Lane) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	former := g.primary
+	g.replace(v, retired, open)
+	g.primary, g.term = v.GetPrimary(), v.GetTerm()
+	g.holding = v.GetPhase() == wire.Phase_PHASE_SWITCHING
+	g.finder.View(now, placement.ServerID(g.primary))
+	close(g.changed)
+	g.changed = make(chan struct{})
+	if former != "" && former != g.primary && v.GetPhase() == wire.Phase_PHASE_STEADY {
+		if m := g.find(placement.ServerID(former)); m != nil && m.lane.Silence(now) >= silentLane {
+			go m.lane.Sever()
+		}
+	}
+}
+
+// replace brings the members up to the view. The lock is held.
+func (g *group) replace(v *wire.View, retired map[string]bool, open func(m *wire.Member) *lane.Lane) {
+	var members []*member
+	for _, w := range v.GetMembers() {
+		id := placement.ServerID(w.GetServer())
+		m := g.find(id)
+		if m == nil || m.lane.Address() != w.GetAddress() || m.born != w.GetBorn() {
+			m = &member{id: id, lane: open(w), born: w.GetBorn()}
+		}
+		members = append(members, &member{
+			id: id, lane: m.lane, born: m.born, zone: w.GetZone(),
+			leaving: w.GetLeaving() || w.GetRetired() || retired[w.GetServer()],
+		})
+	}
+	for _, m := range g.members {
+		if !slices.ContainsFunc(members, func(n *member) bool { return n.lane == m.lane }) {
+			m.lane.Close()
+		}
+	}
+	g.members = members
+}
+
+// find returns a member, or nil. The lock is held.
+func (g *group) find(id placement.ServerID) *member {
+	for _, m := range g.members {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// close ends all lanes.
+func (g *group) close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		m.lane.Close()
+	}
+	g.members = nil
+}
+
+// lanes returns the lanes of all members.
+func (g *group) lanes() []*lane.Lane {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]*lane.Lane, 0, len(g.members))
+	for _, m := range g.members {
+		out = append(out, m.lane)
+	}
+	return out
+}
+
+// lead returns the lane of the instance to ask as the primary. Without one, wait says after how long
+// to ask again, unless the view changes before.
+func (g *group) lead(now time.Time, fresh bool) (l *lane.Lane, wait time.Duration, changed <-chan struct{}) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.used = now
+	if g.holding && fresh {
+		return nil, holdWait, g.changed
+	}
+	ids := make([]placement.ServerID, 0, len(g.members))
+	for _, m := range g.members {
+		ids = append(ids, m.id)
+	}
+	id, wait, ok := g.finder.Primary(now, ids)
+	if !ok {
+		return nil, wait, g.changed
+	}
+	return g.find(id).lane, 0, g.changed
+}
+
+// proved notes that an instance led when it was asked.
+func (g *group) proved(sent time.Time, server string, at position.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.finder.Prove(g.now(), placement.ServerID(server))
+	g.record.Prove(sent, at)
+}
+
+// refused notes that an instance does not lead.
+func (g *group) refused(server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.finder.Refuse(g.now(), placement.ServerID(server))
+}
+
+// lost notes that an instance did not answer.
+func (g *group) lost(server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.finder.Lose(g.now(), placement.ServerID(server))
+}
+
+// floor returns the position that a read of a session must see. It asks the primary if no proof is
+// young enough. It is false if none answered until ctx ended.
+func (g *group) floor(ctx context.Context, age time.Duration, session position.Position) (position.Position, bool) {
+	for {
+		g.mu.Lock()
+		g.used = g.now()
+		at, ok := g.record.Floor(g.used, age-agingMargin)
+		if ok && !session.IsZero() {
+			at = freshness.Max(at, g.record.Raise(session))
+		}
+		g.mu.Unlock()
+		if ok {
+			return at, true
+		}
+		if !g.refresh(ctx) {
+			return position.Position{}, false
+		}
+	}
+}
+
+// refresh fetches a proof, once for all who wait for it. It is false if ctx ended before.
+func (g *group) refresh(ctx context.Context) bool {
+	done := g.flight.DoChan("", func() (any, error) {
+		g.prove()
+		return nil, nil
+	})
+	select {
+	case <-done:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// prove asks the primary for the end of its log: a plain transaction begins only on an instance that
+// leads, and takes no slot.
+func (g *group) prove() {
+	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
+	defer cancel()
+	l, wait, changed := g.lead(g.now(), false)
+	if l == nil {
+		select {
+		case <-changed:
+		case <-time.After(min(wait, proofTimeout)):
+		}
+		return
+	}
+	h, err := l.Acquire(ctx, lane.Ticket{Account: l.Account(), Read: true}, &lane.Profile{})
+	if err != nil {
+		g.noteAcquire(l.Server(), err)
+		return
+	}
+	defer h.Release()
+	sent := g.now()
+	answers, err := h.Exchange(proofTimeout, operation.Statement{Kind: operation.Begin}, operation.Statement{Kind: operation.Rollback})
+	switch {
+	case err != nil:
+		g.lost(l.Server())
+	case answers[0].Code == operation.Done:
+		g.proved(sent, l.Server(), answers[0].At)
+	case answers[0].Code == operation.ReadOnly:
+		g.refused(l.Server())
+	}
+}
+
+// noteAcquire notes an instance that could not be reached.
+func (g *group) noteAcquire(server string, err error) {
+	if isUnreached(err) {
+		g.lost(server)
+	}
+}
+
+// tend fetches a proof in time while the group is used.
+func (g *group) tend(now time.Time) {
+	g.mu.Lock()
+	sent, _, ok := g.record.Newest()
+	due := now.Sub(g.used) < usedFor && (!ok || now.Sub(sent) >= refreshAfter)
+	g.mu.Unlock()
+	if due {
+		g.flight.DoChan("", func() (any, error) {
+			g.prove()
+			return nil, nil
+		})
+	}
+}
+
+// choose returns the lane of the instance to ask for a read, or nil if all were tried.
+func (g *group) choose(now time.Time, floor position.Position, account string, tried []string) *lane.Lane {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.used = now
+	candidates := make([]placement.Candidate, 0, len(g.members))
+	lanes := make([]*lane.Lane, 0, len(g.members))
+	for _, m := range g.members {
+		if m.leaving {
+			continue
+		}
+		load := m.lane.Load(now, account)
+		lanes = append(lanes, m.lane)
+		candidates = append(candidates, placement.Candidate{
+			Server: m.id, Primary: string(m.id) == g.primary, Distance: g.distance(m.zone), Latency: load.Latency,
+			Connections: load.Limit, Running: load.Running, Waiting: load.Waiting, Seen: load.Seen, Ago: load.Ago,
+			Warm: load.Warm, Missing: load.Missing, Tried: slices.Contains(tried, string(m.id)),
+		})
+	}
+	if i := g.reader.Choose(floor, candidates); i >= 0 {
+		return lanes[i]
+	}
+	return nil
+}
+
+// sight tells the control group what this VM sees of the primary.
+func (g *group) sight(now time.Time) *wire.Sight {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.find(placement.ServerID(g.primary))
+	if m == nil || now.Sub(g.used) >= usedFor {
+		return nil
+	}
+	silent := m.lane.Silence(now)
+	return &wire.Sight{
+		Group: g.name, Term: g.term, Server: g.primary, Reachable: silent < silentLane, Silent: silent.Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/relay/host.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/renewal"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// host is the Relay as its connection to the control group sees it.
+type host struct{ relay *Relay }
+
+// Observe implements renewal.Host.
+func (h host) Observe(ctx context.Context, w *wire.RenewRequest) []lease.Usage {
+	type seen struct {
+		version uint64
+		sights  []*wire.Sight
+		usages  []lease.Usage
+	}
+	answer := make(chan seen, 1)
+	h.relay.post(func(now time.Time) {
+		s := seen{version: h.relay.book.Version()}
+		for _, g := range h.relay.groups {
+			if sight := g.sight(now); sight != nil {
+				s.sights = append(s.sights, sight)
+			}
+			for _, l := range g.lanes() {
+				open, wanted := l.Usage(now)
+				s.usages = append(s.usages, lease.Usage{Server: lease.ServerID(l.Server()), Open: open, Want: wanted})
+			}
+		}
+		answer <- s
+	})
+	select {
+	case s := <-answer:
+		w.Version, w.Sights = s.version, s.sights
+		return s.usages
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// Offered implements renewal.Host.
+func (h host) Offered(o renewal.Offer) {
+	h.relay.renewed.Store(int64(h.relay.options.Now().Sub(h.relay.started)))
+	h.relay.post(func(now time.Time) { h.relay.offered(now, o) })
+}
+
+// Held implements renewal.Host.
+func (h host) Held(ctx context.Context) (version, index uint64, ok bool) {
+	type held struct{ version, index uint64 }
+	answer := make(chan held, 1)
+	h.relay.post(func(time.Time) { answer <- held{h.relay.book.Version(), h.relay.book.Index()} })
+	select {
+	case a := <-answer:
+		return a.version, a.index, true
+	case <-ctx.Done():
+		return 0, 0, false
+	}
+}
+
+// Update implements renewal.Host.
+func (h host) Update(u *wire.Update) {
+	h.relay.post(func(now time.Time) { h.relay.update(now, u) })
+}
+
+// Leased implements renewal.Host.
+func (h host) Leased(now time.Time) bool { return h.relay.leased(now) }
+
+// Renewed implements renewal.Host. It logs when the control group is lost and regained.
+func (h host) Renewed(ok bool) {
+	m := h.relay.metrics
+	if ok {
+		m.renewals.Add(1)
+	} else {
+		m.unrenewed.Add(1)
+	}
+	if m.connected.Swap(ok) != ok {
+		log.WithFields(log.Fields{"event": "dependency", "dependency": "control", "reached": ok}).Warn("control group")
+	}
+}
--- /dev/null
+++ b/internal/relay/metrics.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"expvar"
+	"sync/atomic"
+
+	"fireflyrudder.example/fireflyrudder/internal/histogram"
+)
+
+// metrics are the counters of a Relay.
+type metrics struct {
+	all       *expvar.Map
+	sessions  *expvar.Int // open now
+	opened    *expvar.Int
+	refused   *expvar.Int // sessions refused
+	versions  *expvar.Int // configurations applied
+	renewals  *expvar.Int
+	unrenewed *expvar.Int
+	retries   *expvar.Int // statements sent again, which had not run or only read
+	replica   *expvar.Int // reads answered by a replica
+	primary   *expvar.Int // reads answered by the primary
+	writes    *expvar.Int
+	commits   *expvar.Int
+	idle      *expvar.Int // transactions ended because they were idle
+	outcomes  *expvar.Map // answers by code
+	reasons   *expvar.Map // refusals by reason
+	waits     *histogram.Histogram
+	reads     *histogram.Histogram
+	changes   *histogram.Histogram
+	connected atomic.Bool // the last Renew succeeded
+}
+
+func newMetrics() *metrics {
+	m := &metrics{all: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), reasons: new(expvar.Map).Init()}
+	named := map[string]**expvar.Int{
+		"sessions": &m.sessions, "opened": &m.opened, "refused": &m.refused, "versions": &m.versions,
+		"renewals": &m.renewals, "unrenewed": &m.unrenewed, "retries": &m.retries, "replica": &m.replica,
+		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle,
+	}
+	for name, counter := range named {
+		*counter = new(expvar.Int)
+		m.all.Set(name, *counter)
+	}
+	m.all.Set("outcomes", m.outcomes)
+	m.all.Set("reasons", m.reasons)
+	m.waits, m.reads, m.changes = histogram.New(), histogram.New(), histogram.New()
+	m.all.Set("wait", m.waits)
+	m.all.Set("read", m.reads)
+	m.all.Set("change", m.changes)
+	return m
+}
--- /dev/null
+++ b/internal/relay/refusal.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/apex/log"
+
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+)
+
+// Reasons of refusals, as logs and counters name them.
+const (
+	reasonLease   = "lease"   // no configuration lease
+	reasonRoute   = "route"   // no such route
+	reasonKey     = "key"     // no such key
+	reasonRate    = "rate"    // the client account is above its rate
+	reasonPrimary = "primary" // no instance leads the group
+	reasonLag     = "lag"     // no instance holds what the session must see
+	reasonFull    = "full"    // the instance takes no more
+	reasonLink    = "link"    // the instance did not answer
+	reasonLeft    = "left"    // the instance left
+	reasonLate    = "late"    // no connection in time
+	reasonStop    = "stop"    // the entry VM shuts down
+	reasonSyntax  = "syntax"  // the statement cannot be read
+)
+
+// comeBack returns when a caller does well to try again.
+func comeBack(reason string) time.Duration {
+	switch reason {
+	case reasonPrimary, reasonLink:
+		return time.Second
+	case reasonLag:
+		return 500 * time.Millisecond
+	}
+	return 100 * time.Millisecond
+}
+
+// refuse makes the answer to a statement that this VM refuses, counts it and logs it.
+func (r *Relay) refuse(id string, code operation.Code, reason, detail string) operation.Answer {
+	r.metrics.reasons.Add(reason, 1)
+	log.WithFields(log.Fields{
+		"event": "refusal", "request": id, "code": code.String(), "reason": reason, "detail": detail, "version": r.table.Load().version,
+	}).Info("statement refused")
+	return operation.Answer{Code: code, Detail: detail}
+}
+
+// passed logs an answer of an instance that is not a success.
+func (r *Relay) passed(id string, a operation.Answer) operation.Answer {
+	log.WithFields(log.Fields{"event": "answer", "request": id, "code": a.Code.String(), "detail": a.Detail}).Info("statement failed at the backend server")
+	return a
+}
+
+// observe counts the latency of a statement.
+func (r *Relay) observe(st *operation.Statement, a operation.Answer, elapsed time.Duration) {
+	switch {
+	case a.Code != operation.Done:
+	case st.Writes() || st.Kind == operation.Commit:
+		r.metrics.writes.Add(1)
+		r.metrics.changes.Add(elapsed)
+	default:
+		r.metrics.reads.Add(elapsed)
+	}
+}
+
+// countRead counts a read by the role of its instance.
+func (r *Relay) countRead(g *group, server string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.primary == server {
+		r.metrics.primary.Add(1)
+		return
+	}
+	r.metrics.replica.Add(1)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,331 @@
+// Package relay is an entry VM that speaks in typed operations: sessions, transactions, routing,
+// limits and retries, without a protocol. An adapter decodes the statements of callers, hands them
+// to a Session and encodes the answers.
+//
+// One goroutine owns the control state: the configuration, the views of the groups and the leases.
+// It publishes what the goroutines of the sessions read.
+package relay
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/renewal"
+	"fireflyrudder.example/fireflyrudder/internal/settings"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+const (
+	// tick is the precision of budgets, refreshes and idle transactions.
+	tick = 50 * time.Millisecond
+	// eventQueue lets other goroutines go on while the owner is busy.
+	eventQueue = 256
+	// lagWait is the time after which a version that the leader names and no stream brings has the
+	// streams opened anew.
+	lagWait = 600 * time.Millisecond
+	// keepOffers bounds the leases for versions that are not applied yet.
+	keepOffers = 16
+	// timeoutDefault bounds a statement of a route that states no timeout.
+	timeoutDefault = 10 * time.Second
+	// idleDefault is the time after which an idle transaction ends if the configuration states none.
+	idleDefault = 30 * time.Second
+	// zoneWay is the way there and back between zones before an instance was measured.
+	zoneWay = 11 * time.Millisecond
+	// startLatency is expected of an instance before its first answer.
+	startLatency = 20 * time.Millisecond
+	// holdWait is the pause before a write asks again during a planned switchover.
+	holdWait = 100 * time.Millisecond
+)
+
+// Options are what a Relay is made of. They do not change.
+type Options struct {
+	Node     settings.Node
+	Controls func() []string // gRPC listeners of control VMs as configured; may change
+	Dial     func(address string) (wire.ControlClient, io.Closer, error)
+	Server   lane.Dialer
+	Now      func() time.Time
+	Pause    time.Duration // least time between two Renews
+	// Stale is how long the configuration serves on after its lease ended. With 0 a VM that is cut
+	// off from the control group refuses at once.
+	Stale time.Duration
+	Drain Drain
+}
+
+// Drain are the times of a planned stop, counted from its start.
+type Drain struct {
+	Idle   time.Duration // sessions without a transaction close
+	Open   time.Duration // open transactions roll back
+	Finish time.Duration // everything else is cut
+}
+
+// Relay is one entry VM.
+type Relay struct {
+	options  Options
+	identity string
+	started  time.Time
+	events   chan func(now time.Time)
+	ctx      context.Context
+	stop     context.CancelFunc
+	ended    chan struct{}
+	control  *renewal.Client
+	credits  *renewal.Credits
+	metrics  *metrics
+	table    atomic.Pointer[table]
+	until    atomic.Int64 // end of the configuration lease, nanoseconds after started
+	renewed  atomic.Int64 // time of the last reply, nanoseconds after started
+	draining atomic.Bool
+	closing  atomic.Bool // new sessions are refused
+
+	mu       sync.Mutex
+	sessions map[*Session]struct{}
+
+	// owner goroutine only
+	book   *contract.Book
+	groups map[string]*group
+	offers []renewal.Offer
+	lags   time.Time
+}
+
+// New returns a Relay that does not run.
+func New(o Options) *Relay {
+	var id [12]byte
+	rand.Read(id[:]) //nolint:errcheck // never fails by its contract
+	r := &Relay{
+		options: o, identity: hex.EncodeToString(id[:]), started: o.Now(),
+		events: make(chan func(time.Time), eventQueue), ended: make(chan struct{}), metrics: newMetrics(),
+		sessions: map[*Session]struct{}{}, book: contract.New(), groups: map[string]*group{},
+	}
+	r.ctx, r.stop = context.WithCancel(context.Background())
+	r.table.Store(newTable(r.book.Configuration(), nil))
+	r.control = renewal.New(host{r}, renewal.Options{
+		Registration: &wire.Registration{Entry: r.identity, Name: o.Node.Name, Zone: o.Node.Zone},
+		Controls:     o.Controls, Dial: o.Dial, Now: o.Now, Pause: o.Pause,
+	})
+	r.credits = r.control.Credits()
+	return r
+}
+
+// Run serves until ctx ends, then drains.
+func (r *Relay) Run(ctx context.Context) error {
+	defer r.stop()
+	go r.own()
+	go r.control.Run(r.ctx)
+	log.WithFields(log.Fields{"event": "start", "identity": r.identity, "vm": r.options.Node.Name, "zone": r.options.Node.Zone}).Info("entry VM starts")
+	<-ctx.Done()
+	r.drain()
+	r.control.Leave(renewal.LeaveWait)
+	r.stop()
+	<-r.ended
+	log.WithFields(log.Fields{"event": "stop", "identity": r.identity}).Info("entry VM stopped")
+	return nil
+}
+
+// drain closes sessions as they become idle.
+func (r *Relay) drain() {
+	r.draining.Store(true)
+	started := r.options.Now()
+	log.WithFields(log.Fields{"event": "stop", "sessions": r.count()}).Info("entry VM drains")
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for range ticker.C {
+		past := r.options.Now().Sub(started)
+		if past < r.options.Drain.Idle {
+			continue
+		}
+		r.closing.Store(true)
+		for _, s := range r.list() {
+			s.retire(past >= r.options.Drain.Open, past >= r.options.Drain.Finish)
+		}
+		if r.count() == 0 || past >= r.options.Drain.Finish {
+			return
+		}
+	}
+}
+
+// own runs the owner goroutine.
+func (r *Relay) own() {
+	defer close(r.ended)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-r.ctx.Done():
+			for _, g := range r.groups {
+				g.close()
+			}
+			return
+		case f := <-r.events:
+			f(r.options.Now())
+		case <-ticker.C:
+			r.tend(r.options.Now())
+		}
+	}
+}
+
+// post hands an event to the owner goroutine. It does nothing once the VM has stopped.
+func (r *Relay) post(f func(now time.Time)) {
+	select {
+	case r.events <- f:
+	case <-r.ctx.Done():
+	}
+}
+
+// tend does what is due.
+func (r *Relay) tend(now time.Time) {
+	fresh := now.Sub(r.started)-time.Duration(r.renewed.Load()) < lease.Life
+	for _, g := range r.groups {
+		for _, l := range g.lanes() {
+			// Budgets that ran out because no control VM answers stay: the instance refuses what is too much.
+			if n := r.credits.Connections(now, lease.ServerID(l.Server())); n > 0 || fresh {
+				l.SetLimit(n)
+			}
+			l.Tend(now)
+		}
+		g.tend(now)
+	}
+	idle := r.table.Load().idle
+	for _, s := range r.list() {
+		s.expire(now, idle)
+	}
+}
+
+// update takes a message of the control group.
+func (r *Relay) update(now time.Time, u *wire.Update) {
+	before := r.book.Version()
+	r.book.Follow(u)
+	c := r.book.Configuration()
+	configured := map[string]bool{}
+	for _, w := range c.GetGroups() {
+		configured[w.GetName()] = true
+		if r.groups[w.GetName()] == nil {
+			r.groups[w.GetName()] = newGroup(w.GetName(), r.options.Now, r.distance)
+		}
+	}
+	for name, g := range r.groups {
+		if !configured[name] {
+			g.close()
+			delete(r.groups, name)
+		}
+	}
+	if r.book.Version() != before || u.GetFull() != nil {
+		r.table.Store(newTable(c, r.groups))
+		r.metrics.versions.Add(1)
+		log.WithFields(log.Fields{"event": "configuration", "version": r.book.Version(), "before": before, "routes": len(c.GetRoutes())}).Info("configuration applied")
+	}
+	r.followViews(now, c)
+	r.extend()
+}
+
+// followViews brings the groups up to their views.
+func (r *Relay) followViews(now time.Time, c *wire.Configuration) {
+	retired := map[string]bool{}
+	for _, name := range c.GetRetired() {
+		retired[name] = true
+	}
+	for _, v := range r.book.Views() {
+		g := r.groups[v.GetGroup()]
+		if g == nil || g.revision == v.GetRevision() {
+			continue
+		}
+		g.revision = v.GetRevision()
+		g.follow(now, v, retired, func(m *wire.Member) *lane.Lane { return r.open(g, m) })
+		log.WithFields(log.Fields{
+			"event": "view", "group": g.name, "term": v.GetTerm(), "phase": v.GetPhase().String(), "primary": v.GetPrimary(),
+			"members": len(v.GetMembers()), "revision": v.GetRevision(),
+		}).Info("view changed")
+		r.control.Wake()
+	}
+}
+
+// open returns the lane of an instance.
+func (r *Relay) open(g *group, m *wire.Member) *lane.Lane {
+	return lane.New(lane.Options{
+		Group: g.name, Server: m.GetServer(), Address: m.GetAddress(), Dial: r.options.Server, Now: r.options.Now, Latency: startLatency,
+	})
+}
+
+// distance returns the way to an instance and back.
+func (r *Relay) distance(zone string) time.Duration {
+	if zone == r.options.Node.Zone {
+		return 0
+	}
+	return zoneWay
+}
+
+// offered takes a configuration lease. Before its version is applied it does not count.
+func (r *Relay) offered(now time.Time, o renewal.Offer) {
+	r.offers = append(r.offers, o)
+	if len(r.offers) > keepOffers {
+		r.offers = r.offers[1:]
+	}
+	r.extend()
+	switch {
+	case len(r.offers) == 0:
+		r.lags = time.Time{}
+	case r.lags.IsZero():
+		r.lags = now
+	case now.Sub(r.lags) > lagWait:
+		r.lags = now
+		r.control.Rewatch()
+	}
+}
+
+// extend makes the offers count whose version is applied.
+func (r *Relay) extend() {
+	kept := r.offers[:0]
+	for _, o := range r.offers {
+		if o.Version > r.book.Version() {
+			kept = append(kept, o)
+			continue
+		}
+		if until := int64(o.Until.Sub(r.started)); until > r.until.Load() {
+			r.until.Store(until)
+		}
+	}
+	r.offers = kept
+}
+
+// leased reports whether the configuration may be used.
+func (r *Relay) leased(now time.Time) bool {
+	until := r.until.Load()
+	return until != 0 && now.Sub(r.started) < time.Duration(until)+r.options.Stale
+}
+
+// Ready reports why the VM does not serve, or nil.
+func (r *Relay) Ready(context.Context) error {
+	switch {
+	case r.draining.Load():
+		return errors.New("relay: the entry VM shuts down; connect to another one")
+	case !r.leased(r.options.Now()):
+		return errors.New("relay: no configuration lease; no control VM answers")
+	}
+	return nil
+}
+
+// list returns the open sessions.
+func (r *Relay) list() []*Session {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]*Session, 0, len(r.sessions))
+	for s := range r.sessions {
+		out = append(out, s)
+	}
+	return out
+}
+
+func (r *Relay) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.sessions)
+}
--- /dev/null
+++ b/internal/relay/session.go
@@ -0,0 +1,319 @@
+package relay
+
+import (
+	"context"
+	"crypto/sha256"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+const (
+	// creditWait bounds the wait for rate credits: credits may lie on another VM.
+	creditWait = 250 * time.Millisecond
+	// startWait is how long a new session waits for the first configuration.
+	startWait = 1500 * time.Millisecond
+	startPoll = 20 * time.Millisecond
+)
+
+// Caller is who opens a session.
+type Caller struct {
+	Route string // name of the route
+	Key   string // key of the client account
+	Close func() // closes the caller's connection; called when the VM shuts down
+}
+
+// Session is one caller's connection. Handle is called by one goroutine at a time.
+//
+// Invariants: a transaction runs on one connection of one instance, with the values and prepared
+// statements of this session; no other session uses that connection before it ends.
+type Session struct {
+	relay *Relay
+	route string
+	key   [sha256.Size]byte
+	close func()
+
+	mu       sync.Mutex
+	profile  lane.Profile
+	prepared map[string]lane.Shape
+	floor    position.Position // of the session's own commits
+	tx       *transaction      // nil while none is open
+	failed   bool              // the transaction failed and was rolled back at the instance
+	aborts   string            // why it failed
+}
+
+// permit is the right to run one operation.
+type permit struct {
+	route   *route
+	account *account
+}
+
+// Open returns the session of a caller. The answer is the refusal if there is no session.
+func (r *Relay) Open(ctx context.Context, c Caller) (*Session, operation.Answer) {
+	r.await(ctx)
+	s := &Session{
+		relay: r, route: c.Route, key: sha256.Sum256([]byte(c.Key)), close: c.Close,
+		profile: lane.Profile{Values: map[string]string{}}, prepared: map[string]lane.Shape{},
+	}
+	if r.closing.Load() {
+		return nil, r.refuse("", operation.Busy, reasonStop, "the entry VM shuts down; connect to another one")
+	}
+	if _, refusal := s.permit(r.options.Now(), ""); refusal != nil {
+		r.metrics.refused.Add(1)
+		return nil, *refusal
+	}
+	r.mu.Lock()
+	r.sessions[s] = struct{}{}
+	r.mu.Unlock()
+	r.metrics.sessions.Add(1)
+	r.metrics.opened.Add(1)
+	return s, operation.Answer{}
+}
+
+// await waits a while for the first configuration.
+func (r *Relay) await(ctx context.Context) {
+	if r.leased(r.options.Now()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	ticker := time.NewTicker(startPoll)
+	defer ticker.Stop()
+	for !r.leased(r.options.Now()) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Close ends the session. An open transaction is rolled back.
+func (s *Session) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.abandon()
+	s.relay.mu.Lock()
+	defer s.relay.mu.Unlock()
+	if _, open := s.relay.sessions[s]; open {
+		delete(s.relay.sessions, s)
+		s.relay.metrics.sessions.Add(-1)
+	}
+}
+
+// Handle runs one statement. An answer with NoAccess or NoDatabase outside a transaction means that
+// the session has lost its right and is to be closed.
+func (s *Session) Handle(ctx context.Context, st operation.Statement) operation.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.handle(ctx, st)
+	s.relay.metrics.outcomes.Add(a.Code.String(), 1)
+	return a
+}
+
+func (s *Session) handle(ctx context.Context, st operation.Statement) operation.Answer {
+	switch {
+	case s.failed:
+		return s.handleFailed(st)
+	case s.handleOwn(st):
+		return s.done()
+	case s.tx != nil:
+		return s.handleOpen(ctx, st)
+	}
+	if st.Kind != operation.Begin && !isData(st.Kind) {
+		return operation.Answer{Code: operation.Malformed, Detail: "no transaction is open"}
+	}
+	return s.start(ctx, st)
+}
+
+// start runs an operation: a transaction or a single statement.
+func (s *Session) start(ctx context.Context, st operation.Statement) operation.Answer {
+	arrived := s.relay.options.Now()
+	if st.Kind == operation.Execute {
+		shape, ok := s.prepared[st.Name]
+		if !ok {
+			return operation.Answer{Code: operation.NoStatement, Detail: st.Name}
+		}
+		st.ReadOnly = shape.ReadOnly
+	}
+	p, refusal := s.admit(ctx, arrived, st.ID)
+	if refusal != nil {
+		return *refusal
+	}
+	if st.Kind == operation.Begin {
+		s.tx = &transaction{permit: p, readOnly: st.ReadOnly, used: arrived}
+		return s.done()
+	}
+	a := s.single(ctx, arrived, p, st)
+	s.relay.observe(&st, a, s.relay.options.Now().Sub(arrived))
+	return a
+}
+
+// done is the answer to a statement that only this VM handles.
+func (s *Session) done() operation.Answer {
+	a := operation.Answer{Code: operation.Done, State: operation.Idle}
+	if s.tx != nil {
+		a.State = operation.Open
+	}
+	return a
+}
+
+// handleOwn runs a statement that only changes the state of the session.
+func (s *Session) handleOwn(st operation.Statement) bool {
+	switch st.Kind {
+	case operation.Set:
+		s.profile.Values[st.Name] = st.Argument
+	case operation.Prepare:
+		s.prepared[st.Name] = lane.Shape{ReadOnly: st.ReadOnly, Text: st.Argument}
+	case operation.Deallocate:
+		delete(s.prepared, st.Name)
+	default:
+		return false
+	}
+	return true
+}
+
+// handleFailed ends a failed transaction; nothing else runs in it.
+func (s *Session) handleFailed(st operation.Statement) operation.Answer {
+	switch st.Kind {
+	case operation.Rollback:
+		s.failed = false
+		return operation.Answer{Code: operation.Done}
+	case operation.Commit:
+		s.failed = false
+		return operation.Answer{Code: operation.Aborted, Detail: s.aborts}
+	}
+	return operation.Answer{Code: operation.Malformed, Detail: "the transaction failed; roll it back", State: operation.Failed}
+}
+
+// isData reports whether a statement reads or writes.
+func isData(k operation.Kind) bool {
+	return k == operation.Read || k == operation.Write || k == operation.Execute
+}
+
+// permit checks that the configuration allows an operation now.
+func (s *Session) permit(now time.Time, id string) (*permit, *operation.Answer) {
+	refuse := func(code operation.Code, reason, detail string) (*permit, *operation.Answer) {
+		a := s.relay.refuse(id, code, reason, detail)
+		return nil, &a
+	}
+	if !s.relay.leased(now) {
+		return refuse(operation.Busy, reasonLease, "no control VM answers; come back in 1 s or connect to another entry VM")
+	}
+	t := s.relay.table.Load()
+	r := t.routes[s.route]
+	if r == nil || r.group == nil {
+		return refuse(operation.NoDatabase, reasonRoute, s.route)
+	}
+	name, ok := t.keys[s.key]
+	if !ok && !r.open {
+		return refuse(operation.NoAccess, reasonKey, "the key is not valid")
+	}
+	a := t.accounts[name]
+	if a == nil {
+		a = &account{name: openAccount, weight: 1}
+	}
+	return &permit{route: r, account: a}, nil
+}
+
+// openAccount is the client account of callers without a key.
+const openAccount = "public"
+
+// admit checks the configuration and takes one rate credit. Credits may lie on another VM, so it
+// waits a short while for them.
+func (s *Session) admit(ctx context.Context, arrived time.Time, id string) (*permit, *operation.Answer) {
+	p, refusal := s.permit(arrived, id)
+	if refusal != nil || p.account.name == openAccount {
+		return p, refusal
+	}
+	timer := time.NewTimer(creditWait)
+	defer timer.Stop()
+	for {
+		now := s.relay.options.Now()
+		result, granted := s.relay.credits.Take(now, lease.AccountID(p.account.name), 1)
+		if result.Verdict == lease.Admitted {
+			s.relay.metrics.waits.Add(now.Sub(arrived))
+			return s.permitAgain(now, arrived, p, id)
+		}
+		if result.Verdict == lease.Refused {
+			return nil, s.overRate(p, id, result.Retry)
+		}
+		select {
+		case <-granted:
+		case <-timer.C:
+			return nil, s.overRate(p, id, creditWait)
+		case <-ctx.Done():
+			return nil, s.overRate(p, id, creditWait)
+		}
+	}
+}
+
+// permitAgain checks the configuration again after a wait.
+func (s *Session) permitAgain(now, arrived time.Time, p *permit, id string) (*permit, *operation.Answer) {
+	if now.Sub(arrived) < tick {
+		return p, nil
+	}
+	return s.permit(now, id)
+}
+
+// overRate is the refusal of an operation for which no credit is there.
+func (s *Session) overRate(p *permit, id string, again time.Duration) *operation.Answer {
+	a := s.relay.refuse(id, operation.Busy, reasonRate,
+		"client account "+p.account.name+" is above its rate; come back in "+again.Round(time.Millisecond).String())
+	return &a
+}
+
+// retire closes the session when nothing of it is open. Later in a planned stop, open transactions
+// are rolled back, and at its end the caller is cut.
+func (s *Session) retire(rollback, cut bool) {
+	if cut {
+		s.close()
+		return
+	}
+	if !s.mu.TryLock() {
+		return // a statement runs
+	}
+	defer s.mu.Unlock()
+	if s.tx != nil && rollback {
+		s.fail("the entry VM shuts down; the transaction was rolled back")
+		return
+	}
+	if s.tx == nil && !s.failed {
+		s.close()
+	}
+}
+
+// expire ends a transaction that is idle for too long.
+func (s *Session) expire(now time.Time, idle time.Duration) {
+	if !s.mu.TryLock() {
+		return
+	}
+	defer s.mu.Unlock()
+	if s.tx != nil && now.Sub(s.tx.used) >= idle {
+		s.relay.metrics.idle.Add(1)
+		s.fail("the transaction was idle for too long; it was rolled back")
+	}
+}
+
+// isUnreached reports whether an error of Acquire tells that the instance did not answer.
+func isUnreached(err error) bool { return errors.Is(err, lane.ErrUnreached) }
+
+// Reject answers a statement that could not be read. An open transaction fails.
+func (s *Session) Reject(st operation.Statement, err error) operation.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.relay.refuse(st.ID, operation.Malformed, reasonSyntax, err.Error())
+	if s.tx != nil {
+		s.fail(a.Detail)
+	}
+	if s.failed {
+		a.State = operation.Failed
+	}
+	return a
+}
--- /dev/null
+++ b/internal/relay/table.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"crypto/sha256"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// table is an immutable copy of the configuration for the sessions.
+type table struct {
+	version  uint64
+	routes   map[string]*route
+	accounts map[string]*account          // by name
+	keys     map[[sha256.Size]byte]string // account by digest of the key
+	idle     time.Duration
+}
+
+// route is where the statements of callers that name it go.
+type route struct {
+	name    string
+	group   *group
+	age     time.Duration // oldest data that a read may see; 0 asks for current data
+	timeout time.Duration
+	open    bool // to callers without a key
+}
+
+// account is a client account.
+type account struct {
+	name   string
+	weight float64
+}
+
+func newTable(c *wire.Configuration, groups map[string]*group) *table {
+	t := &table{
+		version: c.GetVersion(), routes: map[string]*route{}, accounts: map[string]*account{}, keys: map[[sha256.Size]byte]string{},
+		idle: milliseconds(c.GetIdle(), idleDefault),
+	}
+	for _, r := range c.GetRoutes() {
+		t.routes[r.GetName()] = &route{
+			name: r.GetName(), group: groups[r.GetGroup()], open: r.GetOpen(),
+			age: milliseconds(r.GetAge(), 0), timeout: milliseconds(r.GetTimeout(), timeoutDefault),
+		}
+	}
+	for _, a := range c.GetAccounts() {
+		t.accounts[a.GetName()] = &account{name: a.GetName(), weight: float64(max(a.GetWeight(), 1))}
+		for _, k := range a.GetKeys() {
+			t.keys[[sha256.Size]byte(k.GetDigest())] = a.GetName()
+		}
+	}
+	return t
+}
+
+func milliseconds(n int64, otherwise time.Duration) time.Duration {
+	if n <= 0 {
+		return otherwise
+	}
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/internal/renewal/client.go
@@ -0,0 +1,376 @@
+// Package renewal keeps an entry VM in contact with the control group: it renews the leases and
+// receives the updates of the configuration and of the views.
+package renewal
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Times of the connection to the control group.
+const (
+	// renewInterval is the time between two Renews without need.
+	renewInterval = 500 * time.Millisecond
+	// renewTimeout gives up a request, so that another control VM is asked well within the lease of
+	// 2.5 s. It is above a retransmission of TCP and an election.
+	renewTimeout = 400 * time.Millisecond
+	// Pause is the default least time between two Renews, so that short demand is bundled.
+	Pause = 10 * time.Millisecond
+	// failPause is the pause after a Renew that failed, before another control VM is asked.
+	failPause = 50 * time.Millisecond
+	// registerTimeout bounds the first Renew, which waits for the control log.
+	registerTimeout = 2 * time.Second
+	// watchers is the number of control VMs watched at once. A control VM that is frozen sends nothing and
+	// looks like one without news; the other stream then brings what changed.
+	watchers = 2
+	// LeaveWait bounds the last Renew of a process that leaves.
+	LeaveWait = time.Second
+	// watchPause is the wait before another control VM is watched.
+	watchPause = 50 * time.Millisecond
+)
+
+// Host is the entry VM that a Client serves. Its methods are called from the goroutines of the Client.
+type Host interface {
+	// Observe fills version and sights of a request and returns the use of connections.
+	Observe(ctx context.Context, r *wire.RenewRequest) []lease.Usage
+	// Offered hands over a lease of the leader.
+	Offered(o Offer)
+	// Held returns the configuration version and the log index held. It is false if ctx ended.
+	Held(ctx context.Context) (version, index uint64, ok bool)
+	// Update hands over a message of the stream.
+	Update(u *wire.Update)
+	// Leased reports whether the entry VM holds a configuration lease.
+	Leased(now time.Time) bool
+	// Renewed counts a Renew.
+	Renewed(ok bool)
+}
+
+// Offer is a configuration lease for a version that is perhaps not applied yet.
+type Offer struct {
+	Version uint64
+	Until   time.Time // by the clock of Options.Now
+}
+
+// Options are what a Client is made of.
+type Options struct {
+	Registration *wire.Registration
+	Groups       []string        // groups served; none means all
+	Controls     func() []string // addresses of control VMs as configured; may change
+	Dial         func(address string) (wire.ControlClient, io.Closer, error)
+	Now          func() time.Time
+	Pause        time.Duration // least time between two Renews
+}
+
+// Client is the connection of an entry VM to the control group.
+type Client struct {
+	options  Options
+	host     Host
+	credits  *Credits
+	due      chan struct{} // holds one token when a Renew is due now
+	moved    chan struct{} // holds one token when the time of the next Renew may be earlier
+	sequence uint64
+	term     uint64 // control log term of the latest reply; a leader grants only to requests that name its own
+	clients  map[string]wire.ControlClient
+	closers  []io.Closer
+	ended    chan struct{}
+	leaving  chan struct{}
+
+	mu      sync.Mutex
+	learned []string                      // control VMs named by the latest reply
+	at      int                           // last control VM picked
+	watched map[string]bool               // by address
+	streams map[string]context.CancelFunc // by address
+}
+
+// New returns a Client that does nothing until Run.
+func New(host Host, options Options) *Client {
+	c := &Client{
+		options: options, host: host,
+		due: make(chan struct{}, 1), moved: make(chan struct{}, 1), clients: make(map[string]wire.ControlClient),
+		ended: make(chan struct{}), leaving: make(chan struct{}),
+		at: rand.IntN(max(len(options.Controls()), 1)), watched: make(map[string]bool), streams: make(map[string]context.CancelFunc),
+	}
+	c.credits = NewCredits(c.recheck)
+	return c
+}
+
+// Credits returns the credits and connection budgets that the Client renews.
+func (c *Client) Credits() *Credits { return c.credits }
+
+// addresses returns the control VMs as configured and as the leader named them last.
+func (c *Client) addresses() []string {
+	all := slices.Clone(c.options.Controls())
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, a := range c.learned {
+		if !slices.Contains(all, a) {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+// learn takes over the control VMs that the leader names.
+func (c *Client) learn(controls []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.learned = controls
+}
+
+// Wake has a Renew sent now.
+func (c *Client) Wake() {
+	select {
+	case c.due <- struct{}{}:
+	default:
+	}
+}
+
+// recheck has the time of the next Renew looked at again.
+func (c *Client) recheck() {
+	select {
+	case c.moved <- struct{}{}:
+	default:
+	}
+}
+
+// client returns the connection to a control VM. Only the goroutine of run calls it.
+func (c *Client) client(address string) (wire.ControlClient, error) {
+	if known, ok := c.clients[address]; ok {
+		return known, nil
+	}
+	fresh, closer, err := c.options.Dial(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "renewal: control VM")
+	}
+	c.clients[address] = fresh
+	c.closers = append(c.closers, closer)
+	return fresh, nil
+}
+
+// Run renews until ctx ends or the VM leaves.
+func (c *Client) Run(ctx context.Context) {
+	defer close(c.ended)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	for range min(watchers, len(c.addresses())) {
+		go c.watch(ctx)
+	}
+	at, redirect := rand.IntN(len(c.addresses())), ""
+	for {
+		addresses := c.addresses()
+		address := addresses[at%len(addresses)]
+		if redirect != "" {
+			address = redirect
+		}
+		term := c.term
+		reply, err := c.renew(ctx, address, false)
+		switch {
+		case err != nil || (!reply.GetLeader() && reply.GetRedirect() == ""):
+			c.host.Renewed(false)
+			at, redirect = at+1, ""
+		case !reply.GetLeader():
+			redirect = reply.GetRedirect()
+			if redirect == address && c.term == term {
+				at, redirect = at+1, ""
+			}
+		default:
+			redirect = address
+		}
+		pause := renewInterval
+		if err != nil || !reply.GetLeader() {
+			pause = failPause
+		}
+		if !c.pause(ctx, pause) {
+			c.announceLeave(address)
+			return
+		}
+	}
+}
+
+// pause waits for the next Renew. It returns false when the VM leaves.
+func (c *Client) pause(ctx context.Context, most time.Duration) bool {
+	least := time.NewTimer(min(c.options.Pause, most))
+	defer least.Stop()
+	select {
+	case <-least.C:
+	case <-c.leaving:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+	for start := c.options.Now(); ; {
+		now := c.options.Now()
+		left := min(most-now.Sub(start), c.credits.next().Sub(now))
+		if left <= 0 {
+			return true
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+			return true
+		case <-c.due:
+			timer.Stop()
+			return true
+		case <-c.moved:
+			timer.Stop()
+		case <-c.leaving:
+			timer.Stop()
+			return false
+		case <-ctx.Done():
+			timer.Stop()
+			return false
+		}
+	}
+}
+
+// renew sends one request and applies its reply.
+func (c *Client) renew(ctx context.Context, address string, leaving bool) (*wire.RenewReply, error) {
+	client, err := c.client(address)
+	if err != nil {
+		return nil, err
+	}
+	request := &wire.RenewRequest{Registration: c.options.Registration, Leaving: leaving, Term: c.term}
+	usages := c.host.Observe(ctx, request)
+	c.sequence++
+	request.Sequence = c.sequence
+	sent := c.options.Now()
+	c.credits.ask(sent, request, usages)
+	limit := renewTimeout
+	if !c.host.Leased(sent) {
+		limit = registerTimeout
+	}
+	ctx, stop := context.WithTimeout(ctx, limit)
+	defer stop()
+	reply, err := client.Renew(ctx, request)
+	if err != nil {
+		return nil, errors.Wrap(err, "renewal: renew")
+	}
+	if reply.GetTerm() != 0 {
+		c.term = reply.GetTerm()
+	}
+	if !reply.GetLeader() || reply.GetSequence() != request.Sequence || leaving {
+		return reply, nil
+	}
+	c.host.Renewed(true)
+	c.learn(reply.GetControls())
+	c.credits.grant(sent, c.options.Now(), reply)
+	until := sent.Add(time.Duration(reply.GetLease()) * time.Millisecond)
+	c.host.Offered(Offer{Version: reply.GetVersion(), Until: until})
+	return reply, nil
+}
+
+// watch keeps one of the streams of updates open. Any control VM serves it.
+func (c *Client) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		address := c.pick(c.addresses())
+		err := c.watchOne(ctx, address)
+		c.unpick(address)
+		if ctx.Err() != nil {
+			return
+		}
+		log.WithError(err).WithField("control", address).Warn("the stream of updates ended")
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchPause):
+		}
+	}
+}
+
+// pick returns the next control VM that is not watched yet.
+func (c *Client) pick(addresses []string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for range addresses {
+		c.at = (c.at + 1) % len(addresses)
+		if !c.watched[addresses[c.at]] {
+			break
+		}
+	}
+	c.watched[addresses[c.at]] = true
+	return addresses[c.at]
+}
+
+func (c *Client) unpick(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.watched, address)
+}
+
+// Rewatch ends the streams, because a version that the leader names does not arrive.
+func (c *Client) Rewatch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, stop := range c.streams {
+		stop()
+	}
+}
+
+// register makes a stream known to rewatch until the returned function is called.
+func (c *Client) register(address string, stop context.CancelFunc) func() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams[address] = stop
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.streams, address)
+	}
+}
+
+func (c *Client) watchOne(ctx context.Context, address string) error {
+	client, closer, err := c.options.Dial(address)
+	if err != nil {
+		return errors.Wrap(err, "renewal: control VM")
+	}
+	defer closer.Close()
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	defer c.register(address, stop)()
+	request := &wire.WatchRequest{Entry: c.options.Registration.GetEntry(), Groups: c.options.Groups}
+	var ok bool
+	if request.Version, request.Index, ok = c.host.Held(ctx); !ok {
+		return ctx.Err()
+	}
+	stream, err := client.Watch(ctx, request)
+	if err != nil {
+		return errors.Wrap(err, "renewal: watch")
+	}
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return errors.Wrap(err, "renewal: watch")
+		}
+		c.host.Update(u)
+	}
+}
+
+// Leave tells the control group that the VM holds nothing any more and waits for it.
+func (c *Client) Leave(limit time.Duration) {
+	close(c.leaving)
+	select {
+	case <-c.ended:
+	case <-time.After(limit + renewTimeout):
+	}
+}
+
+// announceLeave sends the last Renew.
+func (c *Client) announceLeave(address string) {
+	ctx, stop := context.WithTimeout(context.Background(), LeaveWait)
+	defer stop()
+	if _, err := c.renew(ctx, address, true); err != nil {
+		log.WithError(err).Warn("the control group did not hear that this entry VM leaves")
+	}
+	for _, closer := range c.closers {
+		closer.Close()
+	}
+}
--- /dev/null
+++ b/internal/renewal/credits.go
@@ -0,0 +1,78 @@
+package renewal
+
+import (
+	"sync"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Credits shares a lease holder between the goroutines of traffic and a Client. It is safe for
+// concurrent use.
+type Credits struct {
+	mu      sync.Mutex
+	holder  *lease.Holder
+	granted chan struct{} // closed and replaced by each grant
+	settled time.Time     // latest reply of an issuer that knows what all entry VMs hold
+	recheck func()        // has the time of the next Renew looked at again
+}
+
+// NewCredits returns Credits that hold nothing. recheck is called when a Renew is due earlier than
+// Next said before; it must not block.
+func NewCredits(recheck func()) *Credits {
+	return &Credits{holder: lease.NewHolder(), granted: make(chan struct{}), recheck: recheck}
+}
+
+// Take spends credits. The channel closes at the next grant.
+func (c *Credits) Take(now time.Time, account lease.AccountID, cost float64) (lease.Result, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.holder.Next()
+	result := c.holder.Take(now, account, cost)
+	if c.holder.Next().Before(before) {
+		c.recheck()
+	}
+	return result, c.granted
+}
+
+// ask fills a request to the control group.
+func (c *Credits) ask(now time.Time, r *wire.RenewRequest, usages []lease.Usage) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.Demands = c.holder.Demands(now)
+	r.Needs = c.holder.Needs(now, usages)
+}
+
+// grant takes over a reply.
+func (c *Credits) grant(sent, now time.Time, reply *wire.RenewReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.holder.Grant(sent, now, reply)
+	if !reply.GetSettling() {
+		c.settled = now
+	}
+	close(c.granted)
+	c.granted = make(chan struct{})
+}
+
+// SettledAfter reports whether an issuer that knows all holders has answered since the given time.
+func (c *Credits) SettledAfter(t time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.settled.After(t)
+}
+
+// next returns when the next Renew is due.
+func (c *Credits) next() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder.Next()
+}
+
+// Connections returns the budget for a server that is held now.
+func (c *Credits) Connections(now time.Time, server lease.ServerID) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder.Connections(now, server)
+}
