--- a/internal/contract/book.go
+++ b/internal/contract/book.go
@@ -115,9 +115,7 @@
 	case *wire.Entry_Dismiss:
 		b.dismiss(e.Dismiss)
 	case *wire.Entry_Register:
-		if e.Register.GetEntry() != "" {
-			b.registrations = put(b.registrations, e.Register, (*wire.Registration).GetEntry)
-		}
+		b.register(e.Register)
 	case *wire.Entry_Publish:
 		return b.publish(e.Publish)
 	case *wire.Entry_Enlist:
--- a/internal/contract/view.go
+++ b/internal/contract/view.go
@@ -100,6 +100,19 @@
 	return ""
 }
 
+// register adds an entry VM. It replaces the one that had its place before: that process has ended.
+func (b *Book) register(r *wire.Registration) {
+	if r.GetEntry() == "" {
+		return
+	}
+	if r.GetProcess() != "" {
+		b.registrations = slices.DeleteFunc(slices.Clone(b.registrations), func(o *wire.Registration) bool {
+			return o.GetProcess() == r.GetProcess() && o.GetEntry() != r.GetEntry()
+		})
+	}
+	b.registrations = put(b.registrations, r, (*wire.Registration).GetEntry)
+}
+
 // mark sets whether a member is retired.
 func (b *Book) mark(server string, retired bool) {
 	v, ok := b.View(b.member(server))
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -94,6 +94,7 @@
 	for entry := range d.known {
 		if !known[entry] {
 			d.issuer.Forget(entry)
+			d.issuer.Supersede(now, entry)
 			delete(d.leaving, entry)
 		}
 	}
--- a/internal/lease/issuer.go
+++ b/internal/lease/issuer.go
@@ -259,6 +259,28 @@
 	return gone
 }
 
+// Supersede drops an entry VM whose process has certainly ended, because another one runs in its
+// place. What it held may have been spent and does not return; its connections are closed.
+func (i *Issuer) Supersede(now time.Time, entry EntryID) {
+	i.expire(now)
+	h, ok := i.holders[entry]
+	if !ok {
+		return
+	}
+	if !h.known {
+		h.known = true
+		i.discover(now, i.unknown-1)
+	}
+	for _, s := range h.shares {
+		s.end(now, i.unknown)
+	}
+	for name := range h.slots {
+		i.servers[name].free(h.id)
+	}
+	h.silent = true // contacts in the queue refer to it no more
+	delete(i.holders, entry)
+}
+
 // Forget drops an entry VM that the control log has forgotten. If it lives, it must be registered
 // before its next Renew.
 func (i *Issuer) Forget(entry EntryID) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,7 @@
 // Options are what a Relay is made of. They do not change.
 type Options struct {
 	Node     settings.Node
+	Process  string          // place that only one process at a time can have; empty if not known
 	Controls func() []string // gRPC listeners of control VMs as configured; may change
 	Dial     func(address string) (wire.ControlClient, io.Closer, error)
 	Server   lane.Dialer
@@ -109,7 +110,7 @@
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.table.Store(newTable(r.book.Configuration(), nil))
 	r.control = renewal.New(host{r}, renewal.Options{
-		Registration: &wire.Registration{Entry: r.identity, Name: o.Node.Name, Zone: o.Node.Zone},
+		Registration: &wire.Registration{Entry: r.identity, Name: o.Node.Name, Zone: o.Node.Zone, Process: o.Process},
 		Controls:     o.Controls, Dial: o.Dial, Now: o.Now, Pause: o.Pause,
 	})
 	r.credits = r.control.Credits()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -26,7 +26,10 @@
 type Caller struct {
 	Route string // name of the route
 	Key   string // key of the client account
-	Close func() // closes the caller's connection; called when the VM shuts down
+	// Interrupt has the adapter close the connection once no statement of it is read and unanswered.
+	// It is called when the VM shuts down, possibly more than once.
+	Interrupt func()
+	Close     func() // closes the connection at once
 }
 
 // Session is one caller's connection. Handle is called by one goroutine at a time.
@@ -34,10 +37,11 @@
 // Invariants: a transaction runs on one connection of one instance, with the values and prepared
 // statements of this session; no other session uses that connection before it ends.
 type Session struct {
-	relay *Relay
-	route string
-	key   [sha256.Size]byte
-	close func()
+	relay     *Relay
+	route     string
+	key       [sha256.Size]byte
+	close     func()
+	interrupt func()
 
 	mu       sync.Mutex
 	profile  lane.Profile
@@ -58,7 +62,7 @@
 func (r *Relay) Open(ctx context.Context, c Caller) (*Session, operation.Answer) {
 	r.await(ctx)
 	s := &Session{
-		relay: r, route: c.Route, key: sha256.Sum256([]byte(c.Key)), close: c.Close,
+		relay: r, route: c.Route, key: sha256.Sum256([]byte(c.Key)), close: c.Close, interrupt: c.Interrupt,
 		profile: lane.Profile{Values: map[string]string{}}, prepared: map[string]lane.Shape{},
 	}
 	if r.closing.Load() {
@@ -269,7 +273,7 @@
 	return &a
 }
 
-// retire closes the session when nothing of it is open. Later in a planned stop, open transactions
+// retire has the session closed when nothing of it is open. Later in a planned stop, open transactions
 // are rolled back, and at its end the caller is cut.
 func (s *Session) retire(rollback, cut bool) {
 	if cut {
@@ -285,7 +289,7 @@
 		return
 	}
 	if s.tx == nil && !s.failed {
-		s.close()
+		s.interrupt()
 	}
 }
 
