--- a/internal/controllog/election.go
+++ b/internal/controllog/election.go
@@ -8,8 +8,8 @@
 
 // rest sets the next time to stand for election.
 func (v *Voter) rest(now time.Time) {
-	span := int64(ElectionMost - ElectionLeast)
-	v.deadline = now.Add(ElectionLeast + time.Duration(v.random.Int64N(span)))
+	span := int64(v.paced(ElectionMost) - v.paced(ElectionLeast))
+	v.deadline = now.Add(v.paced(ElectionLeast) + time.Duration(v.random.Int64N(span)))
 }
 
 // pause sets the next time to stand for election when nothing points to a leader: between least
@@ -45,7 +45,7 @@
 	if !v.isVoter() {
 		return
 	}
-	v.pause(now, PollAgain)
+	v.pause(now, v.paced(PollAgain))
 	v.role = PreCandidate
 	v.leader = ""
 	v.votes = map[Identity]bool{v.id: true}
@@ -79,7 +79,7 @@
 	switch v.role {
 	case PreCandidate:
 		v.role = Candidate
-		v.pause(now, BallotAgain)
+		v.pause(now, v.paced(BallotAgain))
 		v.saveVote(v.term+1, v.id)
 		v.verified, v.owed = 0, nil
 		v.votes = map[Identity]bool{v.id: true}
@@ -93,7 +93,7 @@
 // ballot answers a candidate. A voter that heard from a leader within the least election timeout
 // refuses, because the leader's lease rests on that promise.
 func (v *Voter) ballot(now time.Time, m *wire.VoterMessage, b *wire.Ballot) {
-	promised := now.Sub(v.heard) < ElectionLeast && v.Formed()
+	promised := now.Sub(v.heard) < v.paced(ElectionLeast) && v.Formed()
 	if promised || v.role == Leader {
 		if m.Term < v.term {
 			v.answer(m, b, false) // tells the candidate the term
@@ -124,11 +124,11 @@
 // the votes. Of two pre-candidates the one with the lower identity goes on.
 func (v *Voter) giveWay(now time.Time, candidate Identity) {
 	switch {
-	case v.role == Follower && v.deadline.Before(now.Add(PollAgain)):
-		v.pause(now, PollAgain)
+	case v.role == Follower && v.deadline.Before(now.Add(v.paced(PollAgain))):
+		v.pause(now, v.paced(PollAgain))
 	case v.role == PreCandidate && candidate < v.id:
 		v.role, v.votes = Follower, nil
-		v.pause(now, PollAgain)
+		v.pause(now, v.paced(PollAgain))
 	}
 }
 
--- a/internal/controllog/replication.go
+++ b/internal/controllog/replication.go
@@ -30,12 +30,12 @@
 
 // lead does what is due for a leader: heartbeats, resignation without a quorum, membership.
 func (v *Voter) lead(now time.Time) {
-	if now.Sub(v.quorumSince(now)) > ElectionMost {
+	if now.Sub(v.quorumSince(now)) > v.paced(ElectionMost) {
 		v.follow(now, v.term, "")
 		return
 	}
 	v.maintain(now)
-	if now.Sub(v.beat) >= Heartbeat {
+	if now.Sub(v.beat) >= v.paced(Heartbeat) {
 		v.beat = now
 		for _, m := range v.Membership().Members {
 			if f := v.followers[Identity(m.Identity)]; f != nil {
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -37,6 +37,7 @@
 	Peers   []string      // addresses of all control VMs, the own one included; empty for a group of one
 	Spare   bool          // never forms a group; joins as a learner
 	Compact uint64        // committed records between snapshots; 0 means CompactAfter
+	Pace    time.Duration // time between heartbeats, to which the times of elections and of the lease are in proportion; 0 means Heartbeat
 	Replace time.Duration // silence after which a spare replaces a voter; 0 means ReplaceAfter
 }
 
@@ -124,6 +125,14 @@
 	return v
 }
 
+// paced scales a time of the protocol, which is stated for the default time between heartbeats.
+func (v *Voter) paced(d time.Duration) time.Duration {
+	if v.place.Pace == 0 {
+		return d
+	}
+	return time.Duration(float64(d) * float64(v.place.Pace) / float64(Heartbeat))
+}
+
 // Step handles one event. The returned effects are performed in order.
 func (v *Voter) Step(now time.Time, e Event) []Effect {
 	v.effects = nil
@@ -165,7 +174,7 @@
 	if v.role == Leader {
 		return v.place.Address
 	}
-	if now.Sub(v.heard) > ElectionMost {
+	if now.Sub(v.heard) > v.paced(ElectionMost) {
 		return ""
 	}
 	return v.leader
@@ -174,7 +183,7 @@
 // Lease reports whether this voter is certainly the only leader at now, and its applied state is
 // current. A shell reads the clock again after preparing a reply and asks once more before sending.
 func (v *Voter) Lease(now time.Time) bool {
-	return v.role == Leader && v.current && now.Before(v.quorumSince(now).Add(LeaderLease))
+	return v.role == Leader && v.current && now.Before(v.quorumSince(now).Add(v.paced(LeaderLease)))
 }
 
 // Members returns the state of every member, sorted by identity. Only the leader knows silence and
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -21,7 +21,7 @@
 	issuer  *lease.Issuer
 	leaving map[lease.EntryID]bool // being forgotten
 	seen    uint64                 // index of the book last configured from
-	known   map[lease.EntryID]bool // registered
+	known   map[lease.EntryID]*wire.Registration
 
 	coordinator failover.Policy
 	version     uint64            // configuration last told to the coordinator
@@ -43,6 +43,7 @@
 
 		coordinator: vm.policy(),
 	}
+	d.issuer.Tolerate(vm.options.Tolerance)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	vm.leadership = d
 	vm.changed = true
@@ -87,16 +88,21 @@
 		return
 	}
 	d.seen = book.Index()
-	known := map[lease.EntryID]bool{}
+	known := map[lease.EntryID]*wire.Registration{}
+	successors := map[string]*wire.Registration{}
 	for _, r := range book.Registrations() {
-		known[lease.EntryID(r.Entry)] = true
+		known[lease.EntryID(r.Entry)] = r
+		successors[r.Process] = r
 	}
-	for entry := range d.known {
-		if !known[entry] {
-			d.issuer.Forget(entry)
-			d.issuer.Supersede(now, entry)
-			delete(d.leaving, entry)
+	for entry, r := range d.known {
+		if known[entry] != nil {
+			continue
 		}
+		if s := successors[r.Process]; s != nil && r.Process != "" {
+			d.issuer.Supersede(now, entry, time.Duration(s.Age)*time.Millisecond)
+		}
+		d.issuer.Forget(entry)
+		delete(d.leaving, entry)
 	}
 	d.known = known
 	d.issuer.Configure(now, book.Configuration(), book.Views())
@@ -113,7 +119,7 @@
 		vm.terminate(d, e)
 	}
 	for _, entry := range d.issuer.Gone() {
-		if !d.leaving[entry] && d.known[entry] {
+		if !d.leaving[entry] && d.known[entry] != nil {
 			d.leaving[entry] = true
 			vm.propose(now, &wire.Entry{Entry: &wire.Entry_Forget{Forget: string(entry)}})
 		}
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -19,6 +19,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/controllog"
 	"fireflyrudder.example/fireflyrudder/internal/disk"
 	"fireflyrudder.example/fireflyrudder/internal/failover"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
@@ -44,6 +45,10 @@
 	Fleet Fleet
 	// Policy returns the failover policy of a new leader; nil means failover.New.
 	Policy func(identity string) failover.Policy
+	// Tolerance is by how much client accounts may exceed their rates.
+	Tolerance lease.Tolerance
+	// Pace is the time between heartbeats of the control group; 0 means the default.
+	Pace time.Duration
 	// Replace is the silence after which a spare replaces a voter; 0 means the default.
 	Replace time.Duration
 }
@@ -125,7 +130,7 @@
 	c := vm.options.Control
 	place := controllog.Place{
 		Address: c.Listen, Zone: vm.options.Node.Zone, Peers: c.Peers, Spare: c.Join, Compact: vm.options.Compact,
-		Replace: vm.options.Replace,
+		Replace: vm.options.Replace, Pace: vm.options.Pace,
 	}
 	state := controllog.State{
 		Term: found.Vote.GetTerm(), Vote: controllog.Identity(found.Vote.GetCandidate()),
--- a/internal/histogram/histogram.go
+++ b/internal/histogram/histogram.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"sync"
 	"time"
 
@@ -63,3 +64,9 @@
 	}
 	return string(text)
 }
+
+// Brief writes count, median, 99th percentile and maximum for a log line.
+func (h *Histogram) Brief() string {
+	s := h.Snapshot()
+	return fmt.Sprintf("n=%d p50=%.1fms p99=%.1fms max=%.1fms", s.Count, s.P50*1e3, s.P99*1e3, s.Max*1e3)
+}
--- a/internal/lease/bucket.go
+++ b/internal/lease/bucket.go
@@ -11,8 +11,9 @@
 // bucket is the ideal token bucket of an account. Level plus what is outstanding at holders never
 // exceeds the burst, so every window admits at most burst + rate x length.
 type bucket struct {
-	rate    float64 // credits per second
-	burst   float64
+	rate    float64  // credits per second
+	burst   float64  // with the tolerated excess
+	float   float64  // tolerated excess of one entry VM
 	level   float64  // credits that may be granted
 	out     float64  // sum of out of all shares
 	unmet   float64  // sum of unmet of all shares
@@ -125,6 +126,7 @@
 			c.Amount = s.equal(now, d, len(i.holders))
 		} else {
 			c.Amount = s.pooled(d)
+			c.Float = b.float
 			c.Retry = s.retry(d.GetWant()-c.Amount, i.unknown).Milliseconds()
 		}
 		credits = append(credits, c)
@@ -164,15 +166,27 @@
 	if want+others > b.level {
 		grant = s.part(want, others)
 	}
-	if others <= epsilon && grant >= want && b.rate >= stockRate {
-		stock := min(s.use.target()-s.out-grant, room-grant, b.level-grant-b.burst/2)
-		grant += max(0, math.Floor(stock))
+	if others <= epsilon && grant >= want {
+		grant += s.stock(grant, room)
 	}
 	s.grant(grant)
 	s.miss(max(0, d.GetWant()-grant))
 	return grant
 }
 
+// stock returns the credits beyond a grant that the holder keeps for the statements to come.
+func (s *share) stock(grant, room float64) float64 {
+	b := s.bucket
+	goal, reserve := s.use.target(), b.burst/2
+	switch {
+	case b.float > 0:
+		goal, reserve = max(goal, b.float), b.burst/4
+	case b.rate < stockRate:
+		return 0
+	}
+	return max(0, math.Floor(min(goal-s.out-grant, room-grant, b.level-grant-reserve)))
+}
+
 // part divides a scarce level. Each holder that has waited longer is left one credit; the rest is
 // granted in proportion to demand, in whole credits, since parts of a credit at several entry VMs
 // admit nothing.
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -54,6 +54,7 @@
 	reported float64 // spent as last reported
 	want     float64 // as last reported
 	listed   bool    // credits were held at the last report
+	float    float64 // kept even without use, as the issuer said last
 	use      meter
 	low      float64   // a request is due when held falls below it
 	report   time.Time // but not before this time
@@ -124,9 +125,9 @@
 			p.held = 0
 		}
 		p.use.add(now, p.spent-p.reported+p.waiting)
-		if target := p.use.target(); p.held > 2*target {
+		if target := max(p.use.target(), p.float/2); p.held > 2*target {
 			// A part of a credit would admit nothing.
-			keep := math.Floor(target)
+			keep := max(math.Floor(target), min(p.float, p.held))
 			p.returned += p.held - keep
 			p.held = keep
 		}
@@ -205,6 +206,7 @@
 		return
 	}
 	p.held += max(0, c.GetAmount())
+	p.float = c.GetFloat()
 	p.low = p.held / 4
 	if p.held < 16 {
 		// A small stock would be low after each request; it is asked for when a request waits.
--- a/internal/lease/issuer.go
+++ b/internal/lease/issuer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -27,6 +28,8 @@
 // registered ones and believes their first report.
 type Issuer struct {
 	policy   Policy
+	allows   Tolerance
+	quiet    quiet
 	start    time.Time
 	holders  map[EntryID]*holder
 	queue    []contact // accepted requests in order of time, to find silent holders
@@ -77,9 +80,20 @@
 	for _, a := range c.GetAccounts() {
 		i.accounts[AccountID(a.GetName())] = &bucket{rate: a.GetRate(), burst: a.GetBurst(), filled: now}
 	}
+	i.quiet = quiet{fresh: i.unknown > 0}
 	return i
 }
 
+// Tolerate sets the tolerance. It is zero unless set before the first Configure.
+func (i *Issuer) Tolerate(t Tolerance) { i.allows = t }
+
+// shape sets the sizes of a bucket.
+func (i *Issuer) shape(b *bucket, a *wire.Account) {
+	extra := i.allows.extra(a.GetRate(), a.GetBurst())
+	b.rate, b.burst, b.dropped = a.GetRate(), a.GetBurst()+extra, false
+	b.float = math.Floor(extra / float64(max(len(i.holders), 1)))
+}
+
 // Divide selects the policy. It is Pooled unless set before the first Renew.
 func (i *Issuer) Divide(p Policy) { i.policy = p }
 
@@ -98,11 +112,11 @@
 	for _, a := range c.GetAccounts() {
 		b, ok := i.accounts[AccountID(a.GetName())]
 		if !ok {
-			b = &bucket{level: a.GetBurst(), filled: now}
+			b = &bucket{level: a.GetBurst() + i.allows.extra(a.GetRate(), a.GetBurst()), filled: now}
 			i.accounts[AccountID(a.GetName())] = b
 		}
 		b.refill(now, i.unknown)
-		b.rate, b.burst, b.dropped = a.GetRate(), a.GetBurst(), false
+		i.shape(b, a)
 		b.refill(now, i.unknown)
 	}
 	i.members(c, views)
@@ -126,6 +140,7 @@
 	}
 	first := !h.known
 	if first {
+		i.quiet.fresh = false // a process that ran before may have spent credits since
 		h.known = true
 		i.discover(now, i.unknown-1)
 	}
@@ -166,6 +181,7 @@
 // expire ends the leases of holders that were not heard of while their leases last.
 func (i *Issuer) expire(now time.Time) {
 	if i.unknown > 0 && now.Sub(i.start) >= counted {
+		i.quiet.fresh = false
 		i.discover(now, 0)
 		for _, h := range i.holders {
 			if !h.known {
@@ -193,6 +209,26 @@
 		b.refill(now, i.unknown)
 	}
 	i.unknown = unknown
+	if unknown > 0 || !i.quiet.fresh {
+		return
+	}
+	i.quiet.fresh = false
+	for _, b := range i.accounts {
+		b.level = min(b.level+b.rate*i.quiet.least.Seconds(), b.burst)
+	}
+}
+
+// quiet tells for how long nobody spent anything, if every entry VM was started again.
+type quiet struct {
+	fresh bool          // so far each registered entry VM turned out to be superseded
+	least time.Duration // shortest time that a successor has run; 0 before the first
+}
+
+// note takes over the age of a successor.
+func (q *quiet) note(age time.Duration) {
+	if q.least == 0 || age < q.least {
+		q.least = age
+	}
 }
 
 // end stops counting a holder's credits as held. They may have been spent, so they don't return to
@@ -261,7 +297,8 @@
 
 // Supersede drops an entry VM whose process has certainly ended, because another one runs in its
 // place. What it held may have been spent and does not return; its connections are closed.
-func (i *Issuer) Supersede(now time.Time, entry EntryID) {
+// The age is how long the other one had run when it was registered.
+func (i *Issuer) Supersede(now time.Time, entry EntryID, age time.Duration) {
 	i.expire(now)
 	h, ok := i.holders[entry]
 	if !ok {
@@ -269,6 +306,7 @@
 	}
 	if !h.known {
 		h.known = true
+		i.quiet.note(age)
 		i.discover(now, i.unknown-1)
 	}
 	for _, s := range h.shares {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -46,6 +46,24 @@
 	epsilon = 1e-9
 )
 
+// Tolerance is by how much the statements of a client account may exceed its rate and burst in any
+// window of a length. Issuers use it so that each entry VM always holds a few credits of its own: it
+// needs no answer for the next statements, and a change of the leader goes unnoticed.
+type Tolerance struct {
+	Window  time.Duration
+	Overrun float64 // share of what the window admits
+	Slack   float64 // statements
+}
+
+// spare is the part of a tolerance that is not given out. Statements that were admitted within a
+// little more than the window may reach backend servers within it.
+const spare = 0.15
+
+// extra returns the credits that may be outstanding beyond the burst.
+func (t Tolerance) extra(rate, burst float64) float64 {
+	return (1 - spare) * (t.Overrun*(rate*t.Window.Seconds()+burst) + t.Slack)
+}
+
 // meter measures a rate, smoothed over time.
 type meter struct {
 	rate float64 // per second
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -21,10 +21,13 @@
 	primary   *expvar.Int // reads answered by the primary
 	writes    *expvar.Int
 	commits   *expvar.Int
-	idle      *expvar.Int // transactions ended because they were idle
-	outcomes  *expvar.Map // answers by code
-	reasons   *expvar.Map // refusals by reason
-	waits     *histogram.Histogram
+	slow      *expvar.Int          // operations above the target of their route
+	idle      *expvar.Int          // transactions ended because they were idle
+	outcomes  *expvar.Map          // answers by code
+	reasons   *expvar.Map          // refusals by reason
+	waits     *histogram.Histogram // for rate credits
+	lanes     *histogram.Histogram // for a connection to an instance
+	proofs    *histogram.Histogram // for a proof of what a read must see
 	reads     *histogram.Histogram
 	changes   *histogram.Histogram
 	connected atomic.Bool // the last Renew succeeded
@@ -35,7 +38,7 @@
 	named := map[string]**expvar.Int{
 		"sessions": &m.sessions, "opened": &m.opened, "refused": &m.refused, "versions": &m.versions,
 		"renewals": &m.renewals, "unrenewed": &m.unrenewed, "retries": &m.retries, "replica": &m.replica,
-		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle,
+		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "slow": &m.slow,
 	}
 	for name, counter := range named {
 		*counter = new(expvar.Int)
@@ -43,8 +46,11 @@
 	}
 	m.all.Set("outcomes", m.outcomes)
 	m.all.Set("reasons", m.reasons)
-	m.waits, m.reads, m.changes = histogram.New(), histogram.New(), histogram.New()
-	m.all.Set("wait", m.waits)
+	m.waits, m.lanes, m.proofs = histogram.New(), histogram.New(), histogram.New()
+	m.reads, m.changes = histogram.New(), histogram.New()
+	m.all.Set("credit", m.waits)
+	m.all.Set("lane", m.lanes)
+	m.all.Set("proof", m.proofs)
 	m.all.Set("read", m.reads)
 	m.all.Set("change", m.changes)
 	return m
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -50,6 +50,15 @@
 	return a
 }
 
+// summarize logs the latencies and refusals since the start.
+func (r *Relay) summarize() {
+	m := r.metrics
+	log.WithFields(log.Fields{
+		"event": "summary", "sessions": m.sessions.Value(), "credit": m.waits.Brief(), "lane": m.lanes.Brief(), "proof": m.proofs.Brief(),
+		"read": m.reads.Brief(), "change": m.changes.Brief(), "retries": m.retries.Value(), "refusals": m.reasons.String(),
+	}).Info("summary")
+}
+
 // observe counts the latency of a statement.
 func (r *Relay) observe(st *operation.Statement, a operation.Answer, elapsed time.Duration) {
 	switch {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -44,6 +44,8 @@
 	zoneWay = 11 * time.Millisecond
 	// startLatency is expected of an instance before its first answer.
 	startLatency = 20 * time.Millisecond
+	// summaryEvery is the time between two lines with the latencies so far.
+	summaryEvery = 10 * time.Second
 	// holdWait is the pause before a write asks again during a planned switchover.
 	holdWait = 100 * time.Millisecond
 )
@@ -159,8 +161,12 @@
 	defer close(r.ended)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	summary := time.NewTicker(summaryEvery)
+	defer summary.Stop()
 	for {
 		select {
+		case <-summary.C:
+			r.summarize()
 		case <-r.ctx.Done():
 			for _, g := range r.groups {
 				g.close()
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -54,6 +54,7 @@
 
 // permit is the right to run one operation.
 type permit struct {
+	trace   trace
 	route   *route
 	account *account
 }
@@ -155,7 +156,9 @@
 		return s.done()
 	}
 	a := s.single(ctx, arrived, p, st)
-	s.relay.observe(&st, a, s.relay.options.Now().Sub(arrived))
+	p.trace.total = s.relay.options.Now().Sub(arrived)
+	s.relay.observe(&st, a, p.trace.total)
+	s.relay.slow(p, &st, &p.trace, "single")
 	return a
 }
 
@@ -243,6 +246,7 @@
 		result, granted := s.relay.credits.Take(now, lease.AccountID(p.account.name), 1)
 		if result.Verdict == lease.Admitted {
 			s.relay.metrics.waits.Add(now.Sub(arrived))
+			p.trace.credit = now.Sub(arrived)
 			return s.permitAgain(now, arrived, p, id)
 		}
 		if result.Verdict == lease.Refused {
@@ -263,7 +267,11 @@
 	if now.Sub(arrived) < tick {
 		return p, nil
 	}
-	return s.permit(now, id)
+	again, refusal := s.permit(now, id)
+	if refusal == nil {
+		again.trace = p.trace
+	}
+	return again, refusal
 }
 
 // overRate is the refusal of an operation for which no credit is there.
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -46,6 +46,7 @@
 // pause waits before the next try, or until the channel closes. It is false if the time is over.
 func (e *effort) pause(ctx context.Context, wait time.Duration, changed <-chan struct{}) bool {
 	e.tries++
+	e.permit.trace.tries++
 	e.session.relay.metrics.retries.Add(1)
 	if e.left() <= wait {
 		return false
@@ -176,6 +177,8 @@
 
 // run sends a statement on a connection in the state of the session.
 func (e *effort) run(h *lane.Held, st operation.Statement) (operation.Answer, error) {
+	sent := e.now()
+	defer func() { e.permit.trace.run += e.now().Sub(sent) }()
 	if err := h.Adjust(); err != nil {
 		return operation.Answer{}, errors.CombineErrors(errNotSent, err)
 	}
@@ -214,7 +217,7 @@
 			}
 			continue
 		}
-		h, err := l.Acquire(ctx, e.ticket(), &e.session.profile)
+		h, err := e.acquire(ctx, l)
 		if err == nil {
 			return h, true
 		}
@@ -225,6 +228,17 @@
 	}
 }
 
+// acquire waits for a connection of a lane.
+func (e *effort) acquire(ctx context.Context, l *lane.Lane) (*lane.Held, error) {
+	asked := e.now()
+	h, err := l.Acquire(ctx, e.ticket(), &e.session.profile)
+	took := e.now().Sub(asked)
+	e.session.relay.metrics.lanes.Add(took)
+	e.permit.trace.lane += took
+	e.permit.trace.server = l.Server()
+	return h, err
+}
+
 // refusedLane notes why a lane gave no connection and waits. It is false if there is no use in
 // another try.
 func (e *effort) refusedLane(ctx context.Context, err error) bool {
@@ -349,7 +363,11 @@
 func (e *effort) acquireReader(ctx context.Context) (*lane.Held, position.Position, bool) {
 	g := e.permit.route.group
 	for {
+		asked := e.now()
 		floor, ok := g.floor(ctx, e.permit.route.age, e.session.floor)
+		took := e.now().Sub(asked)
+		e.session.relay.metrics.proofs.Add(took)
+		e.permit.trace.proof += took
 		if !ok {
 			e.note(operation.Answer{Code: operation.Busy}, reasonPrimary)
 			return nil, floor, false
@@ -362,7 +380,7 @@
 			}
 			continue
 		}
-		h, err := l.Acquire(ctx, e.ticket(), &e.session.profile)
+		h, err := e.acquire(ctx, l)
 		if err == nil {
 			return h, floor, true
 		}
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -22,7 +22,8 @@
 	group   *group
 	age     time.Duration // oldest data that a read may see; 0 asks for current data
 	timeout time.Duration
-	open    bool // to callers without a key
+	target  time.Duration // latency that callers expect; 0 if none is stated
+	open    bool          // to callers without a key
 }
 
 // account is a client account.
@@ -39,7 +40,7 @@
 	for _, r := range c.GetRoutes() {
 		t.routes[r.GetName()] = &route{
 			name: r.GetName(), group: groups[r.GetGroup()], open: r.GetOpen(),
-			age: milliseconds(r.GetAge(), 0), timeout: milliseconds(r.GetTimeout(), timeoutDefault),
+			age: milliseconds(r.GetAge(), 0), target: milliseconds(r.GetTarget(), 0), timeout: milliseconds(r.GetTimeout(), timeoutDefault),
 		}
 	}
 	for _, a := range c.GetAccounts() {
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -48,7 +48,13 @@
 	defer cancel()
 	e := &effort{session: s, permit: t.permit, st: st, until: arrived.Add(t.permit.route.timeout)}
 	a := s.inside(ctx, e)
-	s.relay.observe(&st, a, s.relay.options.Now().Sub(arrived))
+	took := s.relay.options.Now().Sub(arrived)
+	s.relay.observe(&st, a, took)
+	t.permit.trace.total += took
+	t.permit.trace.statements++
+	if s.tx == nil {
+		s.relay.slow(t.permit, &st, &t.permit.trace, "transaction")
+	}
 	return a
 }
 
--- a/internal/renewal/client.go
+++ b/internal/renewal/client.go
@@ -78,6 +78,7 @@
 	credits  *Credits
 	due      chan struct{} // holds one token when a Renew is due now
 	moved    chan struct{} // holds one token when the time of the next Renew may be earlier
+	started  time.Time
 	sequence uint64
 	term     uint64 // control log term of the latest reply; a leader grants only to requests that name its own
 	clients  map[string]wire.ControlClient
@@ -95,7 +96,7 @@
 // New returns a Client that does nothing until Run.
 func New(host Host, options Options) *Client {
 	c := &Client{
-		options: options, host: host,
+		options: options, host: host, started: options.Now(),
 		due: make(chan struct{}, 1), moved: make(chan struct{}, 1), clients: make(map[string]wire.ControlClient),
 		ended: make(chan struct{}), leaving: make(chan struct{}),
 		at: rand.IntN(max(len(options.Controls()), 1)), watched: make(map[string]bool), streams: make(map[string]context.CancelFunc),
@@ -239,6 +240,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.sequence == 0 {
+		c.options.Registration.Age = c.options.Now().Sub(c.started).Milliseconds()
+	}
 	request := &wire.RenewRequest{Registration: c.options.Registration, Leaving: leaving, Term: c.term}
 	usages := c.host.Observe(ctx, request)
 	c.sequence++
