--- a/internal/contract/book.go
+++ b/internal/contract/book.go
@@ -27,6 +27,7 @@
 	configuration *wire.Configuration // accounts, routes, groups and retired servers are sorted by name
 	views         []*wire.View        // sorted by group, one for each group; a revision is the log index of the change
 	registrations []*wire.Registration
+	entered       uint64           // log index of the latest change of the registrations
 	decisions     []*wire.Decision // oldest first, at most maxDecisions
 	outcomes      map[string]*wire.Decision
 	edits         []record // oldest first, at most maxEdits, without gaps up to the present version
@@ -68,7 +69,7 @@
 			"restore the data folder of this control VM from another voter: remove it and join as a spare")
 	}
 	b.views = s.GetViews()
-	b.registrations = s.GetRegistrations()
+	b.registrations, b.entered = s.GetRegistrations(), s.GetEntered()
 	b.decisions = s.GetDecisions()
 	for _, d := range b.decisions {
 		b.outcomes[d.GetChange()] = d
@@ -92,6 +93,7 @@
 		Views:         b.views,
 		Registrations: b.registrations,
 		Decisions:     slices.Clip(b.decisions),
+		Entered:       b.entered,
 	}
 }
 
@@ -124,6 +126,7 @@
 		b.delist(e.Delist.GetServer())
 	case *wire.Entry_Forget:
 		b.registrations = drop(b.registrations, e.Forget, (*wire.Registration).GetEntry)
+		b.entered = b.index
 	}
 	return nil
 }
@@ -140,6 +143,9 @@
 // Views returns the views of all groups, sorted by group; read-only.
 func (b *Book) Views() []*wire.View { return b.views }
 
+// Entered returns the log index of the latest change of the registrations.
+func (b *Book) Entered() uint64 { return b.entered }
+
 // Registrations returns the known entry VMs, sorted by identity; read-only.
 func (b *Book) Registrations() []*wire.Registration { return b.registrations }
 
--- a/internal/contract/delta.go
+++ b/internal/contract/delta.go
@@ -116,5 +116,8 @@
 			b.views = put(b.views, v, (*wire.View).GetGroup)
 		}
 	}
+	if u.GetEntered() > b.entered {
+		b.registrations, b.entered = u.GetEntries(), u.GetEntered()
+	}
 	b.index = max(b.index, u.GetIndex())
 }
--- a/internal/contract/view.go
+++ b/internal/contract/view.go
@@ -111,6 +111,7 @@
 		})
 	}
 	b.registrations = put(b.registrations, r, (*wire.Registration).GetEntry)
+	b.entered = b.index
 }
 
 // mark sets whether a member is retired.
--- a/internal/controlvm/publish.go
+++ b/internal/controlvm/publish.go
@@ -185,7 +185,7 @@
 // sameMember reports whether an announcement tells nothing new.
 func sameMember(m, known *wire.Member) bool {
 	return m.GetAddress() == known.GetAddress() && m.GetZone() == known.GetZone() &&
-		m.GetLeaving() == known.GetLeaving() && m.GetBorn() == known.GetBorn()
+		m.GetLeaving() == known.GetLeaving() && m.GetBorn() == known.GetBorn() && m.GetSlots() == known.GetSlots()
 }
 
 // Publish takes a configuration at the leader.
--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -20,6 +20,7 @@
 	version uint64
 	index   uint64
 	groups  []string
+	entered uint64 // of the registrations sent last
 }
 
 // Watch sends the state an entry VM lacks and then every change. Every control VM that hears from
@@ -27,7 +28,7 @@
 // version that Renew names.
 func (s *service) Watch(r *wire.WatchRequest, stream wire.Control_WatchServer) error {
 	ctx := stream.Context()
-	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups}
+	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, entered: r.Entered}
 	if err := s.vm.do(ctx, func(time.Time) { s.vm.watchers[w] = struct{}{} }); err != nil {
 		return failure(err)
 	}
@@ -68,13 +69,16 @@
 		if u, ok = s.vm.book.Since(w.version, w.index, w.groups); !ok {
 			u = s.vm.book.Full(w.groups)
 		}
+		if entered := s.vm.book.Entered(); entered > w.entered {
+			u.Entries, u.Entered = s.vm.book.Registrations(), entered
+		}
 	})
 	return u, led, err
 }
 
 // push sends an update unless it brings nothing new or is older than what the entry VM holds.
 func (s *service) push(stream wire.Control_WatchServer, w *watcher, u *wire.Update, first bool) error {
-	fresh := u.Version > w.version || len(u.Views) > 0 || u.Full != nil
+	fresh := u.Version > w.version || len(u.Views) > 0 || u.Full != nil || u.Entered > w.entered
 	if u.Version < w.version || (!fresh && !first) {
 		return nil
 	}
@@ -82,6 +86,6 @@
 	if err := stream.Send(u); err != nil {
 		return err
 	}
-	w.version, w.index = u.Version, max(w.index, u.Index)
+	w.version, w.index, w.entered = u.Version, max(w.index, u.Index), max(w.entered, u.Entered)
 	return nil
 }
--- a/internal/entryvm/control.go
+++ b/internal/entryvm/control.go
@@ -74,17 +74,16 @@
 }
 
 // Held implements renewal.Host.
-func (h host) Held(ctx context.Context) (version, index uint64, ok bool) {
-	held := make(chan struct{})
+func (h host) Held(ctx context.Context) (*wire.WatchRequest, bool) {
+	held := make(chan *wire.WatchRequest, 1)
 	h.vm.post(func(time.Time) {
-		version, index = h.vm.book.Version(), h.vm.book.Index()
-		close(held)
+		held <- &wire.WatchRequest{Version: h.vm.book.Version(), Index: h.vm.book.Index(), Entered: h.vm.book.Entered()}
 	})
 	select {
-	case <-held:
-		return version, index, true
+	case r := <-held:
+		return r, true
 	case <-ctx.Done():
-		return 0, 0, false
+		return nil, false
 	}
 }
 
--- a/internal/failover/ordered.go
+++ b/internal/failover/ordered.go
@@ -37,8 +37,8 @@
 	beatSilence = 3 * time.Second
 	// askWait is how long the members' positions are waited for once most have answered or failed.
 	askWait = 350 * time.Millisecond
-	// orderWait is how long an order may take. A platform needs some hundred milliseconds.
-	orderWait = 1500 * time.Millisecond
+	// orderWait is how long the platform may take to accept an order, which it carries out later.
+	orderWait = 500 * time.Millisecond
 	// claimWait lets a new primary's claim win over the former view.
 	claimWait = 1500 * time.Millisecond
 	// readyLag is the lag of a replica that may take over from a leaving primary within a short hold of writes.
--- /dev/null
+++ b/internal/forward/client.go
@@ -0,0 +1,298 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+const (
+	// wayBack is added to the limit of a request for the way of its reply.
+	wayBack = 100 * time.Millisecond
+	// pingAfter is the age of a request without a reply at which the entry VM is asked whether it answers.
+	pingAfter = 200 * time.Millisecond
+	// silentAfter is how long it may take to say so. It is above a retransmission of TCP.
+	silentAfter = 300 * time.Millisecond
+	// pingPause is the pause before an entry VM that is out of reach is asked again.
+	pingPause = 50 * time.Millisecond
+	// shunned is how long an entry VM that failed is left out.
+	shunned = time.Second
+	// connectTimeout bounds the opening of a connection.
+	connectTimeout = 300 * time.Millisecond
+	redialMost     = 500 * time.Millisecond
+)
+
+// Client sends statements to other entry VMs. It is safe for concurrent use.
+type Client struct {
+	now func() time.Time
+
+	mu    sync.Mutex
+	peers map[string]*peer // by address
+}
+
+// peer is another entry VM.
+type peer struct {
+	conn   *grpc.ClientConn
+	client wire.ForwardClient
+
+	mu          sync.Mutex
+	outstanding map[*time.Time]struct{} // send times of requests without a reply
+	replied     time.Time
+	pinged      time.Time // when the ping in progress was sent; zero if there is none
+	shunned     time.Time // not used before
+}
+
+// NewClient returns a Client without connections.
+func NewClient(now func() time.Time) *Client {
+	return &Client{now: now, peers: map[string]*peer{}}
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.peers {
+		_ = p.conn.Close()
+		delete(c.peers, address)
+	}
+}
+
+// peer returns the peer at an address. It connects in the background.
+func (c *Client) peer(address string) (*peer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.peers[address]; p != nil {
+		return p, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: redialMost},
+			MinConnectTimeout: connectTimeout,
+		}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: pingTimeout}),
+	)
+	if err != nil {
+		return nil, errors.Wrap(err, "forward: dial")
+	}
+	conn.Connect()
+	p := &peer{conn: conn, client: wire.NewForwardClient(conn), outstanding: map[*time.Time]struct{}{}}
+	c.peers[address] = p
+	return p, nil
+}
+
+// Usable reports whether statements may be sent to the entry VM at an address: it is connected,
+// answers, and did not fail a short while ago.
+func (c *Client) Usable(address string) bool {
+	p, err := c.peer(address)
+	if err != nil {
+		return false
+	}
+	if p.conn.GetState() != connectivity.Ready {
+		p.conn.Connect()
+		return false
+	}
+	return p.answers(c.now)
+}
+
+// answers reports whether the peer replies. A request may take long because its instance is busy, so
+// the peer is asked once one is old.
+func (p *peer) answers(clock func() time.Time) bool {
+	now := clock()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case now.Before(p.shunned):
+		return false
+	case !p.pinged.IsZero():
+		return now.Sub(p.pinged) < silentAfter
+	case now.Sub(p.replied) < pingAfter:
+		return true
+	}
+	for sent := range p.outstanding {
+		if now.Sub(*sent) >= pingAfter {
+			p.pinged = now
+			go p.ping(clock)
+			break
+		}
+	}
+	return true
+}
+
+// ping asks the peer whether it answers, and asks again while it does not.
+func (p *peer) ping(clock func() time.Time) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), shunned)
+		_, err := p.client.Run(ctx, &wire.ForwardRequest{})
+		cancel()
+		if err == nil || p.conn.GetState() == connectivity.Shutdown {
+			break
+		}
+		time.Sleep(pingPause)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pinged, p.replied = time.Time{}, clock()
+}
+
+// Shun leaves an entry VM out for a while.
+func (c *Client) Shun(address string) {
+	if p, err := c.peer(address); err == nil {
+		p.shun(c.now())
+	}
+}
+
+func (p *peer) shun(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shunned = now.Add(shunned)
+}
+
+// begin notes a request. The returned function notes its end.
+func (p *peer) begin(now func() time.Time) func(err error) {
+	sent := now()
+	p.mu.Lock()
+	p.outstanding[&sent] = struct{}{}
+	p.mu.Unlock()
+	return func(err error) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.outstanding, &sent)
+		switch status.Code(err) {
+		case codes.OK:
+			p.replied = now()
+		case codes.Unavailable:
+			p.shunned = now().Add(shunned)
+		}
+	}
+}
+
+// Request names what statements are for.
+type Request struct {
+	Address string // of the entry VM
+	Server  string
+	Account string
+	Weight  float64
+	Read    bool
+	Hold    bool // the connection is kept between calls of Run
+}
+
+// Load is how busy the other entry VM is with the backend server.
+type Load struct {
+	Running, Waiting int
+}
+
+// Held runs statements on a connection of another entry VM. It is used by one goroutine at a time.
+type Held struct {
+	client  *Client
+	request Request
+	peer    *peer
+	stream  wire.Forward_HoldClient // nil before the first statement, and without Hold
+	cancel  context.CancelFunc
+	broken  bool
+	load    Load
+}
+
+// Hold returns a holder. It must be given back by Release.
+func (c *Client) Hold(r Request) (*Held, error) {
+	p, err := c.peer(r.Address)
+	if err != nil {
+		return nil, err
+	}
+	return &Held{client: c, request: r, peer: p}, nil
+}
+
+// Server returns the name of the backend server.
+func (h *Held) Server() string { return h.request.Server }
+
+// Broken reports whether the connection was lost.
+func (h *Held) Broken() bool { return h.broken }
+
+// Load returns how busy the other entry VM was at the last reply.
+func (h *Held) Load() Load { return h.load }
+
+// Run runs statements as lane.Held.Run does.
+func (h *Held) Run(ctx context.Context, until time.Time, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
+	limit := until.Sub(h.client.now())
+	if limit <= 0 {
+		return nil, lane.ErrLate
+	}
+	request := &wire.ForwardRequest{
+		Server: h.request.Server, Account: h.request.Account, Weight: h.request.Weight, Read: h.request.Read,
+		Limit: limit.Microseconds(), Values: values, Steps: encodeSteps(statements),
+	}
+	ended := h.peer.begin(h.client.now)
+	reply, err := h.call(ctx, limit+wayBack, request)
+	ended(err)
+	if err != nil {
+		h.broken = true
+		return nil, errors.CombineErrors(lane.ErrBroken, err)
+	}
+	h.load = Load{Running: int(reply.GetRunning()), Waiting: int(reply.GetWaiting())}
+	err = decodeFailure(reply)
+	h.broken = h.broken || errors.Is(err, lane.ErrBroken) || errors.Is(err, lane.ErrNotSent)
+	return decodeAnswers(reply.GetResults()), err
+}
+
+func (h *Held) call(ctx context.Context, limit time.Duration, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	if !h.request.Hold {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return h.peer.client.Run(ctx, r)
+	}
+	if h.stream == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		stream, err := h.peer.client.Hold(ctx)
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		h.stream, h.cancel = stream, cancel
+	}
+	stop := time.AfterFunc(limit, h.cancel)
+	defer stop.Stop()
+	if err := h.stream.Send(r); err != nil {
+		return nil, err
+	}
+	return h.stream.Recv()
+}
+
+// Release gives the connection back. A transaction that is still open is rolled back.
+func (h *Held) Release() {
+	if h.stream == nil {
+		return
+	}
+	_ = h.stream.CloseSend() // a stream that failed has ended already
+	if h.broken {
+		h.cancel()
+		return
+	}
+	go h.drain()
+}
+
+// drain lets the stream end by itself, so that the other side releases the connection in order.
+func (h *Held) drain() {
+	defer time.AfterFunc(endTimeout, h.cancel).Stop()
+	for {
+		if _, err := h.stream.Recv(); err != nil {
+			h.cancel()
+			return
+		}
+	}
+}
+
+// endTimeout bounds the end of a stream.
+const endTimeout = time.Second
--- /dev/null
+++ b/internal/forward/message.go
@@ -0,0 +1,112 @@
+// Package forward carries statements between entry VMs. Connections to backend servers are scarce and
+// belong to one client account each, so one entry VM near a backend server keeps them for all others.
+package forward
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// failures are the errors that travel, in order of their numbers.
+var failures = []struct {
+	failure wire.Failure
+	err     error
+}{
+	{wire.Failure_FAILURE_LATE, lane.ErrLate},
+	{wire.Failure_FAILURE_FULL, lane.ErrFull},
+	{wire.Failure_FAILURE_LEFT, lane.ErrLeft},
+	{wire.Failure_FAILURE_UNREACHED, lane.ErrUnreached},
+	{wire.Failure_FAILURE_NOT_SENT, lane.ErrNotSent},
+	{wire.Failure_FAILURE_BROKEN, lane.ErrBroken},
+}
+
+// encodeFailure translates an error of a lane. One that is not known promises nothing.
+func encodeFailure(err error) (wire.Failure, operation.Code) {
+	if err == nil {
+		return wire.Failure_FAILURE_NONE, operation.Done
+	}
+	var refused *lane.RefusedError
+	if errors.As(err, &refused) {
+		return wire.Failure_FAILURE_REFUSED, refused.Code
+	}
+	for _, f := range failures {
+		if errors.Is(err, f.err) {
+			return f.failure, operation.Done
+		}
+	}
+	return wire.Failure_FAILURE_BROKEN, operation.Done
+}
+
+// decodeFailure translates back.
+func decodeFailure(r *wire.ForwardReply) error {
+	switch r.GetFailure() {
+	case wire.Failure_FAILURE_NONE:
+		return nil
+	case wire.Failure_FAILURE_REFUSED:
+		return &lane.RefusedError{Code: operation.Code(r.GetCode())}
+	}
+	for _, f := range failures {
+		if f.failure == r.GetFailure() {
+			return f.err
+		}
+	}
+	return lane.ErrBroken
+}
+
+func encodePosition(p position.Position) *wire.Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &wire.Position{Term: uint64(p.Term), Offset: uint64(p.Offset)}
+}
+
+func decodePosition(p *wire.Position) position.Position {
+	return position.Position{Term: position.Term(p.GetTerm()), Offset: position.Offset(p.GetOffset())}
+}
+
+func encodeSteps(statements []operation.Statement) []*wire.Step {
+	steps := make([]*wire.Step, 0, len(statements))
+	for _, st := range statements {
+		steps = append(steps, &wire.Step{
+			Id: st.ID, Kind: uint32(st.Kind), ReadOnly: st.ReadOnly, Name: st.Name, Argument: st.Argument, Text: st.Text,
+			Shape: st.Shape, After: encodePosition(st.After),
+		})
+	}
+	return steps
+}
+
+func decodeSteps(steps []*wire.Step) []operation.Statement {
+	statements := make([]operation.Statement, 0, len(steps))
+	for _, s := range steps {
+		statements = append(statements, operation.Statement{
+			ID: s.GetId(), Kind: operation.Kind(s.GetKind()), ReadOnly: s.GetReadOnly(), Name: s.GetName(), Argument: s.GetArgument(),
+			Text: s.GetText(), Shape: s.GetShape(), After: decodePosition(s.GetAfter()),
+		})
+	}
+	return statements
+}
+
+func encodeAnswers(answers []operation.Answer) []*wire.Result {
+	results := make([]*wire.Result, 0, len(answers))
+	for _, a := range answers {
+		results = append(results, &wire.Result{
+			Rows: a.Rows, Proof: a.Proof, Code: uint32(a.Code), Detail: a.Detail, State: uint32(a.State), At: encodePosition(a.At),
+		})
+	}
+	return results
+}
+
+func decodeAnswers(results []*wire.Result) []operation.Answer {
+	answers := make([]operation.Answer, 0, len(results))
+	for _, r := range results {
+		answers = append(answers, operation.Answer{
+			Rows: r.GetRows(), Proof: r.GetProof(), Code: operation.Code(r.GetCode()), Detail: r.GetDetail(),
+			State: operation.State(r.GetState()), At: decodePosition(r.GetAt()),
+		})
+	}
+	return answers
+}
--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,113 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+const (
+	// pingEvery and pingTimeout find an entry VM that vanished, so that its transactions roll back.
+	pingEvery   = 2 * time.Second
+	pingTimeout = 2 * time.Second
+	// stopGrace is for statements in progress when the VM stops.
+	stopGrace = time.Second
+)
+
+// Lanes finds the lane of a backend server. It is safe for concurrent use.
+type Lanes interface {
+	// Lane returns nil if the VM does not serve the backend server, or shuts down.
+	Lane(server string) *lane.Lane
+}
+
+// Server runs statements for other entry VMs.
+type Server struct {
+	wire.UnimplementedForwardServer
+	lanes Lanes
+	now   func() time.Time
+}
+
+// NewServer returns a Server.
+func NewServer(lanes Lanes, now func() time.Time) *Server {
+	return &Server{lanes: lanes, now: now}
+}
+
+// Serve answers until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	server := grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: pingTimeout}))
+	wire.RegisterForwardServer(server, s)
+	defer context.AfterFunc(ctx, func() {
+		timer := time.AfterFunc(stopGrace, server.Stop)
+		defer timer.Stop()
+		server.GracefulStop()
+	})()
+	return errors.Wrap(server.Serve(l), "forward: listener")
+}
+
+// Run implements wire.ForwardServer.
+func (s *Server) Run(ctx context.Context, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	if len(r.GetSteps()) == 0 {
+		return &wire.ForwardReply{}, nil // asks whether this VM answers
+	}
+	l := s.lanes.Lane(r.GetServer())
+	if l == nil {
+		return &wire.ForwardReply{Failure: wire.Failure_FAILURE_LEFT}, nil
+	}
+	h := l.Hold(r.GetAccount(), r.GetWeight(), r.GetRead())
+	defer h.Release()
+	return s.run(ctx, l, h, r), nil
+}
+
+// Hold implements wire.ForwardServer.
+func (s *Server) Hold(stream wire.Forward_HoldServer) error {
+	var l *lane.Lane
+	var h *lane.Held
+	defer func() {
+		if h != nil {
+			h.Release()
+		}
+	}()
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		if h == nil {
+			if l = s.lanes.Lane(r.GetServer()); l == nil {
+				return stream.Send(&wire.ForwardReply{Failure: wire.Failure_FAILURE_LEFT})
+			}
+			h = l.Hold(r.GetAccount(), r.GetWeight(), r.GetRead())
+		}
+		reply := s.run(stream.Context(), l, h, r)
+		if err := stream.Send(reply); err != nil {
+			return err
+		}
+		if h.Broken() {
+			return nil
+		}
+	}
+}
+
+// run runs the steps of one request. A caller that goes away does not interrupt a statement that was
+// sent; the time limit does.
+func (s *Server) run(ctx context.Context, l *lane.Lane, h *lane.Held, r *wire.ForwardRequest) *wire.ForwardReply {
+	until := s.now().Add(time.Duration(r.GetLimit()) * time.Microsecond)
+	answers, err := h.Run(ctx, until, r.GetValues(), decodeSteps(r.GetSteps())...)
+	failure, code := encodeFailure(err)
+	load := l.Load()
+	return &wire.ForwardReply{
+		Results: encodeAnswers(answers), Failure: failure, Code: uint32(code),
+		Running: uint32(load.Running), Waiting: uint32(load.Waiting),
+	}
+}
--- a/internal/lane/conn.go
+++ b/internal/lane/conn.go
@@ -1,5 +1,5 @@
 // Package lane holds the connections of an entry VM to one backend server: who waits for them, what
-// state they carry, and how the server answers.
+// state they carry, and how many statements run at once.
 package lane
 
 import (
@@ -31,7 +31,7 @@
 // Dialer opens a connection. A *RefusedError tells that the instance answered.
 type Dialer func(ctx context.Context, t Target) (Conn, error)
 
-// RefusedError is the refusal of a connection by an instance.
+// RefusedError is the refusal of a connection by an instance. Nothing ran.
 type RefusedError struct {
 	Code operation.Code
 }
@@ -44,11 +44,6 @@
 // maxPrepared bounds the prepared statements of one connection.
 const maxPrepared = 64
 
-// Profile is the state that a session expects of a connection.
-type Profile struct {
-	Values map[string]string
-}
-
 // line is a connection with the state that it carries.
 type line struct {
 	conn     Conn
@@ -62,15 +57,13 @@
 	return &line{conn: c, account: account, values: map[string]string{}, prepared: map[string]string{}}
 }
 
-// distance counts the statements that bring the line to a profile; a reset costs most.
-func (l *line) distance(p *Profile) int {
-	n := 0
-	for name := range l.values {
-		if _, ok := p.Values[name]; !ok {
-			return len(p.Values) + maxPrepared
-		}
+// distance counts the statements that bring the line to the values; a reset costs most.
+func (l *line) distance(values map[string]string) int {
+	if l.isForeign(values) {
+		return len(values) + maxPrepared
 	}
-	for name, value := range p.Values {
+	n := 0
+	for name, value := range values {
 		if l.values[name] != value {
 			n++
 		}
@@ -78,21 +71,25 @@
 	return n
 }
 
-// adjust returns the statements that bring the line to a profile, and takes them as done.
-func (l *line) adjust(p *Profile) []operation.Statement {
-	var out []operation.Statement
-	foreign := false
+// isForeign reports whether the line carries a value that the session never set.
+func (l *line) isForeign(values map[string]string) bool {
 	for name := range l.values {
-		if _, ok := p.Values[name]; !ok {
-			foreign = true
+		if _, ok := values[name]; !ok {
+			return true
 		}
 	}
-	if foreign || len(l.prepared) > maxPrepared {
+	return false
+}
+
+// adjust returns the statements that bring the line to the values, and takes them as done.
+func (l *line) adjust(values map[string]string) []operation.Statement {
+	var out []operation.Statement
+	if l.isForeign(values) || len(l.prepared) > maxPrepared {
 		out = append(out, operation.Statement{Kind: operation.Reset})
 		clear(l.values)
 		clear(l.prepared)
 	}
-	for name, value := range p.Values {
+	for name, value := range values {
 		if have, ok := l.values[name]; !ok || have != value {
 			out = append(out, operation.Statement{Kind: operation.Set, Name: name, Argument: value})
 			l.values[name] = value
@@ -101,25 +98,16 @@
 	return out
 }
 
-// Shape is what a session prepared under a name.
-type Shape struct {
-	ReadOnly bool
-	Text     string
-}
-
-// key tells shapes apart.
-func (s Shape) key() string {
-	return strconv.FormatBool(s.ReadOnly) + " " + s.Text
-}
-
-// prepare returns the name of a shape on the line, and the statement that prepares it there if it
-// is not yet.
-func (l *line) prepare(s Shape) (name string, first []operation.Statement) {
-	if name, ok := l.prepared[s.key()]; ok {
-		return name, nil
+// prepare names an executed statement as it is prepared on the line, and returns the statement that
+// prepares it there if it is not yet.
+func (l *line) prepare(st *operation.Statement) []operation.Statement {
+	key := strconv.FormatBool(st.ReadOnly) + " " + st.Shape
+	if name, ok := l.prepared[key]; ok {
+		st.Name = name
+		return nil
 	}
 	l.named++
-	name = "p" + strconv.Itoa(l.named)
-	l.prepared[s.key()] = name
-	return name, []operation.Statement{{Kind: operation.Prepare, Name: name, ReadOnly: s.ReadOnly, Argument: s.Text}}
+	st.Name = "p" + strconv.Itoa(l.named)
+	l.prepared[key] = st.Name
+	return []operation.Statement{{Kind: operation.Prepare, Name: st.Name, ReadOnly: st.ReadOnly, Argument: st.Shape}}
 }
--- a/internal/lane/held.go
+++ b/internal/lane/held.go
@@ -1,6 +1,7 @@
 package lane
 
 import (
+	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,100 +10,151 @@
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 )
 
-// adjustTimeout bounds the statements that bring a connection to the state of a session. They take
-// no slot of the instance.
-const adjustTimeout = time.Second
+// endTimeout bounds the rollback of a transaction, which takes no slot.
+const endTimeout = time.Second
 
-// errAdjust tells that a connection could not be brought to the state of a session.
-var errAdjust = errors.New("lane: the connection does not take the values of the session; the statement did not run")
-
-// Held is a connection in use by one holder.
+// Held runs statements on one connection. It is used by one goroutine at a time.
 type Held struct {
 	lane    *Lane
-	ticket  admission.Ticket
-	profile *Profile
-	line    *line
-	busy    time.Duration // time that statements took; a pause inside a transaction takes no slot
-	sent    time.Time     // when the statement in progress was sent; zero if none is; guarded by lane.mu
+	account string
+	weight  float64
+	read    bool
+	line    *line // nil before the first statement
+	state   operation.State
 	broken  bool
 }
 
 // Server returns the name of the instance.
-func (h *Held) Server() string { return h.lane.server }
+func (h *Held) Server() string { return h.lane.options.Server }
 
-// Broken reports whether the connection is useless.
+// Broken reports whether the connection was lost.
 func (h *Held) Broken() bool { return h.broken }
 
-// Adjust brings the connection to the values of the session. After an error nothing of the session
-// ran, and the connection is broken.
-func (h *Held) Adjust() error {
-	statements := h.line.adjust(h.profile)
-	if len(statements) == 0 {
+// Run runs statements one after the other, up to the first whose answer is not Done, on a connection
+// with the given values of the session. It waits for room until the time given. With an error, the
+// answers are those of the statements before.
+func (h *Held) Run(ctx context.Context, until time.Time, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
+	now := h.lane.options.Now
+	ctx, cancel := context.WithTimeout(ctx, max(until.Sub(now()), 0))
+	defer cancel()
+	if takesSlot(statements) {
+		t := admission.Ticket{
+			Account: admission.AccountID(h.account), Weight: h.weight, Read: h.read, Continues: h.line != nil, Deadline: until,
+		}
+		if err := h.lane.enter(ctx, t); err != nil {
+			return nil, err
+		}
+		entered := now()
+		defer func() { h.lane.leave(t, now().Sub(entered), h.broken) }()
+	}
+	if h.line == nil {
+		if err := h.lane.attach(ctx, h, values); err != nil {
+			return nil, err
+		}
+	}
+	if err := h.adjust(until, values); err != nil {
+		return nil, err
+	}
+	return h.runAll(until, statements)
+}
+
+func takesSlot(statements []operation.Statement) bool {
+	for i := range statements {
+		if statements[i].TakesSlot() {
+			return true
+		}
+	}
+	return false
+}
+
+// adjust brings the connection to the values of the session.
+func (h *Held) adjust(until time.Time, values map[string]string) error {
+	first := h.line.adjust(values)
+	if len(first) == 0 {
 		return nil
 	}
-	answers, err := h.Exchange(adjustTimeout, statements...)
+	answers, err := h.exchange(until, first...)
 	if err != nil {
-		return err
+		return errors.CombineErrors(ErrNotSent, err)
 	}
 	for _, a := range answers {
 		if a.Code != operation.Done {
 			h.broken = true
-			return errAdjust
+			return ErrNotSent
 		}
 	}
 	return nil
 }
 
-// Prepare returns the name of a shape on the connection and the statements that must go before its
-// first use.
-func (h *Held) Prepare(s Shape) (name string, first []operation.Statement) {
-	return h.line.prepare(s)
+// runAll runs the statements on the connection.
+func (h *Held) runAll(until time.Time, statements []operation.Statement) ([]operation.Answer, error) {
+	answers := make([]operation.Answer, 0, len(statements))
+	for _, st := range statements {
+		a, err := h.runOne(until, st)
+		if err != nil {
+			return answers, err
+		}
+		answers = append(answers, a)
+		if a.Code != operation.Done {
+			break
+		}
+	}
+	return answers, nil
 }
 
-// Forget drops what is known of prepared statements, after the instance said that it knows none of
-// that name.
-func (h *Held) Forget() {
-	clear(h.line.prepared)
+// runOne runs one statement, after the preparation that it needs. An instance that lost a prepared
+// statement has not run it, so it is prepared again.
+func (h *Held) runOne(until time.Time, st operation.Statement) (operation.Answer, error) {
+	for again := true; ; again = false {
+		var first []operation.Statement
+		if st.Kind == operation.Execute {
+			first = h.line.prepare(&st)
+		}
+		answers, err := h.exchange(until, append(first, st)...)
+		if len(answers) <= len(first) {
+			return operation.Answer{}, err
+		}
+		a := answers[len(first)]
+		if a.Code == operation.NoStatement {
+			clear(h.line.prepared)
+			if again && h.state != operation.Failed {
+				continue
+			}
+		}
+		return a, nil
+	}
 }
 
-// Exchange sends statements and waits for their answers. After an error the connection is broken.
-func (h *Held) Exchange(limit time.Duration, statements ...operation.Statement) ([]operation.Answer, error) {
-	sent := h.begin()
-	answers, err := h.line.conn.Exchange(limit, statements...)
-	h.end()
-	timed := false
-	for i := range answers {
-		k := statements[i].Kind
-		timed = timed || k == operation.Read || k == operation.Write || k == operation.Execute || k == operation.Commit
+// exchange sends statements and waits for their answers.
+func (h *Held) exchange(until time.Time, statements ...operation.Statement) ([]operation.Answer, error) {
+	limit := until.Sub(h.lane.options.Now())
+	if limit <= 0 {
+		return nil, ErrLate
 	}
-	if len(answers) > 0 {
-		h.lane.hear(sent, answers[len(answers)-1], timed && err == nil)
+	answers, err := h.line.conn.Exchange(limit, statements...)
+	if n := len(answers); n > 0 {
+		h.state = answers[n-1].State
 	}
 	if err != nil {
 		h.broken = true
-		h.lane.fail()
+		return answers, errors.CombineErrors(ErrBroken, err)
 	}
-	return answers, err
-}
-
-func (h *Held) begin() time.Time {
-	h.lane.mu.Lock()
-	defer h.lane.mu.Unlock()
-	h.sent = h.lane.now()
-	return h.sent
+	return answers, nil
 }
 
-func (h *Held) end() {
-	h.lane.mu.Lock()
-	defer h.lane.mu.Unlock()
-	h.busy += h.lane.now().Sub(h.sent)
-	h.sent = time.Time{}
-}
-
-// Release gives the connection back. It must not be used after that.
+// Release gives the connection back. A transaction that is still open is rolled back first; the
+// connection is closed if the instance does not confirm that.
 func (h *Held) Release() {
-	h.lane.leave(h, !h.broken)
+	switch {
+	case h.line == nil:
+	case h.broken || h.state == operation.Idle:
+		h.lane.park(h, !h.broken)
+	default:
+		go h.rollback()
+	}
 }
 
-// Break has the connection closed when it is given back.
-func (h *Held) Break() { h.broken = true }
+func (h *Held) rollback() {
+	answers, err := h.line.conn.Exchange(endTimeout, operation.Statement{Kind: operation.Rollback})
+	h.lane.park(h, err == nil && answers[0].Code == operation.Done && answers[0].State == operation.Idle)
+}
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -9,77 +9,69 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/admission"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
-	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
-// Errors of Acquire. Nothing was sent.
+// Errors of Held.Run. Except for ErrBroken, the statement without an answer did not run.
 var (
-	// ErrLate tells that no connection becomes free within the deadline.
-	ErrLate = errors.New("lane: no connection within the deadline; the statement did not run")
+	// ErrLate tells that there is no room within the limit.
+	ErrLate = errors.New("lane: no room for the statement within its time; it did not run")
 	// ErrFull tells that too many statements of the client account wait.
 	ErrFull = errors.New("lane: too many statements of the client account wait; the statement did not run")
-	// ErrClosed tells that the backend server left.
-	ErrClosed = errors.New("lane: the backend server left; the statement did not run")
+	// ErrLeft tells that the backend server left.
+	ErrLeft = errors.New("lane: the backend server left; the statement did not run")
 	// ErrUnreached tells that no connection could be opened.
 	ErrUnreached = errors.New("lane: the backend server is not reached; the statement did not run")
+	// ErrNotSent tells that the connection was lost before the statement was sent.
+	ErrNotSent = errors.New("lane: the connection was lost before the statement was sent; it did not run")
+	// ErrBroken tells that the connection was lost while the statement was in progress.
+	ErrBroken = errors.New("lane: the connection was lost; it is not known whether the statement ran")
 )
 
 const (
 	// dialTimeout is above a retransmission of TCP between zones and the time that an instance takes
 	// to open a connection.
-	dialTimeout = 500 * time.Millisecond
-	// fading is the time constant with which an old latency is forgotten, so that a server that was
-	// slow is tried again.
-	fading = time.Second
-	// idleMost is the time after which an unused connection is closed.
-	idleMost = 20 * time.Second
-	// accountMost is how long a client account counts as one that needs a connection of its own.
-	accountMost = 5 * time.Second
+	dialTimeout = 400 * time.Millisecond
+	// ceilingFor is how long an instance that refused a connection is not asked for more than it has.
+	ceilingFor = time.Second
+	// ahead is how many statements may be at the instance beyond its slots, so that a slot that
+	// becomes free has work while the answer is on its way.
+	ahead = 1
+	// slotsDefault is assumed of an instance that states no slots.
+	slotsDefault = 2
 )
 
-// Ticket asks for a connection.
-type Ticket struct {
-	Account  string
-	Weight   float64
-	Read     bool
-	Deadline time.Time
+// Options name the instance of a Lane.
+type Options struct {
+	Group, Server, Address string
+	Dial                   Dialer
+	Now                    func() time.Time
+	Slots                  int // statements that the instance runs at once; 0 if not known
+	Connections            int // most connections of this VM
 }
 
-// Load is what a placement needs to know of a lane.
+// Load is how busy a lane is.
 type Load struct {
-	Limit, Running, Waiting int
-	Latency                 time.Duration
-	Seen                    position.Position
-	Ago                     time.Duration
-	Missing                 bool
-	Warm                    bool // a connection for the client account is idle
+	Open, Running, Waiting int
 }
 
 // Lane is the way to one instance. It is safe for concurrent use.
 //
 // Invariants: at most limit connections are open or being opened, unless the limit fell; each is
-// used by one holder at a time.
+// used by one holder at a time. At most the slots of the instance and a few more statements of this
+// VM are in progress there.
 type Lane struct {
-	group, server, address string
-	dial                   Dialer
-	now                    func() time.Time
-
-	mu       sync.Mutex
-	queue    *admission.Queue
-	limit    int
-	open     int
-	accounts map[string]time.Time // client accounts served of late, with the last use
-	account  string               // served last
-	peak     int                  // most holders and waiters since the last Wanted
-	idle     []*parked
-	inUse    map[*Held]struct{}
-	closed   bool
-	latency  time.Duration
-	measured time.Time
-	seen     position.Position
-	seenAt   time.Time
-	answered time.Time // last answer
-	missing  time.Time // first failure since the last answer; zero if none
+	options Options
+
+	mu      sync.Mutex
+	queue   *admission.Queue
+	limit   int
+	ceiling int       // connections that the instance took last when it refused more; 0 for none
+	until   time.Time // end of the ceiling
+	open    int
+	idle    []*parked
+	inUse   map[*Held]struct{}
+	waiting []chan struct{} // holders that wait for a connection
+	closed  bool
 }
 
 // parked is an idle connection.
@@ -88,111 +80,49 @@
 	since time.Time
 }
 
-// Options name the instance of a Lane.
-type Options struct {
-	Group, Server, Address string
-	Dial                   Dialer
-	Now                    func() time.Time
-	Latency                time.Duration // expected before the first answer
-}
-
-// New returns a Lane that opens nothing before SetLimit.
+// New returns a Lane without connections.
 func New(o Options) *Lane {
-	return &Lane{
-		group: o.Group, server: o.Server, address: o.Address, dial: o.Dial, now: o.Now,
-		queue: admission.NewWith(admission.Settings{Slots: 1, Fixed: true}), inUse: map[*Held]struct{}{},
-		accounts: map[string]time.Time{}, latency: o.Latency,
+	l := &Lane{options: o, inUse: map[*Held]struct{}{}, limit: max(o.Connections, 1)}
+	slots := o.Slots
+	if slots <= 0 {
+		slots = slotsDefault
 	}
+	l.queue = admission.NewWith(admission.Settings{Slots: slots + ahead, Fixed: true})
+	return l
 }
 
 // Server returns the name of the instance.
-func (l *Lane) Server() string { return l.server }
+func (l *Lane) Server() string { return l.options.Server }
 
 // Address returns the address of the instance.
-func (l *Lane) Address() string { return l.address }
+func (l *Lane) Address() string { return l.options.Address }
 
-// SetLimit sets how many connections may be open. With 0 nothing is admitted.
+// SetLimit sets how many connections may be open.
 func (l *Lane) SetLimit(n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if n == l.limit {
-		return
-	}
-	l.limit = n
-	l.queue.SetSlots(max(n, 1))
+	l.limit = max(n, 1)
 	for l.open > l.limit && len(l.idle) > 0 {
 		l.drop(0)
 	}
-	l.admit(l.now())
+	l.wake()
 }
 
-// Usage returns the connections that are open and those that the lane would use: one for each
-// statement at the busiest moment since the last call, and one for each client account of late.
-func (l *Lane) Usage(now time.Time) (open, wanted int) {
+// Load returns how busy the lane is.
+func (l *Lane) Load() Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	demand := len(l.inUse) + l.queue.Waiting()
-	wanted = max(l.peak, demand)
-	l.peak = demand
-	for account, used := range l.accounts {
-		if now.Sub(used) >= accountMost {
-			delete(l.accounts, account)
-		}
-	}
-	return l.open, max(wanted, len(l.accounts), 1)
-}
-
-// Load returns what a placement of a statement of the client account needs to know.
-func (l *Lane) Load(now time.Time, account string) Load {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return Load{
-		Limit: l.limit, Running: l.queue.Running(), Waiting: l.queue.Waiting(),
-		Latency: l.faded(now), Seen: l.seen, Ago: now.Sub(l.seenAt), Missing: !l.missing.IsZero(),
-		Warm: l.nearest(account, &Profile{}) >= 0,
-	}
+	return Load{Open: l.open, Running: l.queue.Running(), Waiting: l.queue.Waiting()}
 }
 
-// faded is the latency, of which an old one counts for less. The lock is held.
-func (l *Lane) faded(now time.Time) time.Duration {
-	const base = 5 * time.Millisecond
-	age := now.Sub(l.measured)
-	if l.measured.IsZero() || age <= fading || l.latency <= base {
-		return l.latency
-	}
-	return base + time.Duration(float64(l.latency-base)*fading.Seconds()/age.Seconds())
-}
-
-// Silence returns since when nothing was heard of the instance although something was asked; zero
-// if it answers.
-func (l *Lane) Silence(now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	first := l.missing
-	for h := range l.inUse {
-		if !h.sent.IsZero() && (first.IsZero() || h.sent.Before(first)) {
-			first = h.sent
-		}
-	}
-	if first.IsZero() {
-		return 0
-	}
-	if first.Before(l.answered) {
-		first = l.answered
-	}
-	return now.Sub(first)
-}
-
-// Sever closes every connection in use, so that who waits for an answer learns that none comes.
+// Sever closes every connection, so that who waits for an answer learns that none comes.
 func (l *Lane) Sever() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for h := range l.inUse {
 		h.line.conn.Close()
 	}
-	for len(l.idle) > 0 {
-		l.drop(0)
-	}
+	l.dropAll()
 }
 
 // Close ends the lane: idle connections close now, others when they are given back.
@@ -200,12 +130,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
+	l.dropAll()
+	for len(l.waiting) > 0 {
+		l.wake()
+	}
+}
+
+func (l *Lane) dropAll() {
 	for len(l.idle) > 0 {
 		l.drop(0)
 	}
-	l.queue.SetSlots(1 << 16)
-	l.limit = 1 << 16
-	l.admit(l.now())
 }
 
 // drop closes an idle connection. The lock is held.
@@ -215,59 +149,36 @@
 	l.open--
 }
 
-// Account returns the client account served last, or "".
-func (l *Lane) Account() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.account
-}
-
 // Tend closes connections that were not used for long.
-func (l *Lane) Tend(now time.Time) {
+func (l *Lane) Tend(now time.Time, most time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i := len(l.idle) - 1; i >= 0; i-- {
-		if now.Sub(l.idle[i].since) >= idleMost {
+		if now.Sub(l.idle[i].since) >= most {
 			l.drop(i)
 		}
 	}
 }
 
-// place is a waiting Acquire.
-type place struct {
-	ready chan admission.Result // buffered for one
+// Hold returns a holder that takes a connection with its first statement. It must be given back by
+// Release.
+func (l *Lane) Hold(account string, weight float64, read bool) *Held {
+	return &Held{lane: l, account: account, weight: weight, read: read}
 }
 
-// Acquire waits for a connection in the order of the admission queue. The returned Held must be
-// given back by Release.
-func (l *Lane) Acquire(ctx context.Context, t Ticket, p *Profile) (*Held, error) {
-	ticket := admission.Ticket{
-		Account: admission.AccountID(t.Account), Weight: t.Weight, Read: t.Read, Deadline: t.Deadline,
-		Tag: &place{ready: make(chan admission.Result, 1)},
-	}
-	if err := l.enter(ctx, ticket); err != nil {
-		return nil, err
-	}
-	h := &Held{lane: l, ticket: ticket, profile: p}
-	if err := l.attach(ctx, t.Account, h); err != nil {
-		l.leave(h, true)
-		return nil, err
-	}
-	return h, nil
+// place is a waiting statement.
+type place struct {
+	ready chan admission.Result // buffered for one
 }
 
-// enter waits until the queue admits the ticket.
+// enter waits until the queue admits a statement.
 func (l *Lane) enter(ctx context.Context, t admission.Ticket) error {
+	ready := make(chan admission.Result, 1)
+	t.Tag = &place{ready}
 	l.mu.Lock()
-	if l.closed {
-		l.mu.Unlock()
-		return ErrClosed
-	}
-	ready := t.Tag.(*place).ready
-	at, result := l.queue.Push(l.now(), t)
+	at, result := l.queue.Push(l.options.Now(), t)
 	if result == admission.Waiting {
-		l.admit(l.now())
-		l.peak = max(l.peak, l.queue.Running()+l.queue.Waiting())
+		l.admit()
 	}
 	l.mu.Unlock()
 	if result == admission.Waiting {
@@ -293,12 +204,9 @@
 }
 
 // admit hands out what can run. The lock is held.
-func (l *Lane) admit(now time.Time) {
-	if l.limit == 0 {
-		return
-	}
+func (l *Lane) admit() {
 	for {
-		t, result := l.queue.Pop(now)
+		t, result := l.queue.Pop(l.options.Now())
 		if result == admission.None {
 			return
 		}
@@ -306,114 +214,130 @@
 	}
 }
 
-// attach gives an admitted holder the idle connection that is nearest to its profile, or opens one.
-func (l *Lane) attach(ctx context.Context, account string, h *Held) error {
+// leave gives the room of a statement back.
+func (l *Lane) leave(t admission.Ticket, elapsed time.Duration, failed bool) {
 	l.mu.Lock()
-	if l.closed {
+	defer l.mu.Unlock()
+	l.queue.Done(l.options.Now(), t, elapsed, failed)
+	l.admit()
+}
+
+// attach gives a holder the idle connection of its client account that is nearest to the values, or
+// opens one. A connection of another account makes room. With all connections in use it waits.
+func (l *Lane) attach(ctx context.Context, h *Held, values map[string]string) error {
+	for {
+		l.mu.Lock()
+		if l.closed {
+			l.mu.Unlock()
+			return ErrLeft
+		}
+		if best := l.nearest(h.account, values); best >= 0 {
+			h.line = l.idle[best].line
+			l.idle = append(l.idle[:best], l.idle[best+1:]...)
+			l.inUse[h] = struct{}{}
+			l.mu.Unlock()
+			return nil
+		}
+		if l.open >= l.most() && len(l.idle) > 0 {
+			l.drop(0)
+		}
+		if l.open < l.most() {
+			l.open++
+			l.mu.Unlock()
+			return l.connect(ctx, h)
+		}
+		freed := make(chan struct{}, 1)
+		l.waiting = append(l.waiting, freed)
 		l.mu.Unlock()
-		return ErrClosed
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			l.mu.Lock()
+			l.forget(freed)
+			l.mu.Unlock()
+			return ErrLate
+		}
 	}
-	l.account = account
-	l.accounts[account] = l.now()
-	if best := l.nearest(account, h.profile); best >= 0 {
-		h.line = l.idle[best].line
-		l.idle = append(l.idle[:best], l.idle[best+1:]...)
-		l.inUse[h] = struct{}{}
-		l.mu.Unlock()
-		return nil
+}
+
+// most returns how many connections may be open now. The lock is held.
+func (l *Lane) most() int {
+	if l.ceiling > 0 && l.options.Now().Before(l.until) {
+		return min(l.limit, l.ceiling)
 	}
-	if l.open >= l.limit && len(l.idle) > 0 {
-		l.drop(0) // a connection of another client account makes room
+	return l.limit
+}
+
+// forget takes a waiting holder back. The lock is held.
+func (l *Lane) forget(freed chan struct{}) {
+	for i, w := range l.waiting {
+		if w == freed {
+			l.waiting = append(l.waiting[:i], l.waiting[i+1:]...)
+			return
+		}
 	}
-	l.open++
-	l.mu.Unlock()
-	conn, err := l.connect(ctx, account)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if err != nil {
-		l.open--
-		return err
+	l.wake() // the connection was meant for a holder that left
+}
+
+// wake lets the first waiting holder look for a connection. The lock is held.
+func (l *Lane) wake() {
+	if len(l.waiting) == 0 {
+		return
 	}
-	h.line = newLine(conn, account)
-	l.inUse[h] = struct{}{}
-	return nil
+	l.waiting[0] <- struct{}{}
+	l.waiting = l.waiting[1:]
 }
 
 // nearest returns the idle connection of the account that needs the fewest statements to match, or
 // -1. The lock is held.
-func (l *Lane) nearest(account string, p *Profile) int {
+func (l *Lane) nearest(account string, values map[string]string) int {
 	best, least := -1, 0
 	for i := len(l.idle) - 1; i >= 0; i-- {
 		if l.idle[i].line.account != account {
 			continue
 		}
-		if d := l.idle[i].line.distance(p); best < 0 || d < least {
+		if d := l.idle[i].line.distance(values); best < 0 || d < least {
 			best, least = i, d
 		}
 	}
 	return best
 }
 
-// connect opens a connection.
-func (l *Lane) connect(ctx context.Context, account string) (Conn, error) {
+// connect opens the connection that was counted for a holder.
+func (l *Lane) connect(ctx context.Context, h *Held) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := l.dial(ctx, Target{Group: l.group, Server: l.server, Address: l.address, Account: account})
+	o := l.options
+	conn, err := o.Dial(ctx, Target{Group: o.Group, Server: o.Server, Address: o.Address, Account: h.account})
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if err == nil {
-		return conn, nil
+		h.line = newLine(conn, h.account)
+		l.inUse[h] = struct{}{}
+		return nil
 	}
+	l.open--
+	l.wake()
 	var refused *RefusedError
 	if errors.As(err, &refused) {
-		return nil, err
-	}
-	l.fail()
-	return nil, errors.CombineErrors(ErrUnreached, err)
-}
-
-// fail notes that the instance did not answer.
-func (l *Lane) fail() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.missing.IsZero() {
-		l.missing = l.now()
-	}
-}
-
-// hear notes an answer.
-func (l *Lane) hear(sent time.Time, a operation.Answer, timed bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := l.now()
-	l.answered, l.missing = now, time.Time{}
-	if !a.At.IsZero() {
-		l.seen, l.seenAt = a.At, now
-	}
-	if !timed {
-		return
-	}
-	const weight = 0.2
-	elapsed := now.Sub(sent)
-	if l.measured.IsZero() {
-		l.latency = elapsed
+		if refused.Code == operation.ConnectionLimit {
+			l.ceiling, l.until = max(l.open, 1), o.Now().Add(ceilingFor)
+		}
+		return err
 	}
-	l.latency += time.Duration(weight * float64(elapsed-l.faded(now)))
-	l.measured = now
+	return errors.CombineErrors(ErrUnreached, err)
 }
 
-// leave gives the place of a holder back, and its connection unless it is broken.
-func (l *Lane) leave(h *Held, sound bool) {
+// park gives a connection back.
+func (l *Lane) park(h *Held, sound bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := l.now()
 	delete(l.inUse, h)
-	if h.line != nil {
-		if sound && !l.closed && l.open <= l.limit {
-			l.idle = append(l.idle, &parked{line: h.line, since: now})
-		} else {
-			h.line.conn.Close()
-			l.open--
-		}
+	if sound && !l.closed && l.open <= l.limit {
+		l.idle = append(l.idle, &parked{line: h.line, since: l.options.Now()})
+	} else {
+		h.line.conn.Close()
+		l.open--
 	}
-	l.queue.Done(now, h.ticket, h.busy, !sound)
-	l.admit(now)
+	l.wake()
 }
--- a/internal/operation/statement.go
+++ b/internal/operation/statement.go
@@ -33,6 +33,8 @@
 	Name string
 	// Argument is what follows the name: a value, a shape, or the arguments of an Execute.
 	Argument string
+	// Shape is what an executed statement was prepared as.
+	Shape string
 	// Text is the statement as the caller wrote it. It reaches the backend server unchanged.
 	Text string
 	// After is the position that the log of the backend server must hold for a Read or a Begin;
@@ -45,6 +47,15 @@
 	return s.Kind == Write || (s.Kind == Execute && !s.ReadOnly)
 }
 
+// TakesSlot reports whether a backend server needs a slot to run the statement.
+func (s *Statement) TakesSlot() bool {
+	switch s.Kind {
+	case Read, Write, Execute, Commit, Status:
+		return true
+	}
+	return false
+}
+
 // State is the state of a transaction.
 type State uint8
 
--- a/internal/placement/reader.go
+++ b/internal/placement/reader.go
@@ -17,8 +17,8 @@
 	lagCharge = 25 * time.Millisecond
 	// missCharge keeps reads off an instance that does not answer while another one does.
 	missCharge = 2 * time.Second
-	// openCharge is the cost of a connection that must be opened first.
-	openCharge = 15 * time.Millisecond
+	// service is about the work of one statement, by which the statements ahead are counted.
+	service = 15 * time.Millisecond
 	// tie is the difference of costs below which instances take turns.
 	tie = time.Millisecond
 )
@@ -31,15 +31,13 @@
 	Distance time.Duration
 	// Latency is the recent time from sending a statement to its answer.
 	Latency time.Duration
-	// Connections is how many statements this entry VM may have at the instance at once.
-	Connections int
-	// Running and Waiting count the statements of this entry VM at the instance.
-	Running, Waiting int
+	// Slots is how many statements the instance runs at once.
+	Slots int
+	// Waiting counts the statements that run or wait at the instance, as far as this entry VM knows.
+	Waiting int
 	// Seen is the position that the instance reported last, Ago before now; zero if it never did.
 	Seen position.Position
 	Ago  time.Duration
-	// Warm says that a connection for the client account is open and idle.
-	Warm bool
 	// Missing says that the instance did not answer last.
 	Missing bool
 	// Tried says that this read was refused there already.
@@ -85,15 +83,9 @@
 // Cost is the expected time to the answer, with charges for what is likely to fail.
 func Cost(floor position.Position, c *Candidate) time.Duration {
 	cost := c.Distance + max(c.Latency-c.Distance, 0)
-	if c.Connections > 0 {
-		ahead := max(c.Running+c.Waiting+1-c.Connections, 0)
-		cost += time.Duration(ahead) * c.Latency / time.Duration(c.Connections)
-	} else {
-		cost += missCharge
-	}
-	if !c.Warm {
-		cost += openCharge
-	}
+	slots := max(c.Slots, 1)
+	ahead := max(c.Waiting+1-slots, 0)
+	cost += time.Duration(ahead) * service / time.Duration(slots)
 	if c.Missing {
 		cost += missCharge
 	}
--- a/internal/relay/dump.go
+++ b/internal/relay/dump.go
@@ -60,7 +60,7 @@
 		d.Proof, d.Age = at.String(), now.Sub(sent)
 	}
 	for _, m := range g.members {
-		d.Lanes[string(m.id)] = m.lane.Load(now, "")
+		d.Lanes[string(m.id)] = m.lane.Load()
 	}
 	return d
 }
--- a/internal/relay/group.go
+++ b/internal/relay/group.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/freshness"
 	"fireflyrudder.example/fireflyrudder/internal/lane"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
@@ -35,8 +36,11 @@
 type member struct {
 	id      placement.ServerID
 	lane    *lane.Lane
+	sense   *placement.Sense     // guarded by group.mu
+	shunned map[string]time.Time // entry VMs that do not reach the instance, with the end; guarded by group.mu
 	born    uint64
 	zone    string
+	slots   int
 	leaving bool
 }
 
@@ -45,6 +49,8 @@
 	name     string
 	now      func() time.Time
 	distance func(zone string) time.Duration
+	owner    func(m *member, now time.Time) string // address of the entry VM that keeps the connections; empty for this one
+	forward  *forward.Client
 	flight   singleflight.Group
 
 	mu      sync.Mutex
@@ -56,14 +62,15 @@
 	reader  *placement.Reader
 	record  freshness.Record
 	used    time.Time
+	account string        // served last
 	changed chan struct{} // closed and replaced when the view changes
 
 	revision uint64 // of the view followed last; owner goroutine only
 }
 
-func newGroup(name string, now func() time.Time, distance func(zone string) time.Duration) *group {
+func newGroup(name string, r *Relay) *group {
 	return &group{
-		name: name, now: now, distance: distance,
+		name: name, now: r.options.Now, distance: r.distance, owner: r.owner, forward: r.forward,
 		finder: placement.NewFinder(), reader: placement.NewReader(rand.Uint64()), changed: make(chan struct{}),
 	}
 }
@@ -80,7 +87,7 @@
 	close(g.changed)
 	g.changed = make(chan struct{})
 	if former != "" && former != g.primary && v.GetPhase() == wire.Phase_PHASE_STEADY {
-		if m := g.find(placement.ServerID(former)); m != nil && m.lane.Silence(now) >= silentLane {
+		if m := g.find(placement.ServerID(former)); m != nil && m.sense.Silence(now) >= silentLane {
 			go m.lane.Sever()
 		}
 	}
@@ -93,10 +100,12 @@
 		id := placement.ServerID(w.GetServer())
 		m := g.find(id)
 		if m == nil || m.lane.Address() != w.GetAddress() || m.born != w.GetBorn() {
-			m = &member{id: id, lane: open(w), born: w.GetBorn()}
+			m = &member{
+				id: id, lane: open(w), sense: placement.NewSense(startLatency), shunned: map[string]time.Time{}, born: w.GetBorn(),
+			}
 		}
 		members = append(members, &member{
-			id: id, lane: m.lane, born: m.born, zone: w.GetZone(),
+			id: id, lane: m.lane, sense: m.sense, shunned: m.shunned, born: m.born, zone: w.GetZone(), slots: int(w.GetSlots()),
 			leaving: w.GetLeaving() || w.GetRetired() || retired[w.GetServer()],
 		})
 	}
@@ -128,6 +137,21 @@
 	g.members = nil
 }
 
+// share sets how many connections this VM may open: nearly all of an instance's if it keeps them for
+// the others, else a few.
+func (g *group) share(now time.Time, self string, entries []placement.EntryVM, all int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		limit, idle := strayConnections, strayIdle
+		if owners := placement.Owners(string(m.id), m.zone, entries); len(owners) > 0 && owners[0].ID == self {
+			limit, idle = max(all, limit), keptIdle
+		}
+		m.lane.SetLimit(limit)
+		m.lane.Tend(now, idle)
+	}
+}
+
 // lanes returns the lanes of all members.
 func (g *group) lanes() []*lane.Lane {
 	g.mu.Lock()
@@ -139,9 +163,9 @@
 	return out
 }
 
-// lead returns the lane of the instance to ask as the primary. Without one, wait says after how long
+// lead returns the instance to ask as the primary. Without one, wait says after how long
 // to ask again, unless the view changes before.
-func (g *group) lead(now time.Time, fresh bool) (l *lane.Lane, wait time.Duration, changed <-chan struct{}) {
+func (g *group) lead(now time.Time, fresh bool) (m *member, wait time.Duration, changed <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.used = now
@@ -156,7 +180,7 @@
 	if !ok {
 		return nil, wait, g.changed
 	}
-	return g.find(id).lane, 0, g.changed
+	return g.find(id), 0, g.changed
 }
 
 // proved notes that an instance led when it was asked.
@@ -220,36 +244,31 @@
 func (g *group) prove() {
 	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
 	defer cancel()
-	l, wait, changed := g.lead(g.now(), false)
-	if l == nil {
+	m, wait, changed := g.lead(g.now(), false)
+	if m == nil {
 		select {
 		case <-changed:
 		case <-time.After(min(wait, proofTimeout)):
 		}
 		return
 	}
-	h, err := l.Acquire(ctx, lane.Ticket{Account: l.Account(), Read: true}, &lane.Profile{})
-	if err != nil {
-		g.noteAcquire(l.Server(), err)
-		return
-	}
+	h := g.way(m, ask{account: g.lastAccount(), weight: 1, read: true})
 	defer h.Release()
 	sent := g.now()
-	answers, err := h.Exchange(proofTimeout, operation.Statement{Kind: operation.Begin}, operation.Statement{Kind: operation.Rollback})
-	switch {
-	case err != nil:
-		g.lost(l.Server())
-	case answers[0].Code == operation.Done:
-		g.proved(sent, l.Server(), answers[0].At)
-	case answers[0].Code == operation.ReadOnly:
-		g.refused(l.Server())
-	}
+	answers, err := h.Run(ctx, sent.Add(proofTimeout), nil, operation.Statement{Kind: operation.Begin})
+	g.judge(m, sent, answers, err)
 }
 
-// noteAcquire notes an instance that could not be reached.
-func (g *group) noteAcquire(server string, err error) {
-	if isUnreached(err) {
-		g.lost(server)
+// judge notes what the answer to the beginning of a plain transaction, or to a write, tells of the
+// lead of an instance.
+func (g *group) judge(m *member, sent time.Time, answers []operation.Answer, err error) {
+	switch {
+	case len(answers) > 0 && answers[0].Code == operation.Done:
+		g.proved(sent, string(m.id), answers[0].At)
+	case len(answers) > 0 && answers[0].Code == operation.ReadOnly:
+		g.refused(string(m.id))
+	case isLost(err):
+		g.lost(string(m.id))
 	}
 }
 
@@ -267,27 +286,27 @@
 	}
 }
 
-// choose returns the lane of the instance to ask for a read, or nil if all were tried.
-func (g *group) choose(now time.Time, floor position.Position, account string, tried []string) *lane.Lane {
+// choose returns the instance to ask for a read, or nil if all were tried.
+func (g *group) choose(now time.Time, floor position.Position, tried []string) *member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.used = now
 	candidates := make([]placement.Candidate, 0, len(g.members))
-	lanes := make([]*lane.Lane, 0, len(g.members))
+	members := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
 		if m.leaving {
 			continue
 		}
-		load := m.lane.Load(now, account)
-		lanes = append(lanes, m.lane)
+		seen, ago := m.sense.Seen(now)
+		members = append(members, m)
 		candidates = append(candidates, placement.Candidate{
-			Server: m.id, Primary: string(m.id) == g.primary, Distance: g.distance(m.zone), Latency: load.Latency,
-			Connections: load.Limit, Running: load.Running, Waiting: load.Waiting, Seen: load.Seen, Ago: load.Ago,
-			Warm: load.Warm, Missing: load.Missing, Tried: slices.Contains(tried, string(m.id)),
+			Server: m.id, Primary: string(m.id) == g.primary, Distance: g.distance(m.zone), Latency: m.sense.Latency(now),
+			Slots: m.slots, Waiting: m.sense.Waiting(now), Seen: seen, Ago: ago, Missing: m.sense.Missing(),
+			Tried: slices.Contains(tried, string(m.id)),
 		})
 	}
 	if i := g.reader.Choose(floor, candidates); i >= 0 {
-		return lanes[i]
+		return members[i]
 	}
 	return nil
 }
@@ -300,7 +319,7 @@
 	if m == nil || now.Sub(g.used) >= usedFor {
 		return nil
 	}
-	silent := m.lane.Silence(now)
+	silent := m.sense.Silence(now)
 	return &wire.Sight{
 		Group: g.name, Term: g.term, Server: g.primary, Reachable: silent < silentLane, Silent: silent.Milliseconds(),
 	}
--- a/internal/relay/host.go
+++ b/internal/relay/host.go
@@ -14,12 +14,12 @@
 // host is the Relay as its connection to the control group sees it.
 type host struct{ relay *Relay }
 
-// Observe implements renewal.Host.
+// Observe implements renewal.Host. Connections are not leased: the entry VM that keeps those to an
+// instance is known to all.
 func (h host) Observe(ctx context.Context, w *wire.RenewRequest) []lease.Usage {
 	type seen struct {
 		version uint64
 		sights  []*wire.Sight
-		usages  []lease.Usage
 	}
 	answer := make(chan seen, 1)
 	h.relay.post(func(now time.Time) {
@@ -28,38 +28,34 @@
 			if sight := g.sight(now); sight != nil {
 				s.sights = append(s.sights, sight)
 			}
-			for _, l := range g.lanes() {
-				open, wanted := l.Usage(now)
-				s.usages = append(s.usages, lease.Usage{Server: lease.ServerID(l.Server()), Open: open, Want: wanted})
-			}
 		}
 		answer <- s
 	})
 	select {
 	case s := <-answer:
 		w.Version, w.Sights = s.version, s.sights
-		return s.usages
 	case <-ctx.Done():
-		return nil
 	}
+	return nil
 }
 
 // Offered implements renewal.Host.
 func (h host) Offered(o renewal.Offer) {
-	h.relay.renewed.Store(int64(h.relay.options.Now().Sub(h.relay.started)))
 	h.relay.post(func(now time.Time) { h.relay.offered(now, o) })
 }
 
 // Held implements renewal.Host.
-func (h host) Held(ctx context.Context) (version, index uint64, ok bool) {
-	type held struct{ version, index uint64 }
-	answer := make(chan held, 1)
-	h.relay.post(func(time.Time) { answer <- held{h.relay.book.Version(), h.relay.book.Index()} })
+func (h host) Held(ctx context.Context) (*wire.WatchRequest, bool) {
+	held := make(chan *wire.WatchRequest, 1)
+	h.relay.post(func(time.Time) {
+		b := h.relay.book
+		held <- &wire.WatchRequest{Version: b.Version(), Index: b.Index(), Entered: b.Entered()}
+	})
 	select {
-	case a := <-answer:
-		return a.version, a.index, true
+	case r := <-held:
+		return r, true
 	case <-ctx.Done():
-		return 0, 0, false
+		return nil, false
 	}
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -26,7 +26,6 @@
 	outcomes  *expvar.Map          // answers by code
 	reasons   *expvar.Map          // refusals by reason
 	waits     *histogram.Histogram // for rate credits
-	lanes     *histogram.Histogram // for a connection to an instance
 	proofs    *histogram.Histogram // for a proof of what a read must see
 	reads     *histogram.Histogram
 	changes   *histogram.Histogram
@@ -46,10 +45,9 @@
 	}
 	m.all.Set("outcomes", m.outcomes)
 	m.all.Set("reasons", m.reasons)
-	m.waits, m.lanes, m.proofs = histogram.New(), histogram.New(), histogram.New()
+	m.waits, m.proofs = histogram.New(), histogram.New()
 	m.reads, m.changes = histogram.New(), histogram.New()
 	m.all.Set("credit", m.waits)
-	m.all.Set("lane", m.lanes)
 	m.all.Set("proof", m.proofs)
 	m.all.Set("read", m.reads)
 	m.all.Set("change", m.changes)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,8 +19,9 @@
 	"github.com/cockroachdb/errors"
 
 	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/lane"
-	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
@@ -46,6 +47,14 @@
 	startLatency = 20 * time.Millisecond
 	// summaryEvery is the time between two lines with the latencies so far.
 	summaryEvery = 10 * time.Second
+	// spareConnections of each instance are left to control VMs, and to entry VMs that do not reach
+	// the one that keeps the connections.
+	spareConnections = 4
+	// strayConnections are for an entry VM that does not reach the one that keeps the connections.
+	strayConnections = 2
+	// keptIdle and strayIdle are the times after which an unused connection is closed.
+	keptIdle  = 20 * time.Second
+	strayIdle = 500 * time.Millisecond
 	// holdWait is the pause before a write asks again during a planned switchover.
 	holdWait = 100 * time.Millisecond
 )
@@ -54,6 +63,7 @@
 type Options struct {
 	Node     settings.Node
 	Process  string          // place that only one process at a time can have; empty if not known
+	Forward  string          // IP:port at which other entry VMs reach this one's lanes; empty for none
 	Controls func() []string // gRPC listeners of control VMs as configured; may change
 	Dial     func(address string) (wire.ControlClient, io.Closer, error)
 	Server   lane.Dialer
@@ -84,9 +94,11 @@
 	control  *renewal.Client
 	credits  *renewal.Credits
 	metrics  *metrics
+	forward  *forward.Client
 	table    atomic.Pointer[table]
-	until    atomic.Int64 // end of the configuration lease, nanoseconds after started
-	renewed  atomic.Int64 // time of the last reply, nanoseconds after started
+	entries  atomic.Pointer[[]placement.EntryVM]
+	lanes    atomic.Pointer[map[string]*lane.Lane] // by instance
+	until    atomic.Int64                          // end of the configuration lease, nanoseconds after started
 	draining atomic.Bool
 	closing  atomic.Bool // new sessions are refused
 
@@ -109,10 +121,13 @@
 		events: make(chan func(time.Time), eventQueue), ended: make(chan struct{}), metrics: newMetrics(),
 		sessions: map[*Session]struct{}{}, book: contract.New(), groups: map[string]*group{},
 	}
+	r.forward = forward.NewClient(o.Now)
+	r.entries.Store(&[]placement.EntryVM{})
+	r.lanes.Store(&map[string]*lane.Lane{})
 	r.ctx, r.stop = context.WithCancel(context.Background())
 	r.table.Store(newTable(r.book.Configuration(), nil))
 	r.control = renewal.New(host{r}, renewal.Options{
-		Registration: &wire.Registration{Entry: r.identity, Name: o.Node.Name, Zone: o.Node.Zone, Process: o.Process},
+		Registration: &wire.Registration{Entry: r.identity, Name: o.Node.Name, Zone: o.Node.Zone, Process: o.Process, Forward: o.Forward},
 		Controls:     o.Controls, Dial: o.Dial, Now: o.Now, Pause: o.Pause,
 	})
 	r.credits = r.control.Credits()
@@ -171,6 +186,7 @@
 			for _, g := range r.groups {
 				g.close()
 			}
+			r.forward.Close()
 			return
 		case f := <-r.events:
 			f(r.options.Now())
@@ -190,15 +206,10 @@
 
 // tend does what is due.
 func (r *Relay) tend(now time.Time) {
-	fresh := now.Sub(r.started)-time.Duration(r.renewed.Load()) < lease.Life
+	entries := *r.entries.Load()
 	for _, g := range r.groups {
-		for _, l := range g.lanes() {
-			// Budgets that ran out because no control VM answers stay: the instance refuses what is too much.
-			if n := r.credits.Connections(now, lease.ServerID(l.Server())); n > 0 || fresh {
-				l.SetLimit(n)
-			}
-			l.Tend(now)
-		}
+		w, _ := r.book.Group(g.name)
+		g.share(now, r.options.Process, entries, int(w.GetConnections())-spareConnections)
 		g.tend(now)
 	}
 	idle := r.table.Load().idle
@@ -216,7 +227,7 @@
 	for _, w := range c.GetGroups() {
 		configured[w.GetName()] = true
 		if r.groups[w.GetName()] == nil {
-			r.groups[w.GetName()] = newGroup(w.GetName(), r.options.Now, r.distance)
+			r.groups[w.GetName()] = newGroup(w.GetName(), r)
 		}
 	}
 	for name, g := range r.groups {
@@ -231,9 +242,22 @@
 		log.WithFields(log.Fields{"event": "configuration", "version": r.book.Version(), "before": before, "routes": len(c.GetRoutes())}).Info("configuration applied")
 	}
 	r.followViews(now, c)
+	if u.GetEntered() > 0 {
+		r.followEntries()
+	}
 	r.extend()
 }
 
+// followEntries takes over the entry VMs that may keep connections.
+func (r *Relay) followEntries() {
+	var entries []placement.EntryVM
+	for _, e := range r.book.Registrations() {
+		entries = append(entries, placement.EntryVM{ID: e.GetProcess(), Address: e.GetForward(), Zone: e.GetZone()})
+	}
+	r.entries.Store(&entries)
+	log.WithFields(log.Fields{"event": "entries", "count": len(entries), "index": r.book.Entered()}).Info("entry VMs changed")
+}
+
 // followViews brings the groups up to their views.
 func (r *Relay) followViews(now time.Time, c *wire.Configuration) {
 	retired := map[string]bool{}
@@ -253,12 +277,25 @@
 		}).Info("view changed")
 		r.control.Wake()
 	}
+	r.publishLanes()
+}
+
+// publishLanes shows the lanes to other entry VMs.
+func (r *Relay) publishLanes() {
+	lanes := map[string]*lane.Lane{}
+	for _, g := range r.groups {
+		for _, l := range g.lanes() {
+			lanes[l.Server()] = l
+		}
+	}
+	r.lanes.Store(&lanes)
 }
 
 // open returns the lane of an instance.
 func (r *Relay) open(g *group, m *wire.Member) *lane.Lane {
 	return lane.New(lane.Options{
-		Group: g.name, Server: m.GetServer(), Address: m.GetAddress(), Dial: r.options.Server, Now: r.options.Now, Latency: startLatency,
+		Group: g.name, Server: m.GetServer(), Address: m.GetAddress(), Dial: r.options.Server, Now: r.options.Now,
+		Slots: int(m.GetSlots()), Connections: strayConnections,
 	})
 }
 
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -6,9 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"fireflyrudder.example/fireflyrudder/internal/lane"
 	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
@@ -44,14 +41,20 @@
 	interrupt func()
 
 	mu       sync.Mutex
-	profile  lane.Profile
-	prepared map[string]lane.Shape
+	values   map[string]string
+	prepared map[string]shape
 	floor    position.Position // of the session's own commits
 	tx       *transaction      // nil while none is open
 	failed   bool              // the transaction failed and was rolled back at the instance
 	aborts   string            // why it failed
 }
 
+// shape is what a session prepared under a name.
+type shape struct {
+	readOnly bool
+	text     string
+}
+
 // permit is the right to run one operation.
 type permit struct {
 	trace   trace
@@ -64,7 +67,7 @@
 	r.await(ctx)
 	s := &Session{
 		relay: r, route: c.Route, key: sha256.Sum256([]byte(c.Key)), close: c.Close, interrupt: c.Interrupt,
-		profile: lane.Profile{Values: map[string]string{}}, prepared: map[string]lane.Shape{},
+		values: map[string]string{}, prepared: map[string]shape{},
 	}
 	if r.closing.Load() {
 		return nil, r.refuse("", operation.Busy, reasonStop, "the entry VM shuts down; connect to another one")
@@ -141,11 +144,11 @@
 func (s *Session) start(ctx context.Context, st operation.Statement) operation.Answer {
 	arrived := s.relay.options.Now()
 	if st.Kind == operation.Execute {
-		shape, ok := s.prepared[st.Name]
+		known, ok := s.prepared[st.Name]
 		if !ok {
 			return operation.Answer{Code: operation.NoStatement, Detail: st.Name}
 		}
-		st.ReadOnly = shape.ReadOnly
+		st.ReadOnly, st.Shape = known.readOnly, known.text
 	}
 	p, refusal := s.admit(ctx, arrived, st.ID)
 	if refusal != nil {
@@ -175,9 +178,9 @@
 func (s *Session) handleOwn(st operation.Statement) bool {
 	switch st.Kind {
 	case operation.Set:
-		s.profile.Values[st.Name] = st.Argument
+		s.values[st.Name] = st.Argument
 	case operation.Prepare:
-		s.prepared[st.Name] = lane.Shape{ReadOnly: st.ReadOnly, Text: st.Argument}
+		s.prepared[st.Name] = shape{readOnly: st.ReadOnly, text: st.Argument}
 	case operation.Deallocate:
 		delete(s.prepared, st.Name)
 	default:
@@ -313,9 +316,6 @@
 	}
 }
 
-// isUnreached reports whether an error of Acquire tells that the instance did not answer.
-func isUnreached(err error) bool { return errors.Is(err, lane.ErrUnreached) }
-
 // Reject answers a statement that could not be read. An open transaction fails.
 func (s *Session) Reject(st operation.Statement, err error) operation.Answer {
 	s.mu.Lock()
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -17,9 +17,6 @@
 	againMost  = 100 * time.Millisecond
 )
 
-// errTimeout tells that the time of a statement is over.
-var errTimeout = errors.New("relay: the time of the statement is over")
-
 // effort is the work on one statement until it has an answer or its time is over.
 type effort struct {
 	session *Session
@@ -37,10 +34,8 @@
 // left returns the time that is left.
 func (e *effort) left() time.Duration { return e.until.Sub(e.now()) }
 
-func (e *effort) ticket() lane.Ticket {
-	return lane.Ticket{
-		Account: e.permit.account.name, Weight: e.permit.account.weight, Read: !e.st.Writes(), Deadline: e.until,
-	}
+func (e *effort) ask(hold bool) ask {
+	return ask{account: e.permit.account.name, weight: e.permit.account.weight, read: !e.st.Writes(), hold: hold}
 }
 
 // pause waits before the next try, or until the channel closes. It is false if the time is over.
@@ -63,11 +58,6 @@
 	}
 }
 
-// backoff is the pause after a try that did not run.
-func (e *effort) backoff() time.Duration {
-	return min(againFirst<<min(e.tries, 5), againMost)
-}
-
 // note keeps why a try did not run.
 func (e *effort) note(a operation.Answer, reason string) {
 	e.last, e.reason = a, reason
@@ -101,31 +91,26 @@
 	return e.readCurrent(ctx)
 }
 
-// write runs a write at the primary. It is sent again only after an answer that it did not run.
+// write runs a write at the primary. It is sent again only if it certainly did not run.
 func (e *effort) write(ctx context.Context) operation.Answer {
 	for {
-		h, ok := e.acquirePrimary(ctx)
+		m, ok := e.primary(ctx)
 		if !ok {
 			return e.givenUp()
 		}
+		h := e.permit.route.group.way(m, e.ask(false))
 		sent := e.now()
-		a, err := e.run(h, e.st)
-		switch {
-		case errors.Is(err, errNotSent):
-			e.note(operation.Answer{Code: operation.Busy}, reasonLink)
-		case err != nil:
-			h.Release()
-			e.lose(h)
+		answers, err := e.run(ctx, h, e.st)
+		h.Release()
+		if len(answers) > 0 && !answers[0].Code.NotRun() {
+			e.committed(m, sent, answers[0])
+			return answers[0]
+		}
+		if errors.Is(err, lane.ErrBroken) {
+			e.permit.route.group.lost(string(m.id))
 			return e.inDoubt()
-		case a.Code.NotRun():
-			e.notRun(h, a)
-		default:
-			h.Release()
-			e.committed(h, sent, a)
-			return a
 		}
-		h.Release()
-		if !e.pause(ctx, e.backoff(), nil) {
+		if !e.again(ctx, m, answers, err) {
 			return e.givenUp()
 		}
 	}
@@ -140,227 +125,137 @@
 	return e.session.relay.refuse(e.st.ID, code, reasonLink, "the outcome is not known; look before doing it again")
 }
 
-// lose notes that an instance did not answer.
-func (e *effort) lose(h *lane.Held) {
-	e.permit.route.group.lost(h.Server())
-}
-
 // committed notes a write that took effect.
-func (e *effort) committed(h *lane.Held, sent time.Time, a operation.Answer) {
+func (e *effort) committed(m *member, sent time.Time, a operation.Answer) {
 	if a.Code != operation.Done || a.At.IsZero() {
 		return
 	}
-	e.permit.route.group.proved(sent, h.Server(), a.At)
+	e.permit.route.group.proved(sent, string(m.id), a.At)
 	e.session.floor = a.At
 }
 
+// run sends statements on a connection in the state of the session.
+func (e *effort) run(ctx context.Context, h holder, statements ...operation.Statement) ([]operation.Answer, error) {
+	sent := e.now()
+	answers, err := h.Run(ctx, e.until, e.session.values, statements...)
+	e.permit.trace.run += e.now().Sub(sent)
+	return answers, err
+}
+
+// again notes why a try did not run and waits before the next one. It is false if there is no use in
+// another try.
+func (e *effort) again(ctx context.Context, m *member, answers []operation.Answer, err error) bool {
+	g := e.permit.route.group
+	e.permit.trace.server = string(m.id)
+	var refused *lane.RefusedError
+	switch {
+	case len(answers) > 0 && answers[len(answers)-1].Code.NotRun():
+		e.notRun(m, answers[len(answers)-1])
+	case errors.As(err, &refused):
+		e.note(operation.Answer{Code: refused.Code}, reasonFull)
+		e.tried = append(e.tried, string(m.id))
+	case errors.Is(err, lane.ErrLeft):
+		// The entry VM that kept the connections left; another one is asked at once.
+		e.note(operation.Answer{Code: operation.Busy}, reasonLeft)
+		return e.pause(ctx, 0, nil)
+	case isLost(err):
+		g.lost(string(m.id))
+		e.note(operation.Answer{Code: operation.Busy}, reasonLink)
+		e.tried = append(e.tried, string(m.id))
+	default:
+		e.note(operation.Answer{Code: operation.Busy}, reasonLate)
+		return false
+	}
+	return e.pause(ctx, e.backoff(), nil)
+}
+
 // notRun notes why an instance did not run a statement.
-func (e *effort) notRun(h *lane.Held, a operation.Answer) {
+func (e *effort) notRun(m *member, a operation.Answer) {
 	switch a.Code {
 	case operation.ReadOnly:
-		e.permit.route.group.refused(h.Server())
+		e.permit.route.group.refused(string(m.id))
 		e.note(a, reasonPrimary)
 	case operation.Lagging:
-		e.tried = append(e.tried, h.Server())
+		e.tried = append(e.tried, string(m.id))
 		e.note(a, reasonLag)
-	case operation.NoStatement:
-		h.Forget()
-		e.note(a, reasonFull)
 	default:
-		e.tried = append(e.tried, h.Server())
+		e.tried = append(e.tried, string(m.id))
 		e.note(a, reasonFull)
 	}
 }
 
-// errNotSent tells that nothing of the statement was sent.
-var errNotSent = errors.New("relay: the statement was not sent")
-
-// run sends a statement on a connection in the state of the session.
-func (e *effort) run(h *lane.Held, st operation.Statement) (operation.Answer, error) {
-	sent := e.now()
-	defer func() { e.permit.trace.run += e.now().Sub(sent) }()
-	if err := h.Adjust(); err != nil {
-		return operation.Answer{}, errors.CombineErrors(errNotSent, err)
-	}
-	return e.session.send(h, e.left(), st)
-}
-
-// send sends a statement, after the preparation that it needs.
-func (s *Session) send(h *lane.Held, limit time.Duration, st operation.Statement, after ...operation.Statement) (operation.Answer, error) {
-	if limit <= 0 {
-		return operation.Answer{}, errors.CombineErrors(errNotSent, errTimeout)
-	}
-	var first []operation.Statement
-	if st.Kind == operation.Execute {
-		st.Name, first = h.Prepare(s.prepared[st.Name])
-	}
-	all := append(append(first, st), after...)
-	answers, err := h.Exchange(limit, all...)
-	if len(answers) > len(first) {
-		return answers[len(first)], nil // the answer is there, whatever became of the rest
-	}
-	if err == nil {
-		err = errors.New("relay: the backend server left an answer out")
-	}
-	return operation.Answer{}, err
-}
-
-// acquirePrimary waits for a connection to the primary. It is false if the time is over.
-func (e *effort) acquirePrimary(ctx context.Context) (*lane.Held, bool) {
-	g := e.permit.route.group
+// primary waits for an instance to ask as the primary. It is false if the time is over.
+func (e *effort) primary(ctx context.Context) (*member, bool) {
 	for {
-		l, wait, changed := g.lead(e.now(), true)
-		if l == nil {
-			e.note(operation.Answer{Code: operation.Busy}, reasonPrimary)
-			if !e.pause(ctx, wait, changed) {
-				return nil, false
-			}
-			continue
-		}
-		h, err := e.acquire(ctx, l)
-		if err == nil {
-			return h, true
+		m, wait, changed := e.permit.route.group.lead(e.now(), true)
+		if m != nil {
+			return m, true
 		}
-		g.noteAcquire(l.Server(), err)
-		if !e.refusedLane(ctx, err) {
+		e.note(operation.Answer{Code: operation.Busy}, reasonPrimary)
+		if !e.pause(ctx, wait, changed) {
 			return nil, false
 		}
 	}
 }
 
-// acquire waits for a connection of a lane.
-func (e *effort) acquire(ctx context.Context, l *lane.Lane) (*lane.Held, error) {
-	asked := e.now()
-	h, err := l.Acquire(ctx, e.ticket(), &e.session.profile)
-	took := e.now().Sub(asked)
-	e.session.relay.metrics.lanes.Add(took)
-	e.permit.trace.lane += took
-	e.permit.trace.server = l.Server()
-	return h, err
-}
-
-// refusedLane notes why a lane gave no connection and waits. It is false if there is no use in
-// another try.
-func (e *effort) refusedLane(ctx context.Context, err error) bool {
-	var refused *lane.RefusedError
-	switch {
-	case errors.As(err, &refused):
-		e.note(operation.Answer{Code: refused.Code}, reasonFull)
-	case isUnreached(err):
-		e.note(operation.Answer{Code: operation.Busy}, reasonLink)
-	case errors.Is(err, lane.ErrClosed):
-		e.note(operation.Answer{Code: operation.Busy}, reasonLeft)
-	default:
-		e.note(operation.Answer{Code: operation.Busy}, reasonLate)
-		return false
-	}
-	return e.pause(ctx, e.backoff(), nil)
-}
-
-// readCurrent reads at an instance that proves in the same transaction that it leads.
+// readCurrent reads at an instance that proves by a plain transaction that it leads.
 func (e *effort) readCurrent(ctx context.Context) operation.Answer {
+	g := e.permit.route.group
 	for {
-		h, ok := e.acquirePrimary(ctx)
+		m, ok := e.primary(ctx)
 		if !ok {
 			return e.givenUp()
 		}
-		a, done := e.readLed(h)
+		h := g.way(m, e.ask(false))
+		sent := e.now()
+		answers, err := e.run(ctx, h, operation.Statement{Kind: operation.Begin}, e.st)
 		h.Release()
-		if done {
+		g.judge(m, sent, answers, err)
+		if len(answers) == 2 && !answers[1].Code.NotRun() {
 			e.session.relay.metrics.primary.Add(1)
+			a := answers[1]
+			a.State = operation.Idle
 			return a
 		}
-		if !e.pause(ctx, e.backoff(), nil) {
+		if !e.again(ctx, m, answers, err) {
 			return e.givenUp()
 		}
 	}
 }
 
-// readLed begins a plain transaction, which only the primary does, and reads in it.
-func (e *effort) readLed(h *lane.Held) (operation.Answer, bool) {
-	if begun, ok := e.begin(h, operation.Statement{Kind: operation.Begin}); !ok || begun.Code != operation.Done {
-		return operation.Answer{}, false
-	}
-	a, err := e.session.send(h, e.left(), e.st, operation.Statement{Kind: operation.Rollback})
-	switch {
-	case err != nil:
-		e.lose(h)
-		e.note(operation.Answer{Code: operation.Busy}, reasonLink)
-		return operation.Answer{}, false
-	case a.Code.NotRun():
-		e.notRun(h, a)
-		return operation.Answer{}, false
-	}
-	a.State = operation.Idle
-	return a, true
-}
-
-// begin begins a transaction at an instance. It is false if nothing was begun; the reason is noted.
-func (e *effort) begin(h *lane.Held, st operation.Statement) (operation.Answer, bool) {
-	if err := h.Adjust(); err != nil {
-		e.lose(h)
-		e.note(operation.Answer{Code: operation.Busy}, reasonLink)
-		return operation.Answer{}, false
-	}
-	sent := e.now()
-	limit := e.left()
-	if limit <= 0 {
-		return operation.Answer{}, false
-	}
-	answers, err := h.Exchange(limit, st)
-	switch {
-	case err != nil:
-		e.lose(h)
-		e.note(operation.Answer{Code: operation.Busy}, reasonLink)
-		return operation.Answer{}, false
-	case answers[0].Code != operation.Done:
-		e.notRun(h, answers[0])
-		return operation.Answer{}, false
-	}
-	if !st.ReadOnly {
-		e.permit.route.group.proved(sent, h.Server(), answers[0].At)
-	}
-	return answers[0], true
-}
-
 // readAny reads at any instance that holds what the session must see.
 func (e *effort) readAny(ctx context.Context) operation.Answer {
+	g := e.permit.route.group
 	for {
-		h, floor, ok := e.acquireReader(ctx)
+		m, floor, ok := e.reader(ctx)
 		if !ok {
 			return e.givenUp()
 		}
 		st := e.st
 		st.After = floor
-		a, err := e.run(h, st)
-		switch {
-		case err != nil:
-			e.tried = append(e.tried, h.Server())
-			e.note(operation.Answer{Code: operation.Busy}, reasonLink)
-		case a.Code.NotRun():
-			e.notRun(h, a)
-		default:
-			h.Release()
-			e.session.relay.countRead(e.permit.route.group, h.Server())
-			return a
-		}
+		h := g.way(m, e.ask(false))
+		answers, err := e.run(ctx, h, st)
 		h.Release()
-		if !e.pause(ctx, e.readPause(), nil) {
+		if len(answers) > 0 && !answers[0].Code.NotRun() {
+			e.session.relay.countRead(g, string(m.id))
+			return answers[0]
+		}
+		if !e.again(ctx, m, answers, err) {
 			return e.givenUp()
 		}
 	}
 }
 
-// readPause is short while another instance is left to ask.
-func (e *effort) readPause() time.Duration {
-	if len(e.tried) < 2 {
+// backoff is the pause after a try that did not run. It is short while another instance is left to ask.
+func (e *effort) backoff() time.Duration {
+	if n := len(e.tried); n > 0 && n < 3 && e.reason != reasonPrimary {
 		return 0
 	}
-	return e.backoff()
+	return min(againFirst<<min(e.tries, 5), againMost)
 }
 
-// acquireReader waits for a connection to an instance that may serve the read.
-func (e *effort) acquireReader(ctx context.Context) (*lane.Held, position.Position, bool) {
+// reader waits for an instance that may serve the read, and returns what it must hold.
+func (e *effort) reader(ctx context.Context) (*member, position.Position, bool) {
 	g := e.permit.route.group
 	for {
 		asked := e.now()
@@ -372,20 +267,11 @@
 			e.note(operation.Answer{Code: operation.Busy}, reasonPrimary)
 			return nil, floor, false
 		}
-		l := g.choose(e.now(), floor, e.permit.account.name, e.tried)
-		if l == nil {
-			e.tried = e.tried[:0]
-			if !e.pause(ctx, e.backoff(), nil) {
-				return nil, floor, false
-			}
-			continue
-		}
-		h, err := e.acquire(ctx, l)
-		if err == nil {
-			return h, floor, true
+		if m := g.choose(e.now(), floor, e.tried); m != nil {
+			return m, floor, true
 		}
-		e.tried = append(e.tried, l.Server())
-		if !e.refusedLane(ctx, err) {
+		e.tried = e.tried[:0]
+		if !e.pause(ctx, againMost/4, nil) {
 			return nil, floor, false
 		}
 	}
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -12,8 +12,7 @@
 type trace struct {
 	credit     time.Duration // wait for a rate credit
 	proof      time.Duration // wait for a proof of what a read must see
-	lane       time.Duration // wait for a connection to an instance
-	run        time.Duration // exchanges with instances
+	run        time.Duration // at instances, with the wait for room there
 	total      time.Duration // all statements, without the caller's pauses
 	statements int
 	tries      int
@@ -28,6 +27,6 @@
 	r.metrics.slow.Add(1)
 	log.WithFields(log.Fields{
 		"event": "slow", "request": st.ID, "kind": kind, "route": p.route.name, "account": p.account.name, "total": t.total,
-		"credit": t.credit, "proof": t.proof, "lane": t.lane, "run": t.run, "statements": t.statements, "tries": t.tries, "server": t.server,
+		"credit": t.credit, "proof": t.proof, "run": t.run, "statements": t.statements, "tries": t.tries, "server": t.server,
 	}).Info("operation above its target")
 }
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -10,16 +10,13 @@
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 )
 
-// endTimeout bounds the rollback of a transaction, which takes no slot.
-const endTimeout = time.Second
-
 // transaction is an open transaction of a session. Its connection is taken with the first statement,
 // so that the pause before that takes none.
 type transaction struct {
 	permit   *permit
 	readOnly bool
-	held     *lane.Held // nil before the first statement
-	led      time.Time  // when the instance proved that it leads; zero for read-only transactions
+	held     *way      // nil before the first statement
+	led      time.Time // when the instance proved that it leads; zero for read-only transactions
 	wrote    bool
 	used     time.Time // end of the last statement
 }
@@ -37,12 +34,12 @@
 		s.fail("a transaction is open already")
 		return operation.Answer{Code: operation.Malformed, Detail: s.aborts, State: operation.Failed}
 	case operation.Execute:
-		shape, ok := s.prepared[st.Name]
+		known, ok := s.prepared[st.Name]
 		if !ok {
 			s.fail("no statement of that name is prepared")
 			return operation.Answer{Code: operation.NoStatement, Detail: st.Name, State: operation.Failed}
 		}
-		st.ReadOnly = shape.ReadOnly
+		st.ReadOnly, st.Shape = known.readOnly, known.text
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.permit.route.timeout)
 	defer cancel()
@@ -65,79 +62,106 @@
 		s.fail("a read-only transaction takes no write")
 		return operation.Answer{Code: operation.ReadOnly, Detail: s.aborts, State: operation.Failed}
 	}
-	if t.held == nil && !e.open(ctx, t) {
-		a := e.givenUp()
-		s.fail(a.Detail)
-		a.State = operation.Failed
-		return a
-	}
 	for {
 		sent := e.now()
-		a, err := e.run(t.held, e.st)
+		answers, err := s.step(ctx, e)
+		if t.held == nil {
+			a := e.givenUp()
+			s.fail(a.Detail)
+			a.State = operation.Failed
+			return a
+		}
 		if err != nil {
 			return s.breaks(e, err)
 		}
-		if a.Code == operation.NoStatement {
-			t.held.Forget()
-		}
-		again := a.Code == operation.Busy || a.Code == operation.NoStatement
-		if again && a.State == operation.Open && e.pause(ctx, e.backoff(), nil) {
+		a := answers[len(answers)-1]
+		if a.Code == operation.Busy && a.State == operation.Open && e.pause(ctx, e.backoff(), nil) {
 			continue
 		}
 		return s.settle(e, sent, a)
 	}
 }
 
-// open begins the transaction at an instance.
-func (e *effort) open(ctx context.Context, t *transaction) bool {
+// step runs the statement on the connection of the transaction. The first one begins it at an
+// instance; without one, held stays nil.
+func (s *Session) step(ctx context.Context, e *effort) ([]operation.Answer, error) {
+	if s.tx.held != nil {
+		return e.run(ctx, s.tx.held, e.st)
+	}
 	for {
-		var h *lane.Held
-		var ok bool
-		begin := operation.Statement{Kind: operation.Begin}
-		anywhere := t.readOnly && t.permit.route.age > 0
-		if anywhere {
-			h, begin.After, ok = e.acquireReader(ctx)
-			begin.ReadOnly = true
-		} else {
-			h, ok = e.acquirePrimary(ctx)
-		}
-		if !ok {
-			return false
+		answers, err, begun := e.open(ctx, s.tx)
+		if begun {
+			return answers, err
 		}
-		sent := e.now()
-		if _, ok := e.begin(h, begin); ok {
-			t.held = h
-			if !anywhere {
-				t.led = sent
-			}
-			return true
-		}
-		if h.Broken() {
-			e.tried = append(e.tried, h.Server())
+		if answers == nil && err == nil {
+			return nil, nil
 		}
-		h.Release()
-		if !e.pause(ctx, e.readPause(), nil) {
-			return false
+	}
+}
+
+// open tries to begin the transaction and to run its first statement. Begun is false if nothing was
+// begun; then without an answer and an error there is no use in another try.
+func (e *effort) open(ctx context.Context, t *transaction) (answers []operation.Answer, err error, begun bool) { //nolint:revive // the error belongs to the answers
+	g := e.permit.route.group
+	m, begin, ok := e.beginAt(ctx, t)
+	if !ok {
+		return nil, nil, false
+	}
+	h := g.way(m, e.ask(true))
+	sent := e.now()
+	answers, err = e.run(ctx, h, begin, e.st)
+	if !begin.ReadOnly {
+		g.judge(m, sent, answers, err)
+	}
+	if len(answers) > 0 && answers[0].Code == operation.Done {
+		t.held = h
+		if !begin.ReadOnly {
+			t.led = sent
 		}
+		return answers, err, true
+	}
+	h.Release()
+	if !e.again(ctx, m, answers, err) {
+		return nil, nil, false
+	}
+	return answers, errRetry, false
+}
+
+// errRetry tells that another try to begin a transaction is due.
+var errRetry = errors.New("relay: begin again")
+
+// beginAt returns the instance and the statement that begin the transaction.
+func (e *effort) beginAt(ctx context.Context, t *transaction) (*member, operation.Statement, bool) {
+	begin := operation.Statement{Kind: operation.Begin}
+	if !t.readOnly || t.permit.route.age == 0 {
+		m, ok := e.primary(ctx)
+		return m, begin, ok
 	}
+	m, floor, ok := e.reader(ctx)
+	begin.ReadOnly, begin.After = true, floor
+	return m, begin, ok
 }
 
 // breaks answers when the connection of the transaction broke. Only a commit that was sent may have
 // taken effect.
 func (s *Session) breaks(e *effort, err error) operation.Answer {
-	unsent := errors.Is(err, errNotSent)
-	e.lose(s.tx.held)
-	s.fail("the connection to the backend server broke; the transaction is rolled back")
+	reason := reasonLink
+	if errors.Is(err, lane.ErrBroken) {
+		e.permit.route.group.lost(s.tx.held.Server())
+	} else {
+		reason = reasonLate
+	}
+	s.fail("the transaction is rolled back: " + err.Error())
 	if e.st.Kind != operation.Commit {
-		a := s.relay.refuse(e.st.ID, operation.Aborted, reasonLink, s.aborts)
+		a := s.relay.refuse(e.st.ID, operation.Aborted, reason, s.aborts)
 		a.State = operation.Failed
 		return a
 	}
 	s.failed = false
-	if unsent {
-		return s.relay.refuse(e.st.ID, operation.Aborted, reasonLink, s.aborts)
+	if errors.Is(err, lane.ErrBroken) {
+		return e.inDoubt()
 	}
-	return e.inDoubt()
+	return s.relay.refuse(e.st.ID, operation.Aborted, reason, s.aborts)
 }
 
 // settle takes over the answer of the instance.
@@ -169,7 +193,7 @@
 		return s.relay.passed(e.st.ID, a)
 	}
 	if !t.led.IsZero() && t.wrote {
-		e.committed(t.held, sent, a)
+		e.committed(t.held.member, sent, a)
 	}
 	s.relay.metrics.commits.Add(1)
 	t.held.Release()
@@ -184,24 +208,11 @@
 	s.failed, s.aborts = true, why
 }
 
-// abandon ends the transaction at the instance, if one is open there. A connection that does not
-// confirm the rollback is closed, which rolls back as well.
+// abandon ends the transaction at the instance, if one is open there.
 func (s *Session) abandon() {
 	t := s.tx
 	s.tx = nil
-	if t == nil || t.held == nil {
-		return
-	}
-	h := t.held
-	if h.Broken() {
-		h.Release()
-		return
-	}
-	go func() {
-		answers, err := h.Exchange(endTimeout, operation.Statement{Kind: operation.Rollback})
-		if err == nil && (answers[0].Code != operation.Done || answers[0].State != operation.Idle) {
-			h.Break()
-		}
-		h.Release()
-	}()
+	if t != nil && t.held != nil {
+		t.held.Release()
+	}
 }
--- /dev/null
+++ b/internal/relay/way.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/forward"
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/placement"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// unreachedFor is how long an entry VM that does not reach an instance is passed over for it.
+const unreachedFor = 2 * time.Second
+
+// ask says what a connection to an instance is for.
+type ask struct {
+	account string
+	weight  float64
+	read    bool
+	hold    bool // it is kept for a transaction
+}
+
+// holder runs statements on one connection of an instance, here or at another entry VM.
+type holder interface {
+	Run(ctx context.Context, until time.Time, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error)
+	Broken() bool
+	Release()
+}
+
+// way is a holder that notes what it sees of the instance.
+type way struct {
+	holder
+	group  *group
+	member *member
+	via    string // address of the other entry VM; empty if the connection is here
+}
+
+// way returns a holder for an instance: by the entry VM that keeps the connections to it, or by a
+// connection of this VM if that one does not answer.
+func (g *group) way(m *member, a ask) *way {
+	g.mu.Lock()
+	g.account = a.account
+	via := g.owner(m, g.now())
+	g.mu.Unlock()
+	w := &way{group: g, member: m, via: via}
+	if via != "" {
+		h, err := g.forward.Hold(forward.Request{
+			Address: via, Server: string(m.id), Account: a.account, Weight: a.weight, Read: a.read, Hold: a.hold,
+		})
+		if err == nil {
+			w.holder = h
+			return w
+		}
+		w.via = ""
+	}
+	w.holder = m.lane.Hold(a.account, a.weight, a.read)
+	return w
+}
+
+// Server returns the name of the instance.
+func (w *way) Server() string { return string(w.member.id) }
+
+// Run runs statements and notes how the instance answers.
+func (w *way) Run(ctx context.Context, until time.Time, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
+	g := w.group
+	sent := g.now()
+	g.mu.Lock()
+	w.member.sense.Sent(sent)
+	g.mu.Unlock()
+	answers, err := w.holder.Run(ctx, until, values, statements...)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w.note(sent, statements, answers, err)
+	return answers, err
+}
+
+// note takes the outcome into account. The lock is held.
+func (w *way) note(sent time.Time, statements []operation.Statement, answers []operation.Answer, err error) {
+	now := w.group.now()
+	if h, ok := w.holder.(*forward.Held); ok && err == nil {
+		load := h.Load()
+		w.member.sense.Queued(now, load.Running+load.Waiting)
+	}
+	switch {
+	case err == nil || len(answers) > 0:
+		w.member.sense.Answered(now, sent, lastPosition(answers), isTimed(statements))
+	case isLost(err):
+		w.member.sense.Failed(now)
+		if w.via != "" {
+			w.member.shunned[w.via] = now.Add(unreachedFor)
+		}
+	default:
+		w.member.sense.Refused(now)
+	}
+	if w.via != "" && errors.Is(err, lane.ErrLeft) {
+		w.member.shunned[w.via] = now.Add(unreachedFor)
+	}
+}
+
+// isTimed reports whether the time of the statements tells how busy an instance is.
+func isTimed(statements []operation.Statement) bool {
+	for i := range statements {
+		if statements[i].TakesSlot() {
+			return true
+		}
+	}
+	return false
+}
+
+// lastPosition returns the last position that answers name.
+func lastPosition(answers []operation.Answer) position.Position {
+	for i := len(answers) - 1; i >= 0; i-- {
+		if !answers[i].At.IsZero() {
+			return answers[i].At
+		}
+	}
+	return position.Position{}
+}
+
+// lastAccount returns the client account served last, for connections of the system itself.
+func (g *group) lastAccount() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.account
+}
+
+// isLost reports whether an error tells that the instance, or the way to it, does not answer.
+func isLost(err error) bool {
+	return errors.Is(err, lane.ErrUnreached) || errors.Is(err, lane.ErrBroken) || errors.Is(err, lane.ErrNotSent)
+}
+
+// owner returns the address of the entry VM that keeps the connections to an instance, or "" for this
+// VM. The lock of the group is held.
+func (r *Relay) owner(m *member, now time.Time) string {
+	for _, e := range placement.Owners(string(m.id), m.zone, *r.entries.Load()) {
+		if e.ID == r.options.Process {
+			return ""
+		}
+		if now.Before(m.shunned[e.Address]) {
+			continue
+		}
+		if r.forward.Usable(e.Address) {
+			return e.Address
+		}
+	}
+	return ""
+}
+
+// Lane implements forward.Lanes.
+func (r *Relay) Lane(server string) *lane.Lane {
+	if r.closing.Load() {
+		return nil
+	}
+	return (*r.lanes.Load())[server]
+}
--- a/internal/renewal/client.go
+++ b/internal/renewal/client.go
@@ -45,8 +45,8 @@
 	Observe(ctx context.Context, r *wire.RenewRequest) []lease.Usage
 	// Offered hands over a lease of the leader.
 	Offered(o Offer)
-	// Held returns the configuration version and the log index held. It is false if ctx ended.
-	Held(ctx context.Context) (version, index uint64, ok bool)
+	// Held states the version, log index and entry VMs held. It is false if ctx ended.
+	Held(ctx context.Context) (held *wire.WatchRequest, ok bool)
 	// Update hands over a message of the stream.
 	Update(u *wire.Update)
 	// Leased reports whether the entry VM holds a configuration lease.
@@ -340,11 +340,11 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	defer c.register(address, stop)()
-	request := &wire.WatchRequest{Entry: c.options.Registration.GetEntry(), Groups: c.options.Groups}
-	var ok bool
-	if request.Version, request.Index, ok = c.host.Held(ctx); !ok {
+	request, ok := c.host.Held(ctx)
+	if !ok {
 		return ctx.Err()
 	}
+	request.Entry, request.Groups = c.options.Registration.GetEntry(), c.options.Groups
 	stream, err := client.Watch(ctx, request)
 	if err != nil {
 		return errors.Wrap(err, "renewal: watch")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -2,4 +2,4 @@
 // The code is generated from the .proto files beside it.
 package wire
 
-//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative control.proto voter.proto
+//go:generate protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative control.proto voter.proto forward.proto
