Serve what is not late first; keep a reserve of credits over a change of the leader; go on alone

(2) After a loss of power a new issuer knew of no credit: 1300 refusals in 2 s. The log now says when a bucket goes below a third of its burst, so that the next issuer may start there, and which silent entry VMs hold nothing. (3) The backlog after an outage made every statement late; a statement that is late for its caller waits behind those that are not, and gives way to them.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -50,6 +50,10 @@
 	Continues bool
 	// Deadline is when the caller gives up; zero for none.
 	Deadline time.Time
+	// Target is when an answer becomes late for the caller; zero for none. A statement that is late
+	// already waits behind those of its client account that are not: after an outage the backlog would
+	// otherwise make every statement late until it is worked off.
+	Target time.Time
 	// Tag is the caller's own mark; the queue hands it back.
 	Tag any
 
--- /dev/null
+++ b/internal/admission/overdue_test.go
@@ -0,0 +1,91 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/admission"
+)
+
+// backlog is the load after an outage: one account's statements, all late already, then new ones at
+// three quarters of what one slot serves.
+type backlog struct {
+	late, fresh, inTime, refused int
+}
+
+const (
+	workEach    = 20 * time.Millisecond
+	targetAfter = 100 * time.Millisecond
+	givenUp     = time.Second
+	arriveEvery = 27 * time.Millisecond
+)
+
+// play serves the load on one slot and counts what the callers of new statements get.
+func (b *backlog) play(target bool) {
+	q := admission.NewWith(admission.Settings{Slots: 1, Fixed: true})
+	now := warm(q, "a", workEach)
+	type call struct{ arrived time.Time }
+	push := func(arrived time.Time) {
+		t := admission.Ticket{Account: "a", Read: true, Deadline: now.Add(givenUp), Tag: call{arrived}}
+		if target {
+			t.Target = arrived.Add(targetAfter)
+		}
+		if _, result := q.Push(now, t); result != admission.Waiting {
+			b.refused++
+		}
+	}
+	start := now
+	for range b.late {
+		push(start.Add(-time.Second))
+	}
+	next := now
+	for now.Sub(start) < 4*time.Second {
+		for !next.After(now) && b.fresh < 100 {
+			push(next)
+			b.fresh++
+			next = next.Add(arriveEvery)
+		}
+		t, result := q.Pop(now)
+		switch result {
+		case admission.Admitted:
+			now = now.Add(workEach)
+			q.Done(now, t, workEach, false)
+			if c := t.Tag.(call); !c.arrived.Before(start) && now.Sub(c.arrived) <= targetAfter {
+				b.inTime++
+			}
+		case admission.None:
+			now = now.Add(time.Millisecond)
+		}
+	}
+}
+
+// TestBacklogDoesNotMakeAllLate guards against an outage after which every statement is late until
+// the backlog is worked off.
+func TestBacklogDoesNotMakeAllLate(t *testing.T) {
+	first := &backlog{late: 40}
+	first.play(false)
+	second := &backlog{late: 40}
+	second.play(true)
+	require.GreaterOrEqual(t, second.inTime, 90, "new statements answered in time, of 100")
+	require.Less(t, first.inTime, second.inTime, "in order of arrival alone")
+}
+
+// TestOverdueGivesWay guards against a new statement that is refused because statements wait before
+// it that are late in any case.
+func TestOverdueGivesWay(t *testing.T) {
+	q := admission.NewWith(admission.Settings{Slots: 1, Fixed: true})
+	now := warm(q, "a", workEach)
+	for i := range 100 {
+		q.Push(now, admission.Ticket{Account: "a", Read: true, Deadline: now.Add(givenUp), Target: now.Add(-time.Second), Tag: i})
+	}
+	_, result := q.Push(now, admission.Ticket{Account: "a", Read: true, Deadline: now.Add(givenUp), Target: now.Add(targetAfter), Tag: "new"})
+	require.Equal(t, admission.Waiting, result)
+	ticket, result := q.Pop(now)
+	require.Equal(t, admission.Late, result)
+	require.Equal(t, 0, ticket.Tag, "the one that waited longest gives way")
+	ticket, result = q.Pop(now)
+	require.Equal(t, admission.Admitted, result)
+	require.Equal(t, "new", ticket.Tag)
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -37,6 +37,7 @@
 	sweep   int   // number of flows at which idle ones are dropped
 	dropped *flow // list of unused flows by next
 	heaps   [lanes]heap
+	shed    []Ticket // gave way to others; Pop hands them back
 	nodes   []node
 	free    int32 // list of unused nodes by next
 }
@@ -107,7 +108,7 @@
 		f.start = max(f.start, q.virtual-credit*q.cost(f)/f.weight)
 	}
 	lane := laneOf(&t)
-	if !t.Deadline.IsZero() && q.cannotMeet(now, f, lane, t.Deadline) {
+	if !t.Deadline.IsZero() && q.cannotMeet(now, f, lane, t.Deadline) && !q.giveWay(now, f, lane, &t) {
 		return Place{}, Late
 	}
 	return q.add(f, lane, t), Waiting
@@ -130,6 +131,11 @@
 // Pop returns the next ticket with Admitted or Late, or None. It is called after each Push and Done
 // until it returns None.
 func (q *Queue) Pop(now time.Time) (Ticket, Result) {
+	if n := len(q.shed); n > 0 {
+		t := q.shed[n-1]
+		q.shed = q.shed[:n-1]
+		return t, Late
+	}
 	if q.waiting == 0 || q.Running() >= int(q.limit.slots) {
 		return Ticket{}, None
 	}
@@ -142,7 +148,7 @@
 		// Above the limit there is room only for accounts that used less than their share.
 		return Ticket{}, None
 	}
-	index := f.lines[lane].head
+	index := q.pick(now, f, lane)
 	t := q.nodes[index].ticket
 	if q.isLate(now, t.Deadline) {
 		q.take(index)
@@ -157,6 +163,38 @@
 	return t, Admitted
 }
 
+// pick returns the first waiting statement of a line that is not late for its caller, or the first.
+func (q *Queue) pick(now time.Time, f *flow, lane lane) int32 {
+	head := f.lines[lane].head
+	for index := head; index != noNode; index = q.nodes[index].next {
+		if !q.isOverdue(now, f, &q.nodes[index].ticket) {
+			return index
+		}
+	}
+	return head
+}
+
+// isOverdue reports whether a statement that starts now is answered after its target.
+func (q *Queue) isOverdue(now time.Time, f *flow, t *Ticket) bool {
+	return !t.Target.IsZero() && now.Add(time.Duration(q.cost(f)*float64(time.Second))).After(t.Target)
+}
+
+// giveWay drops the first statement of the line that is late for its caller, in favor of a new one
+// that is not.
+func (q *Queue) giveWay(now time.Time, f *flow, lane lane, t *Ticket) bool {
+	if t.Target.IsZero() || q.isOverdue(now, f, t) || f.lines[lane].length == 0 {
+		return false
+	}
+	head := f.lines[lane].head
+	oldest := q.nodes[head].ticket
+	if !q.isOverdue(now, f, &oldest) {
+		return false
+	}
+	q.take(head)
+	q.shed = append(q.shed, oldest)
+	return true
+}
+
 // Done gives the slot of a ticket that Pop admitted back. The ticket is the one that Pop returned,
 // which saves a look-up, or the one that was pushed. Elapsed is the time that the statement held it;
 // failed means that the server did not answer.
--- a/internal/contract/book.go
+++ b/internal/contract/book.go
@@ -28,6 +28,7 @@
 	views         []*wire.View        // sorted by group, one for each group; a revision is the log index of the change
 	registrations []*wire.Registration
 	entered       uint64           // log index of the latest change of the registrations
+	drained       []string         // accounts whose bucket may be below its reserve, sorted
 	decisions     []*wire.Decision // oldest first, at most maxDecisions
 	outcomes      map[string]*wire.Decision
 	edits         []record // oldest first, at most maxEdits, without gaps up to the present version
@@ -70,6 +71,7 @@
 	}
 	b.views = s.GetViews()
 	b.registrations, b.entered = s.GetRegistrations(), s.GetEntered()
+	b.drained = s.GetDrained()
 	b.decisions = s.GetDecisions()
 	for _, d := range b.decisions {
 		b.outcomes[d.GetChange()] = d
@@ -94,6 +96,7 @@
 		Registrations: b.registrations,
 		Decisions:     slices.Clip(b.decisions),
 		Entered:       b.entered,
+		Drained:       b.drained,
 	}
 }
 
@@ -124,6 +127,10 @@
 		b.enlist(e.Enlist)
 	case *wire.Entry_Delist:
 		b.delist(e.Delist.GetServer())
+	case *wire.Entry_Lapse:
+		b.lapse(e.Lapse)
+	case *wire.Entry_Drain:
+		b.drain(e.Drain)
 	case *wire.Entry_Forget:
 		b.registrations = drop(b.registrations, e.Forget, (*wire.Registration).GetEntry)
 		b.entered = b.index
@@ -143,6 +150,9 @@
 // Views returns the views of all groups, sorted by group; read-only.
 func (b *Book) Views() []*wire.View { return b.views }
 
+// Drained returns the accounts whose bucket may be below its reserve, sorted; read-only.
+func (b *Book) Drained() []string { return b.drained }
+
 // Entered returns the log index of the latest change of the registrations.
 func (b *Book) Entered() uint64 { return b.entered }
 
--- a/internal/contract/view.go
+++ b/internal/contract/view.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"google.golang.org/protobuf/proto"
+
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -100,6 +102,26 @@
 	return ""
 }
 
+// lapse notes that an entry VM holds nothing. It registers again before it gets anything.
+func (b *Book) lapse(entry string) {
+	r, ok := get(b.registrations, entry, (*wire.Registration).GetEntry)
+	if !ok || r.GetLapsed() {
+		return
+	}
+	r = proto.CloneOf(r)
+	r.Lapsed = true
+	b.registrations = put(b.registrations, r, (*wire.Registration).GetEntry)
+	b.entered = b.index
+}
+
+// drain notes whether a bucket may be below its reserve.
+func (b *Book) drain(d *wire.Drain) {
+	b.drained = drop(b.drained, d.GetAccount(), self)
+	if d.GetDrained() {
+		b.drained = put(b.drained, d.GetAccount(), self)
+	}
+}
+
 // register adds an entry VM. It replaces the one that had its place before: that process has ended.
 func (b *Book) register(r *wire.Registration) {
 	if r.GetEntry() == "" {
@@ -124,7 +146,8 @@
 	if m.GetRetired() == retired {
 		return
 	}
-	next := &wire.Member{Server: server, Address: m.GetAddress(), Zone: m.GetZone(), Retired: retired}
+	next := proto.CloneOf(m)
+	next.Retired = retired
 	b.amend(v, func(v *wire.View) {
 		v.Members = put(v.GetMembers(), next, (*wire.Member).GetServer)
 	})
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -44,6 +44,8 @@
 		coordinator: vm.policy(),
 	}
 	d.issuer.Tolerate(vm.options.Tolerance)
+	d.issuer.Configure(now, book.Configuration(), book.Views())
+	d.issuer.Resume(book.Drained())
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	vm.leadership = d
 	vm.changed = true
@@ -118,7 +120,13 @@
 	for _, e := range d.issuer.Expire(now) {
 		vm.terminate(d, e)
 	}
-	for _, entry := range d.issuer.Gone() {
+	for _, entry := range d.issuer.Lapsed() {
+		vm.propose(now, &wire.Entry{Entry: &wire.Entry_Lapse{Lapse: string(entry)}})
+	}
+	for _, change := range d.issuer.Drains(now) {
+		vm.proposeDrain(now, d, change)
+	}
+	for _, entry := range d.issuer.Gone(now) {
 		if !d.leaving[entry] && d.known[entry] != nil {
 			d.leaving[entry] = true
 			vm.propose(now, &wire.Entry{Entry: &wire.Entry_Forget{Forget: string(entry)}})
@@ -126,6 +134,16 @@
 	}
 }
 
+// proposeDrain has the log say whether a bucket may be below its reserve.
+func (vm *VM) proposeDrain(now time.Time, d *leadership, change *wire.Drain) {
+	w := vm.propose(now, &wire.Entry{Entry: &wire.Entry_Drain{Drain: change}})
+	log.WithFields(log.Fields{"event": "drain", "account": change.Account, "drained": change.Drained}).Info("reserve of a client account")
+	go func() {
+		r := <-w.answer
+		vm.post(d.ctx, func(time.Time) { d.issuer.Drained(change.Account, change.Drained, r.err == nil) }) //nolint:errcheck // the leadership has ended
+	}()
+}
+
 // terminate closes the connections of a dead entry VM before they count as free. The issuer asks
 // again until that has succeeded.
 func (vm *VM) terminate(d *leadership, e lease.Expired) {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -225,8 +225,9 @@
 func (h *Held) Load() Load { return h.load }
 
 // Run runs statements as lane.Held.Run does.
-func (h *Held) Run(ctx context.Context, until time.Time, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
-	limit := until.Sub(h.client.now())
+func (h *Held) Run(ctx context.Context, l lane.Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
+	now := h.client.now()
+	limit := l.Until.Sub(now)
 	if limit <= 0 {
 		return nil, lane.ErrLate
 	}
@@ -234,6 +235,12 @@
 		Server: h.request.Server, Account: h.request.Account, Weight: h.request.Weight, Read: h.request.Read,
 		Limit: limit.Microseconds(), Values: values, Steps: encodeSteps(statements),
 	}
+	if !l.Target.IsZero() {
+		request.Target = min(l.Target.Sub(now).Microseconds(), -1)
+		if left := l.Target.Sub(now); left > 0 {
+			request.Target = left.Microseconds()
+		}
+	}
 	ended := h.peer.begin(h.client.now)
 	reply, err := h.call(ctx, limit+wayBack, request)
 	ended(err)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -102,8 +102,12 @@
 // run runs the steps of one request. A caller that goes away does not interrupt a statement that was
 // sent; the time limit does.
 func (s *Server) run(ctx context.Context, l *lane.Lane, h *lane.Held, r *wire.ForwardRequest) *wire.ForwardReply {
-	until := s.now().Add(time.Duration(r.GetLimit()) * time.Microsecond)
-	answers, err := h.Run(ctx, until, r.GetValues(), decodeSteps(r.GetSteps())...)
+	now := s.now()
+	limit := lane.Limit{Until: now.Add(time.Duration(r.GetLimit()) * time.Microsecond)}
+	if r.GetTarget() != 0 {
+		limit.Target = now.Add(time.Duration(r.GetTarget()) * time.Microsecond)
+	}
+	answers, err := h.Run(ctx, limit, r.GetValues(), decodeSteps(r.GetSteps())...)
 	failure, code := encodeFailure(err)
 	load := l.Load()
 	return &wire.ForwardReply{
--- a/internal/lane/held.go
+++ b/internal/lane/held.go
@@ -30,16 +30,23 @@
 // Broken reports whether the connection was lost.
 func (h *Held) Broken() bool { return h.broken }
 
+// Limit bounds statements in time.
+type Limit struct {
+	Until  time.Time // nothing is sent after it, and no answer is waited for
+	Target time.Time // when an answer is late for the caller; zero for none
+}
+
 // Run runs statements one after the other, up to the first whose answer is not Done, on a connection
-// with the given values of the session. It waits for room until the time given. With an error, the
+// with the given values of the session. It waits for room within the limit. With an error, the
 // answers are those of the statements before.
-func (h *Held) Run(ctx context.Context, until time.Time, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
+func (h *Held) Run(ctx context.Context, l Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
 	now := h.lane.options.Now
+	until := l.Until
 	ctx, cancel := context.WithTimeout(ctx, max(until.Sub(now()), 0))
 	defer cancel()
 	if takesSlot(statements) {
 		t := admission.Ticket{
-			Account: admission.AccountID(h.account), Weight: h.weight, Read: h.read, Continues: h.line != nil, Deadline: until,
+			Account: admission.AccountID(h.account), Weight: h.weight, Read: h.read, Continues: h.line != nil, Deadline: until, Target: l.Target,
 		}
 		if err := h.lane.enter(ctx, t); err != nil {
 			return nil, err
--- a/internal/lease/bucket.go
+++ b/internal/lease/bucket.go
@@ -11,6 +11,7 @@
 // bucket is the ideal token bucket of an account. Level plus what is outstanding at holders never
 // exceeds the burst, so every window admits at most burst + rate x length.
 type bucket struct {
+	issuer  *Issuer
 	rate    float64  // credits per second
 	burst   float64  // with the tolerated excess
 	float   float64  // tolerated excess of one entry VM
@@ -19,7 +20,13 @@
 	unmet   float64  // sum of unmet of all shares
 	queue   []*share // shares with unmet, those that wait longest first
 	filled  time.Time
-	dropped bool // the account is not in the configuration
+	drained bool      // the log says that the level may be below the reserve
+	wanted  bool      // somebody wants what is in the reserve
+	asked   bool      // a change of drained is proposed
+	above   time.Time // since when the level is far above the reserve; zero if it is not
+	kept    float64   // reserve that the issuer before left; the holders that are not known do not have it
+	given   float64   // granted while holders were not known
+	dropped bool      // the account is not in the configuration
 }
 
 // share is what one holder has of one account.
@@ -69,7 +76,7 @@
 	if s.unmet == 0 {
 		return float64(len(b.queue))
 	}
-	served := min(len(b.queue), int(b.level+b.rate*maxWait.Seconds())+1)
+	served := min(len(b.queue), int(b.free()+b.rate*maxWait.Seconds())+1)
 	if at := slices.Index(b.queue[:served], s); at >= 0 {
 		return float64(at)
 	}
@@ -77,18 +84,53 @@
 }
 
 // most returns how many credits one entry VM may hold.
-func (b *bucket) most() float64 { return max(1, b.burst/2) }
+func (b *bucket) most() float64 {
+	if b.float > 0 {
+		return max(1, b.float, b.burst/mostParts)
+	}
+	return max(1, b.burst/2)
+}
+
+// reserve is the level below which the issuer goes only after the log says so. Without a tolerance
+// there is none.
+func (b *bucket) reserve() float64 {
+	if b.float == 0 {
+		return 0
+	}
+	return b.burst / reserveParts
+}
+
+// free returns the credits that may be granted now.
+func (b *bucket) free() float64 {
+	if b.drained {
+		return b.level
+	}
+	return max(0, b.level-b.reserve())
+}
+
+// isRefilled reports whether a drained bucket has been far above its reserve for a while.
+func (b *bucket) isRefilled(now time.Time) bool {
+	if !b.drained || b.reserve() == 0 || b.level < refilledAt*b.reserve() {
+		b.above = time.Time{}
+		return false
+	}
+	if b.above.IsZero() {
+		b.above = now
+	}
+	return now.Sub(b.above) >= refilled
+}
 
 // hidden bounds what holders that have not reported may hold. All holders together have no more
-// than the burst.
+// than the burst, less the reserve that was left.
 func (b *bucket) hidden(unknown int) float64 {
-	return min(float64(unknown)*b.most(), max(0, b.burst-b.out))
+	reported := b.out - min(b.given, b.out)
+	return min(float64(unknown)*b.most(), max(0, b.burst-b.kept-reported))
 }
 
 // refill adds the credits earned since the last call.
 func (b *bucket) refill(now time.Time, unknown int) {
 	if now.After(b.filled) {
-		b.level += b.rate * now.Sub(b.filled).Seconds()
+		b.level += b.rate * b.issuer.heard(now) * now.Sub(b.filled).Seconds()
 		b.filled = now
 	}
 	b.level = max(0, min(b.level, b.burst-b.out-b.hidden(unknown)))
@@ -163,8 +205,9 @@
 	want := min(max(0, d.GetWant()), room)
 	others := b.unmet - s.unmet
 	grant := want
-	if want+others > b.level {
+	if want+others > b.free() {
 		grant = s.part(want, others)
+		b.wanted = !b.drained && b.reserve() > 0
 	}
 	if others <= epsilon && grant >= want {
 		grant += s.stock(grant, room)
@@ -180,7 +223,7 @@
 	goal, reserve := s.use.target(), b.burst/2
 	switch {
 	case b.float > 0:
-		goal, reserve = max(goal, b.float), b.burst/4
+		goal, reserve = max(goal, b.float), stockedAt*b.reserve()
 	case b.rate < stockRate:
 		return 0
 	}
@@ -191,7 +234,7 @@
 // granted in proportion to demand, in whole credits, since parts of a credit at several entry VMs
 // admit nothing.
 func (s *share) part(want, others float64) float64 {
-	level := s.bucket.level - s.ahead()
+	level := s.bucket.free() - s.ahead()
 	if level < min(1, want) {
 		return 0
 	}
@@ -202,6 +245,9 @@
 func (s *share) grant(amount float64) {
 	s.bucket.level -= amount
 	s.bucket.out += amount
+	if s.bucket.issuer.unknown > 0 {
+		s.bucket.given += amount
+	}
 	s.out += amount
 }
 
@@ -210,7 +256,7 @@
 func (s *share) retry(missing float64, unknown int) time.Duration {
 	b := s.bucket
 	if missing > epsilon {
-		wait := seconds((min(1, missing) + s.ahead() - b.level) / b.rate)
+		wait := seconds((min(1, missing) + s.ahead() - b.free()) / b.rate)
 		if b.out-s.out+b.hidden(unknown) > epsilon {
 			wait = min(wait, elsewhereRetry)
 		}
--- a/internal/lease/fleet_test.go
+++ b/internal/lease/fleet_test.go
@@ -272,7 +272,7 @@
 					}
 				}
 				f.ended = nil
-				for _, gone := range f.issuer.Gone() {
+				for _, gone := range f.issuer.Gone(f.now) {
 					f.registered = slices.DeleteFunc(f.registered, func(r *wire.Registration) bool { return r.GetEntry() == string(gone) })
 					f.issuer.Forget(gone)
 					f.registered = append(f.registered, revive(f, gone)...)
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -38,6 +38,7 @@
 	order    []*balance       // sorted by account
 	servers  map[ServerID]int // connection budgets, valid until expires
 	expires  time.Time        // everything held ends here
+	sent     time.Time        // send time of the last answered request; zero before the first
 	asked    time.Time        // time of the last Demands; replies to earlier requests are dropped
 	accepted uint64           // sequence of the last accepted reply
 	next     time.Time        // time at which the next request is due
@@ -54,6 +55,8 @@
 	reported float64 // spent as last reported
 	want     float64 // as last reported
 	listed   bool    // credits were held at the last report
+	alone    float64 // credits of its own part of the rate, for the time without an issuer
+	aged     time.Time
 	float    float64 // kept even without use, as the issuer said last
 	use      meter
 	low      float64   // a request is due when held falls below it
@@ -99,6 +102,35 @@
 	return Result{Verdict: Wait}
 }
 
+// TakeAlone spends the cost of a request from the part of the account's rate that is left to this
+// entry VM while no issuer answers it.
+func (h *Holder) TakeAlone(now time.Time, account AccountID, rate, cost float64) bool {
+	if !h.Alone(now) {
+		return false
+	}
+	p, ok := h.accounts[account]
+	if !ok {
+		p = h.open(account)
+	}
+	begun := h.sent.Add(aloneAfter)
+	if p.aged.Before(begun) {
+		p.alone, p.aged = 0, begun
+	}
+	p.alone = min(p.alone+rate*now.Sub(p.aged).Seconds(), max(1, rate*countAgain.Seconds()))
+	p.aged = now
+	if p.alone+epsilon < cost {
+		return false
+	}
+	p.alone -= cost
+	p.spent += cost
+	return true
+}
+
+// Alone reports whether no issuer has answered for so long that this entry VM goes on by itself.
+func (h *Holder) Alone(now time.Time) bool {
+	return !h.sent.IsZero() && now.Sub(h.sent) >= aloneAfter
+}
+
 // open adds an account.
 func (h *Holder) open(account AccountID) *balance {
 	p := &balance{account: account}
@@ -184,6 +216,7 @@
 		life = min(life, time.Duration(ms)*time.Millisecond)
 	}
 	h.expires = sent.Add(life)
+	h.sent = sent
 	for _, p := range h.order {
 		p.low, p.report, p.ask, p.refuse = 0, time.Time{}, time.Time{}, time.Time{}
 	}
--- a/internal/lease/issuer.go
+++ b/internal/lease/issuer.go
@@ -30,6 +30,8 @@
 	policy   Policy
 	allows   Tolerance
 	quiet    quiet
+	present  float64   // share of the entry VMs that are heard, or left in order
+	judged   time.Time // when present was computed
 	start    time.Time
 	holders  map[EntryID]*holder
 	queue    []contact // accepted requests in order of time, to find silent holders
@@ -51,6 +53,8 @@
 	seen     time.Time // when it was accepted
 	known    bool      // it reported to this issuer
 	silent   bool      // its leases ended without a further request, or it left
+	lapsed   bool      // the log says that it holds nothing, or is about to
+	left     bool      // it said itself that it holds nothing any more
 	gone     bool      // the shell was told to forget it
 	shares   map[AccountID]*share
 	slots    map[ServerID]*slot
@@ -74,11 +78,15 @@
 		servers:  map[ServerID]*server{},
 	}
 	for _, r := range rs {
-		i.open(EntryID(r.GetEntry()))
+		h := i.open(EntryID(r.GetEntry()))
+		if r.GetLapsed() {
+			h.known, h.silent, h.lapsed = true, true, true
+			continue
+		}
 		i.unknown++
 	}
 	for _, a := range c.GetAccounts() {
-		i.accounts[AccountID(a.GetName())] = &bucket{rate: a.GetRate(), burst: a.GetBurst(), filled: now}
+		i.accounts[AccountID(a.GetName())] = &bucket{issuer: i, rate: a.GetRate(), burst: a.GetBurst(), filled: now}
 	}
 	i.quiet = quiet{fresh: i.unknown > 0}
 	return i
@@ -112,7 +120,7 @@
 	for _, a := range c.GetAccounts() {
 		b, ok := i.accounts[AccountID(a.GetName())]
 		if !ok {
-			b = &bucket{level: a.GetBurst() + i.allows.extra(a.GetRate(), a.GetBurst()), filled: now}
+			b = &bucket{issuer: i, level: a.GetBurst() + i.allows.extra(a.GetRate(), a.GetBurst()), filled: now}
 			i.accounts[AccountID(a.GetName())] = b
 		}
 		b.refill(now, i.unknown)
@@ -146,7 +154,7 @@
 	}
 	h.sequence = r.GetSequence()
 	h.seen = now
-	h.silent = false
+	h.silent, h.lapsed = false, false
 	i.queue = append(i.queue, contact{now, h})
 	h.credits = i.credit(now, h, r.GetDemands(), first)
 	h.budgets = i.budget(h, r.GetNeeds())
@@ -175,7 +183,83 @@
 		}
 	}
 	h.credits, h.budgets = nil, nil
-	h.silent = true
+	h.silent, h.left = true, true
+}
+
+// Resume tells a new issuer which accounts' buckets may be below their reserve. All others hold at
+// least that: the issuer before would have had the log say so first.
+func (i *Issuer) Resume(drained []string) {
+	for _, name := range drained {
+		if b, ok := i.accounts[AccountID(name)]; ok {
+			b.drained = true
+		}
+	}
+	for _, b := range i.accounts {
+		if !b.drained {
+			b.kept = b.reserve()
+			b.level = max(b.level, b.kept)
+		}
+	}
+}
+
+// Drains returns the changes that the log must hear of. Each is returned once; Drained tells its outcome.
+func (i *Issuer) Drains(now time.Time) []*wire.Drain {
+	var changes []*wire.Drain
+	for name, b := range i.accounts {
+		b.refill(now, i.unknown)
+		switch {
+		case b.asked || b.dropped:
+		case b.wanted && !b.drained:
+			b.wanted, b.asked = false, true
+			changes = append(changes, &wire.Drain{Account: string(name), Drained: true})
+		case b.isRefilled(now):
+			// From here on the reserve holds, whether the log has heard of it or not.
+			b.drained, b.asked = false, true
+			changes = append(changes, &wire.Drain{Account: string(name)})
+		}
+	}
+	slices.SortFunc(changes, func(a, b *wire.Drain) int { return cmp.Compare(a.GetAccount(), b.GetAccount()) })
+	return changes
+}
+
+// Drained tells what the log says of an account now, or that a change was lost.
+func (i *Issuer) Drained(account string, drained, known bool) {
+	b, ok := i.accounts[AccountID(account)]
+	if !ok {
+		return
+	}
+	b.asked = false
+	if known {
+		b.drained = drained
+	}
+}
+
+// heard returns the share of the entry VMs that do not go on alone.
+func (i *Issuer) heard(now time.Time) float64 {
+	if i.allows.Alone == 0 || len(i.holders) == 0 {
+		return 1
+	}
+	if i.present > 0 && now.Sub(i.judged) < countAgain {
+		return i.present
+	}
+	absent := 0
+	for _, h := range i.holders {
+		if !h.left && (!h.known || now.Sub(h.seen) >= absentAfter) {
+			absent++
+		}
+	}
+	i.judged = now
+	i.present = float64(len(i.holders)-absent) / float64(len(i.holders))
+	return i.present
+}
+
+// mayForget reports whether a silent entry VM certainly admits nothing by itself any more.
+func (i *Issuer) mayForget(now time.Time, h *holder) bool {
+	since := h.seen
+	if since.IsZero() {
+		since = i.start
+	}
+	return h.left || now.Sub(since) >= i.allows.Alone+i.allows.Alone/100
 }
 
 // expire ends the leases of holders that were not heard of while their leases last.
@@ -283,10 +367,10 @@
 
 // Gone returns the entry VMs that hold nothing any more and were silent or left, sorted. The shell
 // proposes to forget them; they get no more grants until Forget.
-func (i *Issuer) Gone() []EntryID {
+func (i *Issuer) Gone(now time.Time) []EntryID {
 	var gone []EntryID
 	for id, h := range i.holders {
-		if h.silent && len(h.slots) == 0 {
+		if h.silent && len(h.slots) == 0 && i.mayForget(now, h) {
 			h.gone = true
 			gone = append(gone, id)
 		}
@@ -319,6 +403,23 @@
 	delete(i.holders, entry)
 }
 
+// Lapsed returns the entry VMs that were silent until all they held ended, each once, sorted. The log
+// notes them, so that the next issuer does not count them as holding anything.
+func (i *Issuer) Lapsed() []EntryID {
+	if i.allows.Alone == 0 {
+		return nil
+	}
+	var lapsed []EntryID
+	for id, h := range i.holders {
+		if h.silent && !h.left && !h.lapsed {
+			h.lapsed = true
+			lapsed = append(lapsed, id)
+		}
+	}
+	slices.Sort(lapsed)
+	return lapsed
+}
+
 // Forget drops an entry VM that the control log has forgotten. If it lives, it must be registered
 // before its next Renew.
 func (i *Issuer) Forget(entry EntryID) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -53,11 +53,36 @@
 	Window  time.Duration
 	Overrun float64 // share of what the window admits
 	Slack   float64 // statements
+	// Alone is how long an entry VM that no issuer answers admits its equal part of each rate by
+	// itself. For as long the issuer leaves that part to an entry VM that it does not hear.
+	Alone time.Duration
 }
 
-// spare is the part of a tolerance that is not given out. Statements that were admitted within a
-// little more than the window may reach backend servers within it.
-const spare = 0.15
+const (
+	// spare is the part of a tolerance that is not given out. Statements that were admitted within a
+	// little more than the window may reach backend servers within it, and each entry VM that is alone
+	// begins with one statement.
+	spare = 0.4
+	// absentAfter is the silence of an entry VM after which its part of the rates is left to it.
+	absentAfter = 700 * time.Millisecond
+	// aloneAfter is the time since the last answered request after which an entry VM uses that part. The
+	// issuer has left it to the entry VM before, since it heard that request later than it was sent.
+	aloneAfter = absentAfter + absentAfter/50
+	// reserveParts is the part of a burst, as a divisor, that is the reserve of its bucket.
+	reserveParts = 3
+	// refilledAt and stockedAt are levels in parts of the reserve: above the first a bucket counts as refilled,
+	// above the second its credits are stocked at entry VMs.
+	refilledAt = 1.1
+	stockedAt  = 1.3
+	// mostParts is the part of a burst, as a divisor, that one entry VM may hold. A few entry VMs that a
+	// new issuer does not know yet then leave most of it to the others.
+	mostParts = 6
+	// refilled is how long a level must be far above its reserve before the log hears of it, so that
+	// changes are few.
+	refilled = 2 * time.Second
+	// countAgain bounds how often absent entry VMs are counted.
+	countAgain = 50 * time.Millisecond
+)
 
 // extra returns the credits that may be outstanding beyond the burst.
 func (t Tolerance) extra(rate, burst float64) float64 {
--- a/internal/relay/group.go
+++ b/internal/relay/group.go
@@ -255,7 +255,7 @@
 	h := g.way(m, ask{account: g.lastAccount(), weight: 1, read: true})
 	defer h.Release()
 	sent := g.now()
-	answers, err := h.Run(ctx, sent.Add(proofTimeout), nil, operation.Statement{Kind: operation.Begin})
+	answers, err := h.Run(ctx, lane.Limit{Until: sent.Add(proofTimeout)}, nil, operation.Statement{Kind: operation.Begin})
 	g.judge(m, sent, answers, err)
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -21,6 +21,7 @@
 	primary   *expvar.Int // reads answered by the primary
 	writes    *expvar.Int
 	commits   *expvar.Int
+	alone     *expvar.Int          // operations admitted without a control group
 	slow      *expvar.Int          // operations above the target of their route
 	idle      *expvar.Int          // transactions ended because they were idle
 	outcomes  *expvar.Map          // answers by code
@@ -37,7 +38,7 @@
 	named := map[string]**expvar.Int{
 		"sessions": &m.sessions, "opened": &m.opened, "refused": &m.refused, "versions": &m.versions,
 		"renewals": &m.renewals, "unrenewed": &m.unrenewed, "retries": &m.retries, "replica": &m.replica,
-		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "slow": &m.slow,
+		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "slow": &m.slow, "alone": &m.alone,
 	}
 	for name, counter := range named {
 		*counter = new(expvar.Int)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -252,6 +252,9 @@
 func (r *Relay) followEntries() {
 	var entries []placement.EntryVM
 	for _, e := range r.book.Registrations() {
+		if e.GetLapsed() {
+			continue
+		}
 		entries = append(entries, placement.EntryVM{ID: e.GetProcess(), Address: e.GetForward(), Zone: e.GetZone()})
 	}
 	r.entries.Store(&entries)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -62,6 +62,15 @@
 	account *account
 }
 
+// lateAt returns when the operation is late for its caller, or zero if its route states no target.
+// Pauses of the caller do not count.
+func (p *permit) lateAt(now time.Time) time.Time {
+	if p.route.target <= 0 {
+		return time.Time{}
+	}
+	return now.Add(p.route.target - p.trace.total)
+}
+
 // Open returns the session of a caller. The answer is the refusal if there is no session.
 func (r *Relay) Open(ctx context.Context, c Caller) (*Session, operation.Answer) {
 	r.await(ctx)
@@ -247,7 +256,7 @@
 	for {
 		now := s.relay.options.Now()
 		result, granted := s.relay.credits.Take(now, lease.AccountID(p.account.name), 1)
-		if result.Verdict == lease.Admitted {
+		if result.Verdict == lease.Admitted || s.relay.takeAlone(now, p.account) {
 			s.relay.metrics.waits.Add(now.Sub(arrived))
 			p.trace.credit = now.Sub(arrived)
 			return s.permitAgain(now, arrived, p, id)
@@ -265,6 +274,19 @@
 	}
 }
 
+// takeAlone admits an operation without a control group, within an equal part of the rate.
+func (r *Relay) takeAlone(now time.Time, a *account) bool {
+	if r.options.Stale == 0 {
+		return false
+	}
+	part := a.rate / float64(max(len(*r.entries.Load()), 1))
+	if !r.credits.TakeAlone(now, lease.AccountID(a.name), part, 1) {
+		return false
+	}
+	r.metrics.alone.Add(1)
+	return true
+}
+
 // permitAgain checks the configuration again after a wait.
 func (s *Session) permitAgain(now, arrived time.Time, p *permit, id string) (*permit, *operation.Answer) {
 	if now.Sub(arrived) < tick {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -23,6 +23,7 @@
 	permit  *permit
 	st      operation.Statement
 	until   time.Time
+	target  time.Time // when the answer is late for the caller; zero for none
 	tries   int
 	tried   []string // instances that refused a read
 	last    operation.Answer
@@ -81,7 +82,7 @@
 	until := arrived.Add(p.route.timeout)
 	ctx, cancel := context.WithTimeout(ctx, p.route.timeout)
 	defer cancel()
-	e := &effort{session: s, permit: p, st: st, until: until}
+	e := &effort{session: s, permit: p, st: st, until: until, target: p.lateAt(arrived)}
 	switch {
 	case st.Writes():
 		return e.write(ctx)
@@ -137,7 +138,7 @@
 // run sends statements on a connection in the state of the session.
 func (e *effort) run(ctx context.Context, h holder, statements ...operation.Statement) ([]operation.Answer, error) {
 	sent := e.now()
-	answers, err := h.Run(ctx, e.until, e.session.values, statements...)
+	answers, err := h.Run(ctx, lane.Limit{Until: e.until, Target: e.target}, e.session.values, statements...)
 	e.permit.trace.run += e.now().Sub(sent)
 	return answers, err
 }
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -30,6 +30,7 @@
 type account struct {
 	name   string
 	weight float64
+	rate   float64 // operations per second, over all entry VMs
 }
 
 func newTable(c *wire.Configuration, groups map[string]*group) *table {
@@ -44,7 +45,7 @@
 		}
 	}
 	for _, a := range c.GetAccounts() {
-		t.accounts[a.GetName()] = &account{name: a.GetName(), weight: float64(max(a.GetWeight(), 1))}
+		t.accounts[a.GetName()] = &account{name: a.GetName(), weight: float64(max(a.GetWeight(), 1)), rate: a.GetRate()}
 		for _, k := range a.GetKeys() {
 			t.keys[[sha256.Size]byte(k.GetDigest())] = a.GetName()
 		}
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -43,7 +43,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.permit.route.timeout)
 	defer cancel()
-	e := &effort{session: s, permit: t.permit, st: st, until: arrived.Add(t.permit.route.timeout)}
+	e := &effort{session: s, permit: t.permit, st: st, until: arrived.Add(t.permit.route.timeout), target: t.permit.lateAt(arrived)}
 	a := s.inside(ctx, e)
 	took := s.relay.options.Now().Sub(arrived)
 	s.relay.observe(&st, a, took)
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -26,7 +26,7 @@
 
 // holder runs statements on one connection of an instance, here or at another entry VM.
 type holder interface {
-	Run(ctx context.Context, until time.Time, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error)
+	Run(ctx context.Context, l lane.Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error)
 	Broken() bool
 	Release()
 }
@@ -65,13 +65,13 @@
 func (w *way) Server() string { return string(w.member.id) }
 
 // Run runs statements and notes how the instance answers.
-func (w *way) Run(ctx context.Context, until time.Time, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
+func (w *way) Run(ctx context.Context, l lane.Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
 	g := w.group
 	sent := g.now()
 	g.mu.Lock()
 	w.member.sense.Sent(sent)
 	g.mu.Unlock()
-	answers, err := w.holder.Run(ctx, until, values, statements...)
+	answers, err := w.holder.Run(ctx, l, values, statements...)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	w.note(sent, statements, answers, err)
--- a/internal/renewal/credits.go
+++ b/internal/renewal/credits.go
@@ -36,6 +36,13 @@
 	return result, c.granted
 }
 
+// TakeAlone spends from the part of a rate that is left to this VM while no issuer answers.
+func (c *Credits) TakeAlone(now time.Time, account lease.AccountID, rate, cost float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder.TakeAlone(now, account, rate, cost)
+}
+
 // ask fills a request to the control group.
 func (c *Credits) ask(now time.Time, r *wire.RenewRequest, usages []lease.Usage) {
 	c.mu.Lock()
