Fail over sooner when orders get no answer; send statements for one instance one way

Now an order is repeated with the next term after 0.25 s, answers of members count for 3 s, entry VMs report a missed primary at once, and only an unreached instance changes the way. A statement in progress is waited for 250 ms beyond its limit, which keeps the connection.

--- a/internal/failover/event.go
+++ b/internal/failover/event.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
@@ -32,6 +34,9 @@
 	Lag         time.Duration // age of its data against the primary, as it states it
 }
 
+// ErrRefused marks the error of a call that the other side refused, unlike one without an answer.
+var ErrRefused = errors.New("failover: the call was refused")
+
 // Policy orders the failovers of all database groups. Each control leader makes a new one. It is
 // stepped by one goroutine.
 type Policy interface {
--- a/internal/failover/ordered.go
+++ b/internal/failover/ordered.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -26,7 +28,7 @@
 const (
 	// voteSilence is how long a voter must have been without the primary for its vote to count. It is
 	// above two retransmissions of TCP between zones.
-	voteSilence = 600 * time.Millisecond
+	voteSilence = 450 * time.Millisecond
 	// voteAge is how long the sight of an entry VM counts: two Renews.
 	voteAge = 1200 * time.Millisecond
 	// aloneSilence is the silence of a primary that no entry VM reports on, before it is replaced.
@@ -38,7 +40,9 @@
 	// askWait is how long the members' positions are waited for once most have answered or failed.
 	askWait = 350 * time.Millisecond
 	// orderWait is how long the platform may take to accept an order, which it carries out later.
-	orderWait = 500 * time.Millisecond
+	orderWait = 250 * time.Millisecond
+	// answersCount is how long the members' answers count for the next order, if one got no answer.
+	answersCount = 3 * time.Second
 	// claimWait lets a new primary's claim win over the former view.
 	claimWait = 1500 * time.Millisecond
 	// readyLag is the lag of a replica that may take over from a leaving primary within a short hold of writes.
@@ -49,7 +53,7 @@
 	holdLeast = 60 * time.Millisecond
 	// holdMost bounds the hold of writes.
 	holdMost = 600 * time.Millisecond
-	// barred is how long an instance that refused or missed an order is not ordered again.
+	// barred is how long an instance is not ordered again after the platform refused that.
 	barred = 2 * time.Second
 )
 
@@ -60,17 +64,18 @@
 
 // orderedGroup is one database group.
 type orderedGroup struct {
-	policy  *Ordered
-	id      GroupID
-	view    *wire.View
-	servers map[ServerID]*instance
-	votes   map[string]vote // by entry VM
-	attempt *attempt        // nil while none runs
-	raised  uint64          // highest term that this policy proposed
-	asked   time.Time       // when it was proposed
-	reason  string
-	avoid   ServerID // primary that most entry VMs miss; not chosen while another can be
-	cleared time.Time
+	policy   *Ordered
+	id       GroupID
+	view     *wire.View
+	servers  map[ServerID]*instance
+	votes    map[string]vote // by entry VM
+	attempt  *attempt        // nil while none runs
+	previous *attempt        // the one before; its answers count while they are recent
+	raised   uint64          // highest term that this policy proposed
+	asked    time.Time       // when it was proposed
+	reason   string
+	avoid    ServerID // primary that most entry VMs miss; not chosen while another can be
+	cleared  time.Time
 }
 
 // instance is what is known of a member or a server that may become one.
@@ -241,6 +246,11 @@
 		term: v.GetTerm(), started: now, planned: v.GetPhase() == wire.Phase_PHASE_SWITCHING,
 		pending: map[ServerID]bool{}, found: map[ServerID]Report{},
 	}
+	if p := g.previous; p != nil && !p.planned && !g.attempt.planned && now.Sub(p.started) < answersCount {
+		g.attempt.found, g.attempt.started = p.found, p.started
+		g.advance(now)
+		return
+	}
 	g.poll(now)
 }
 
@@ -303,7 +313,9 @@
 		g.record(now, a, e.Call.Server, uint64(e.Report.Offset))
 		return
 	}
-	s.barred = now.Add(barred)
+	if errors.Is(e.Err, ErrRefused) {
+		s.barred = now.Add(barred)
+	}
 	g.raise(now, wire.Phase_PHASE_RAISING, "the order failed: "+e.Err.Error())
 }
 
@@ -318,6 +330,9 @@
 // raise makes the next term durable.
 func (g *orderedGroup) raise(now time.Time, phase wire.Phase, reason string) {
 	g.raised, g.asked, g.reason = max(g.view.GetTerm(), g.raised)+1, now, reason
+	if g.attempt != nil {
+		g.previous = g.attempt
+	}
 	g.attempt = nil
 	g.policy.made = append(g.policy.made, Propose{&wire.Entry{Entry: &wire.Entry_Raise{Raise: &wire.RaiseTerm{
 		Group: string(g.id), Term: g.raised, Reason: reason, Phase: phase,
--- a/internal/failover/succession.go
+++ b/internal/failover/succession.go
@@ -149,7 +149,7 @@
 // advanceFailover orders once every member has answered, failed, or had its time.
 func (g *orderedGroup) advanceFailover(now time.Time, a *attempt) {
 	waited := now.Sub(a.started)
-	if len(a.pending) > 0 && waited < askWait {
+	if g.expects(a) && waited < askWait {
 		return
 	}
 	if leader := g.leading(a); leader != "" {
@@ -165,6 +165,16 @@
 	}
 }
 
+// expects reports whether a member that is not missed owes an answer.
+func (g *orderedGroup) expects(a *attempt) bool {
+	for id := range a.pending {
+		if g.server(id).missing.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // leading returns the member that answered as the primary, unless it shuts down or most entry VMs
 // miss it while another member answers.
 func (g *orderedGroup) leading(a *attempt) ServerID {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -21,7 +21,7 @@
 
 const (
 	// wayBack is added to the limit of a request for the way of its reply.
-	wayBack = 100 * time.Millisecond
+	wayBack = lane.AnswerGrace + 100*time.Millisecond
 	// pingAfter is the age of a request without a reply at which the entry VM is asked whether it answers.
 	pingAfter = 200 * time.Millisecond
 	// silentAfter is how long it may take to say so. It is above a retransmission of TCP.
@@ -250,7 +250,7 @@
 	}
 	h.load = Load{Running: int(reply.GetRunning()), Waiting: int(reply.GetWaiting())}
 	err = decodeFailure(reply)
-	h.broken = h.broken || errors.Is(err, lane.ErrBroken) || errors.Is(err, lane.ErrNotSent)
+	h.broken = h.broken || errors.Is(err, lane.ErrBroken) || errors.Is(err, lane.ErrSlow) || errors.Is(err, lane.ErrNotSent)
 	return decodeAnswers(reply.GetResults()), err
 }
 
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -21,6 +21,7 @@
 	{wire.Failure_FAILURE_LEFT, lane.ErrLeft},
 	{wire.Failure_FAILURE_UNREACHED, lane.ErrUnreached},
 	{wire.Failure_FAILURE_NOT_SENT, lane.ErrNotSent},
+	{wire.Failure_FAILURE_SLOW, lane.ErrSlow},
 	{wire.Failure_FAILURE_BROKEN, lane.ErrBroken},
 }
 
--- a/internal/lane/held.go
+++ b/internal/lane/held.go
@@ -134,16 +134,20 @@
 
 // exchange sends statements and waits for their answers.
 func (h *Held) exchange(until time.Time, statements ...operation.Statement) ([]operation.Answer, error) {
-	limit := until.Sub(h.lane.options.Now())
+	sent := h.lane.options.Now()
+	limit := until.Sub(sent)
 	if limit <= 0 {
 		return nil, ErrLate
 	}
-	answers, err := h.line.conn.Exchange(limit, statements...)
+	answers, err := h.line.conn.Exchange(limit+AnswerGrace, statements...)
 	if n := len(answers); n > 0 {
 		h.state = answers[n-1].State
 	}
 	if err != nil {
 		h.broken = true
+		if elapsed := h.lane.options.Now().Sub(sent); elapsed >= limit && elapsed < lostAfter {
+			return answers, errors.CombineErrors(ErrSlow, err)
+		}
 		return answers, errors.CombineErrors(ErrBroken, err)
 	}
 	return answers, nil
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -11,7 +11,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 )
 
-// Errors of Held.Run. Except for ErrBroken, the statement without an answer did not run.
+// Errors of Held.Run. Except for ErrBroken and ErrSlow, the statement without an answer did not run.
 var (
 	// ErrLate tells that there is no room within the limit.
 	ErrLate = errors.New("lane: no room for the statement within its time; it did not run")
@@ -23,6 +23,9 @@
 	ErrUnreached = errors.New("lane: the backend server is not reached; the statement did not run")
 	// ErrNotSent tells that the connection was lost before the statement was sent.
 	ErrNotSent = errors.New("lane: the connection was lost before the statement was sent; it did not run")
+	// ErrSlow tells that a statement got no answer in its time, which was too short to tell that the
+	// backend server is lost.
+	ErrSlow = errors.New("lane: no answer in time; it is not known whether the statement ran")
 	// ErrBroken tells that the connection was lost while the statement was in progress.
 	ErrBroken = errors.New("lane: the connection was lost; it is not known whether the statement ran")
 )
@@ -33,6 +36,11 @@
 	dialTimeout = 400 * time.Millisecond
 	// ceilingFor is how long an instance that refused a connection is not asked for more than it has.
 	ceilingFor = time.Second
+	// AnswerGrace is how much longer than its limit a statement in progress is waited for: its outcome is
+	// worth more than a timeout, and the connection is kept.
+	AnswerGrace = 250 * time.Millisecond
+	// lostAfter is the time without an answer that tells that a backend server is lost.
+	lostAfter = 600 * time.Millisecond
 	// ahead is how many statements may be at the instance beyond its slots, so that a slot that
 	// becomes free has work while the answer is on its way.
 	ahead = 1
--- a/internal/relay/group.go
+++ b/internal/relay/group.go
@@ -42,6 +42,17 @@
 	zone    string
 	slots   int
 	leaving bool
+	owners  []placement.EntryVM  // that may keep the connections, best first; guarded by group.mu
+	among   *[]placement.EntryVM // entry VMs from which owners was made; guarded by group.mu
+}
+
+// candidates returns the entry VMs that may keep the connections to the instance. The lock of the
+// group is held.
+func (m *member) candidates(entries *[]placement.EntryVM) []placement.EntryVM {
+	if m.among != entries {
+		m.owners, m.among = placement.Owners(string(m.id), m.zone, *entries), entries
+	}
+	return m.owners
 }
 
 // group is a database group as this VM sees it. It is safe for concurrent use.
@@ -139,12 +150,12 @@
 
 // share sets how many connections this VM may open: nearly all of an instance's if it keeps them for
 // the others, else a few.
-func (g *group) share(now time.Time, self string, entries []placement.EntryVM, all int) {
+func (g *group) share(now time.Time, self string, entries *[]placement.EntryVM, all int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.members {
 		limit, idle := strayConnections, strayIdle
-		if owners := placement.Owners(string(m.id), m.zone, entries); len(owners) > 0 && owners[0].ID == self {
+		if owners := m.candidates(entries); len(owners) > 0 && owners[0].ID == self {
 			limit, idle = max(all, limit), keptIdle
 		}
 		m.lane.SetLimit(limit)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -206,11 +206,14 @@
 
 // tend does what is due.
 func (r *Relay) tend(now time.Time) {
-	entries := *r.entries.Load()
+	entries := r.entries.Load()
 	for _, g := range r.groups {
 		w, _ := r.book.Group(g.name)
 		g.share(now, r.options.Process, entries, int(w.GetConnections())-spareConnections)
 		g.tend(now)
+		if s := g.sight(now); s != nil && !s.Reachable {
+			r.control.Wake() // the control group decides by what entry VMs miss
+		}
 	}
 	idle := r.table.Load().idle
 	for _, s := range r.list() {
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -74,7 +75,10 @@
 	if reason == "" {
 		reason = reasonLate
 	}
-	return e.session.relay.refuse(e.st.ID, code, reason, "the statement did not run; come back in "+comeBack(reason).String())
+	t := &e.permit.trace
+	detail := fmt.Sprintf("the statement did not run; come back in %s (group %s, server %s asked last, %d tries)",
+		comeBack(reason), e.permit.route.group.name, t.server, t.tries)
+	return e.session.relay.refuse(e.st.ID, code, reason, detail)
 }
 
 // single runs a statement outside a transaction.
@@ -107,8 +111,10 @@
 			e.committed(m, sent, answers[0])
 			return answers[0]
 		}
-		if errors.Is(err, lane.ErrBroken) {
-			e.permit.route.group.lost(string(m.id))
+		if isUnknown(err) {
+			if isLost(err) {
+				e.permit.route.group.lost(string(m.id))
+			}
 			return e.inDoubt()
 		}
 		if !e.again(ctx, m, answers, err) {
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"fireflyrudder.example/fireflyrudder/internal/lane"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 )
 
@@ -146,7 +145,7 @@
 // taken effect.
 func (s *Session) breaks(e *effort, err error) operation.Answer {
 	reason := reasonLink
-	if errors.Is(err, lane.ErrBroken) {
+	if isLost(err) {
 		e.permit.route.group.lost(s.tx.held.Server())
 	} else {
 		reason = reasonLate
@@ -158,7 +157,7 @@
 		return a
 	}
 	s.failed = false
-	if errors.Is(err, lane.ErrBroken) {
+	if isUnknown(err) {
 		return e.inDoubt()
 	}
 	return s.relay.refuse(e.st.ID, operation.Aborted, reason, s.aborts)
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/lane"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
-	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
@@ -85,22 +85,39 @@
 		load := h.Load()
 		w.member.sense.Queued(now, load.Running+load.Waiting)
 	}
+	missed := w.member.sense.Missing()
+	defer func() {
+		if missed != w.member.sense.Missing() {
+			w.tell(now.Sub(sent), err)
+		}
+	}()
 	switch {
 	case err == nil || len(answers) > 0:
 		w.member.sense.Answered(now, sent, lastPosition(answers), isTimed(statements))
 	case isLost(err):
 		w.member.sense.Failed(now)
-		if w.via != "" {
-			w.member.shunned[w.via] = now.Add(unreachedFor)
-		}
 	default:
 		w.member.sense.Refused(now)
 	}
-	if w.via != "" && errors.Is(err, lane.ErrLeft) {
+	// A lost connection alone is no reason to go another way: with two queues for one instance, neither
+	// sees how full it is.
+	if w.via != "" && (errors.Is(err, lane.ErrLeft) || errors.Is(err, lane.ErrUnreached)) {
 		w.member.shunned[w.via] = now.Add(unreachedFor)
 	}
 }
 
+// tell logs that an instance was lost or regained.
+func (w *way) tell(elapsed time.Duration, err error) {
+	fields := log.Fields{
+		"event": "dependency", "dependency": "server", "group": w.group.name, "server": w.Server(), "via": w.via,
+		"reached": err == nil, "elapsed": elapsed,
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	log.WithFields(fields).Info("backend server")
+}
+
 // isTimed reports whether the time of the statements tells how busy an instance is.
 func isTimed(statements []operation.Statement) bool {
 	for i := range statements {
@@ -133,10 +150,15 @@
 	return errors.Is(err, lane.ErrUnreached) || errors.Is(err, lane.ErrBroken) || errors.Is(err, lane.ErrNotSent)
 }
 
+// isUnknown reports whether it is not known if the statement without an answer ran.
+func isUnknown(err error) bool {
+	return errors.Is(err, lane.ErrBroken) || errors.Is(err, lane.ErrSlow)
+}
+
 // owner returns the address of the entry VM that keeps the connections to an instance, or "" for this
 // VM. The lock of the group is held.
 func (r *Relay) owner(m *member, now time.Time) string {
-	for _, e := range placement.Owners(string(m.id), m.zone, *r.entries.Load()) {
+	for _, e := range m.candidates(r.entries.Load()) {
 		if e.ID == r.options.Process {
 			return ""
 		}
