--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -256,7 +256,8 @@
 
 func (h *Held) call(ctx context.Context, limit time.Duration, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
 	if !h.request.Hold {
-		ctx, cancel := context.WithTimeout(ctx, limit)
+		// The other side keeps the limit and tells whether the statement ran, so it is waited for.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 		defer cancel()
 		return h.peer.client.Run(ctx, r)
 	}
