Do not take a silent entry VM on the way for a lost primary

Now the loss of an entry VM on the way is told apart, and a primary counts as missed only by a way that answers.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -23,9 +23,9 @@
 	// wayBack is added to the limit of a request for the way of its reply.
 	wayBack = lane.AnswerGrace + 100*time.Millisecond
 	// pingAfter is the age of a request without a reply at which the entry VM is asked whether it answers.
-	pingAfter = 200 * time.Millisecond
+	pingAfter = 100 * time.Millisecond
 	// silentAfter is how long it may take to say so. It is above a retransmission of TCP.
-	silentAfter = 300 * time.Millisecond
+	silentAfter = 250 * time.Millisecond
 	// pingPause is the pause before an entry VM that is out of reach is asked again.
 	pingPause = 50 * time.Millisecond
 	// shunned is how long an entry VM that failed is left out.
@@ -35,6 +35,9 @@
 	redialMost     = 500 * time.Millisecond
 )
 
+// ErrPeer marks the loss of the other entry VM, which tells nothing of the backend server.
+var ErrPeer = errors.New("forward: the entry VM that keeps the connections does not answer")
+
 // Client sends statements to other entry VMs. It is safe for concurrent use.
 type Client struct {
 	now func() time.Time
@@ -246,7 +249,7 @@
 	ended(err)
 	if err != nil {
 		h.broken = true
-		return nil, errors.CombineErrors(lane.ErrBroken, err)
+		return nil, errors.Mark(errors.CombineErrors(lane.ErrBroken, err), ErrPeer)
 	}
 	h.load = Load{Running: int(reply.GetRunning()), Waiting: int(reply.GetWaiting())}
 	err = decodeFailure(reply)
--- a/internal/relay/group.go
+++ b/internal/relay/group.go
@@ -38,6 +38,7 @@
 	lane    *lane.Lane
 	sense   *placement.Sense     // guarded by group.mu
 	shunned map[string]time.Time // entry VMs that do not reach the instance, with the end; guarded by group.mu
+	via     string               // entry VM asked last for the instance; guarded by group.mu
 	born    uint64
 	zone    string
 	slots   int
@@ -116,7 +117,7 @@
 			}
 		}
 		members = append(members, &member{
-			id: id, lane: m.lane, sense: m.sense, shunned: m.shunned, born: m.born, zone: w.GetZone(), slots: int(w.GetSlots()),
+			id: id, lane: m.lane, sense: m.sense, shunned: m.shunned, via: m.via, born: m.born, zone: w.GetZone(), slots: int(w.GetSlots()),
 			leaving: w.GetLeaving() || w.GetRetired() || retired[w.GetServer()],
 		})
 	}
@@ -331,6 +332,9 @@
 		return nil
 	}
 	silent := m.sense.Silence(now)
+	if via := m.via; via != "" && silent >= silentLane && !g.forward.Usable(via) {
+		silent = 0 // it is the entry VM on the way that does not answer
+	}
 	return &wire.Sight{
 		Group: g.name, Term: g.term, Server: g.primary, Reachable: silent < silentLane, Silent: silent.Milliseconds(),
 	}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -18,6 +18,7 @@
 	reasonLag     = "lag"     // no instance holds what the session must see
 	reasonFull    = "full"    // the instance takes no more
 	reasonLink    = "link"    // the instance did not answer
+	reasonPeer    = "peer"    // the entry VM that keeps the connections did not answer
 	reasonLeft    = "left"    // the instance left
 	reasonLate    = "late"    // no connection in time
 	reasonStop    = "stop"    // the entry VM shuts down
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/lane"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
@@ -169,6 +170,9 @@
 		g.lost(string(m.id))
 		e.note(operation.Answer{Code: operation.Busy}, reasonLink)
 		e.tried = append(e.tried, string(m.id))
+	case errors.Is(err, forward.ErrPeer):
+		// Only reads come here; another entry VM is asked.
+		e.note(operation.Answer{Code: operation.Busy}, reasonPeer)
 	default:
 		e.note(operation.Answer{Code: operation.Busy}, reasonLate)
 		return false
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -45,6 +45,7 @@
 	g.mu.Lock()
 	g.account = a.account
 	via := g.owner(m, g.now())
+	m.via = via
 	g.mu.Unlock()
 	w := &way{group: g, member: m, via: via}
 	if via != "" {
@@ -145,8 +146,12 @@
 	return g.account
 }
 
-// isLost reports whether an error tells that the instance, or the way to it, does not answer.
+// isLost reports whether an error tells that the instance does not answer. The loss of the entry VM
+// that keeps the connections tells nothing of it.
 func isLost(err error) bool {
+	if errors.Is(err, forward.ErrPeer) {
+		return false
+	}
 	return errors.Is(err, lane.ErrUnreached) || errors.Is(err, lane.ErrBroken) || errors.Is(err, lane.ErrNotSent)
 }
 
