--- a/cmd/fireflyrudder-platform/main.go
+++ b/cmd/fireflyrudder-platform/main.go
@@ -10,11 +10,13 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
+	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
-	"fireflyrudder.example/fireflyrudder/internal/settings"
+	"fireflyrudder.example/fireflyrudder/internal/logline"
 	"fireflyrudder.example/fireflyrudder/platform"
 )
 
@@ -24,6 +26,11 @@
 	exitUsage   = 2
 )
 
+// logLevel selects which lines are written to standard output, as logfmt.
+type logLevel struct {
+	Level string `long:"log-level" choice:"debug" choice:"info" choice:"warn" choice:"error" default:"info" description:"least level logged"`
+}
+
 // role runs one process.
 type role struct {
 	Metrics string `long:"metrics" description:"port of the operators' console on the address of this VM; empty for none"`
@@ -62,13 +69,25 @@
 
 // run executes one command and returns its exit code.
 func run(ctx context.Context, args []string) int {
-	var format settings.Log
+	var format logLevel
 	parser := flags.NewNamedParser("fireflyrudder-platform", flags.HelpFlag|flags.PassDoubleDash)
 	must(parser.AddGroup("log", "", &format))
 	must(parser.AddCommand("entry", "run an entry VM", "Runs an entry VM, to which callers connect.", &role{run: platform.RunEntry, ctx: ctx}))
 	must(parser.AddCommand("control", "run a control VM", "Runs a control VM: a voter of the control group.", &role{run: platform.RunControl, ctx: ctx}))
+	lines := logline.New(os.Stdout, time.Now)
+	writing, stop := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		lines.Run(writing)
+	}()
+	defer func() {
+		stop()
+		<-written
+	}()
 	parser.CommandHandler = func(command flags.Commander, args []string) error {
-		format.Apply()
+		log.SetHandler(lines)
+		log.SetLevelFromString(format.Level)
 		return command.Execute(args)
 	}
 	_, err := parser.ParseArgs(args)
--- /dev/null
+++ b/internal/contract/publish_test.go
@@ -0,0 +1,99 @@
+package contract_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+func published(version uint64) *wire.Configuration {
+	return &wire.Configuration{
+		Version: version, Groups: []*wire.Group{{Name: "g"}}, Routes: []*wire.Route{{Name: "r", Group: "g", Timeout: 100}},
+		Accounts: []*wire.Account{{Name: "a", Rate: 1, Keys: []*wire.Key{{Digest: []byte("k")}}}},
+	}
+}
+
+// TestHighestVersionWins guards against a configuration that is replaced by an older one, or by other
+// content under the same version.
+func TestHighestVersionWins(t *testing.T) {
+	b := contract.New()
+	for i, version := range []uint64{7, 3, 7, 9, 8} {
+		c := published(version)
+		c.Document = []byte{byte(i)}
+		b.Apply(uint64(i+1), &wire.Entry{Entry: &wire.Entry_Publish{Publish: c}})
+	}
+	require.EqualValues(t, 9, b.Version())
+	require.Equal(t, []byte{3}, b.Configuration().GetDocument())
+	restored, err := contract.Restore(b.Snapshot())
+	require.NoError(t, err)
+	require.Equal(t, []byte{3}, restored.Configuration().GetDocument())
+	require.Nil(t, b.Full(nil).GetFull().GetDocument(), "entry VMs do not get the keys of the document")
+}
+
+// TestInvalidConfigurations guards against a configuration that is accepted although it cannot work.
+func TestInvalidConfigurations(t *testing.T) {
+	_, err := contract.Arranged(published(1))
+	require.NoError(t, err)
+	for name, spoil := range map[string]func(c *wire.Configuration){
+		"two routes": func(c *wire.Configuration) {
+			c.Routes = append(c.Routes, &wire.Route{Name: "r", Group: "g", Timeout: 1})
+		},
+		"unknown group": func(c *wire.Configuration) { c.Routes[0].Group = "other" },
+		"no timeout":    func(c *wire.Configuration) { c.Routes[0].Timeout = 0 },
+		"shared key": func(c *wire.Configuration) {
+			c.Accounts = append(c.Accounts, &wire.Account{Name: "b", Keys: []*wire.Key{{Digest: []byte("k")}}})
+		},
+	} {
+		c := published(1)
+		spoil(c)
+		_, err := contract.Arranged(c)
+		var invalid *contract.InvalidError
+		require.ErrorAs(t, err, &invalid, name)
+	}
+}
+
+func enlist(b *contract.Book, index uint64, server, address string, born, sequence uint64, leaving bool) {
+	b.Apply(index, &wire.Entry{Entry: &wire.Entry_Enlist{Enlist: &wire.Enlist{
+		Group: "g", Member: &wire.Member{Server: server, Address: address, Born: born, Sequence: sequence, Leaving: leaving},
+	}}})
+}
+
+// TestLateAnnouncements guards against an announcement that was delayed and brings back an instance
+// that ended, or undoes its leaving.
+func TestLateAnnouncements(t *testing.T) {
+	b := contract.New()
+	b.Apply(1, &wire.Entry{Entry: &wire.Entry_Publish{Publish: published(1)}})
+	enlist(b, 2, "old", "host:1", 100, 5, false)
+	enlist(b, 3, "new", "host:1", 200, 1, false)
+	_, _, ok := b.Member("old")
+	require.False(t, ok, "another instance has its address")
+	enlist(b, 4, "old", "host:1", 100, 6, false)
+	_, _, ok = b.Member("old")
+	require.False(t, ok, "it started before the one at its address")
+	enlist(b, 5, "new", "host:1", 200, 3, true)
+	enlist(b, 6, "new", "host:1", 200, 2, false)
+	m, _, _ := b.Member("new")
+	require.True(t, m.GetLeaving(), "the earlier announcement came late")
+	enlist(b, 7, "new", "host:1", 300, 1, false)
+	m, _, _ = b.Member("new")
+	require.False(t, m.GetLeaving(), "it started again")
+}
+
+// TestSuccessorReplacesRegistration guards against credits that stay with a process that ended.
+func TestSuccessorReplacesRegistration(t *testing.T) {
+	b := contract.New()
+	register := func(index uint64, entry, process string) {
+		b.Apply(index, &wire.Entry{Entry: &wire.Entry_Register{Register: &wire.Registration{Entry: entry, Process: process}}})
+	}
+	register(1, "a", "host:1")
+	register(2, "b", "")
+	register(3, "c", "host:1")
+	require.Len(t, b.Registrations(), 2)
+	b.Apply(4, &wire.Entry{Entry: &wire.Entry_Lapse{Lapse: "c"}})
+	require.True(t, b.Registrations()[1].GetLapsed())
+	register(5, "c", "host:1")
+	require.False(t, b.Registrations()[1].GetLapsed(), "it registered again")
+}
--- /dev/null
+++ b/internal/failover/ordered_test.go
@@ -0,0 +1,197 @@
+package failover_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/failover"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+// stage is an Ordered with a book and instances that answer its calls.
+type stage struct {
+	t       *testing.T
+	policy  *failover.Ordered
+	book    *contract.Book
+	now     time.Time
+	index   uint64
+	primary string
+	offsets map[string]position.Offset
+	dead    map[string]bool
+	mute    int // orders that get no answer
+	leaving map[string]bool
+	votes   map[string]bool // entry VMs and whether they reach a as the primary
+	orders  []failover.Call
+	order   []string
+}
+
+func newStage(t *testing.T) *stage {
+	s := &stage{
+		t: t, policy: failover.NewOrdered(), book: contract.New(), now: time.Unix(1000, 0), primary: "a",
+		offsets: map[string]position.Offset{"a": 10, "b": 9, "c": 10}, dead: map[string]bool{}, leaving: map[string]bool{},
+		votes: map[string]bool{"e1": true, "e2": true, "e3": true}, order: []string{"a", "b", "c"},
+	}
+	s.apply(&wire.Entry{Entry: &wire.Entry_Publish{Publish: &wire.Configuration{Version: 1, Groups: []*wire.Group{{Name: "g"}}}}})
+	for _, id := range s.order {
+		s.apply(&wire.Entry{Entry: &wire.Entry_Enlist{Enlist: &wire.Enlist{Group: "g", Member: &wire.Member{Server: id, Address: id, Born: 1, Sequence: 1}}}})
+	}
+	return s
+}
+
+// apply appends to the log and tells the policy.
+func (s *stage) apply(e *wire.Entry) {
+	s.index++
+	s.book.Apply(s.index, e)
+	s.step(failover.Configured{Groups: s.book.Configuration().GetGroups()})
+	for _, v := range s.book.Views() {
+		s.step(failover.Viewed{View: v})
+	}
+}
+
+func (s *stage) view() *wire.View { return s.book.Views()[0] }
+
+func (s *stage) step(e failover.Event) {
+	for _, effect := range s.policy.Step(s.now, e) {
+		switch e := effect.(type) {
+		case failover.Propose:
+			s.apply(e.Entry)
+		case failover.Call:
+			s.call(e)
+		}
+	}
+}
+
+// call answers at once.
+func (s *stage) call(c failover.Call) {
+	id := string(c.Server)
+	r := failover.Report{Server: c.Server, Group: c.Group, Term: 1, LastTerm: 1, Offset: s.offsets[id], Role: "replica"}
+	if id == s.primary {
+		r.Role = "primary"
+	}
+	var err error
+	switch {
+	case c.Function == failover.Promote:
+		s.orders = append(s.orders, c)
+		require.Equal(s.t, uint64(c.Term), s.view().GetTerm(), "an order names the durable term")
+		if s.mute > 0 {
+			s.mute--
+			s.now = s.now.Add(c.Timeout())
+			err = errors.New("no answer")
+			break
+		}
+		s.primary = id
+	case s.dead[id]:
+		err = errors.New("not reached")
+	}
+	s.step(failover.Answered{Call: c, Report: r, Err: err})
+}
+
+// run lets time pass.
+func (s *stage) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.now = s.now.Add(20 * time.Millisecond)
+		if s.now.UnixMilli()%200 == 0 {
+			s.talk()
+		}
+		s.step(failover.Tick{})
+	}
+}
+
+// talk sends what instances and entry VMs say.
+func (s *stage) talk() {
+	for _, id := range s.order {
+		if s.dead[id] {
+			continue
+		}
+		role := "replica"
+		if id == s.primary {
+			role = "primary"
+		}
+		s.step(failover.Announced{Report: failover.Report{Server: failover.ServerID(id), Group: "g", Address: id, Role: role, Leaving: s.leaving[id]}})
+	}
+	for entry, reaches := range s.votes {
+		misses := !reaches && s.view().GetPrimary() == "a"
+		w := &wire.Sight{Group: "g", Term: s.view().GetTerm(), Server: s.view().GetPrimary(), Reachable: !misses}
+		if misses {
+			w.Silent = 1000
+		}
+		s.step(failover.Sighted{Entry: entry, Sights: []*wire.Sight{w}})
+	}
+}
+
+// TestOrderedAdoptsThePrimary guards against a promotion where an instance leads already.
+func TestOrderedAdoptsThePrimary(t *testing.T) {
+	s := newStage(t)
+	s.run(2 * time.Second)
+	require.Equal(t, "a", s.view().GetPrimary())
+	require.Empty(t, s.orders)
+}
+
+// TestOrderedFailover guards against a group without a primary, and against a successor with a
+// shorter log than another one that answers.
+func TestOrderedFailover(t *testing.T) {
+	s := newStage(t)
+	s.run(2 * time.Second)
+	s.dead["a"] = true
+	s.votes = map[string]bool{"e1": false, "e2": false, "e3": false}
+	s.run(1500 * time.Millisecond)
+	require.Equal(t, "c", s.view().GetPrimary())
+	require.Len(t, s.orders, 1)
+}
+
+// TestOrderedNeedsMost guards against a promotion because a few entry VMs, or the control VM alone,
+// do not reach the primary.
+func TestOrderedNeedsMost(t *testing.T) {
+	s := newStage(t)
+	s.run(2 * time.Second)
+	s.votes["e1"] = false
+	s.run(3 * time.Second)
+	require.Empty(t, s.orders, "one of three misses it")
+	s.votes["e1"] = true
+	s.dead["a"] = true
+	s.run(3 * time.Second)
+	require.Empty(t, s.orders, "only the control VM misses it")
+}
+
+// TestOrderedRepeatsWithHigherTerm guards against an order that was given up and is carried out late
+// after a newer one: the newer one has a higher term, which the platform has seen then.
+func TestOrderedRepeatsWithHigherTerm(t *testing.T) {
+	s := newStage(t)
+	s.run(2 * time.Second)
+	s.dead["a"], s.mute = true, 3
+	s.votes = map[string]bool{"e1": false, "e2": false, "e3": false}
+	s.run(3 * time.Second)
+	require.Equal(t, "c", s.view().GetPrimary())
+	require.Len(t, s.orders, 4)
+	for i := 1; i < len(s.orders); i++ {
+		require.Greater(t, s.orders[i].Term, s.orders[i-1].Term)
+	}
+}
+
+// TestOrderedSwitch guards against a primary that leaves without a successor that has its log.
+func TestOrderedSwitch(t *testing.T) {
+	s := newStage(t)
+	s.run(2 * time.Second)
+	s.leaving["a"] = true
+	s.run(1500 * time.Millisecond)
+	require.Equal(t, "c", s.view().GetPrimary(), "b has not all of the log")
+	require.Equal(t, wire.Phase_PHASE_STEADY, s.view().GetPhase())
+}
+
+// TestOrderedSupersedes guards against a control VM that orders with the term of another one.
+func TestOrderedSupersedes(t *testing.T) {
+	s := newStage(t)
+	s.run(2 * time.Second)
+	term := s.view().GetTerm()
+	s.dead["a"] = true
+	s.apply(&wire.Entry{Entry: &wire.Entry_Raise{Raise: &wire.RaiseTerm{Group: "g", Term: term + 1, Phase: wire.Phase_PHASE_RAISING}}})
+	require.Empty(t, s.orders, "the term belongs to another control VM")
+	s.run(time.Second)
+	require.Equal(t, "c", s.view().GetPrimary())
+	require.Greater(t, uint64(s.orders[0].Term), term+1)
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,151 @@
+package forward_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/forward"
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+)
+
+// server is an instance that answers what it is told to.
+type server struct {
+	mu     sync.Mutex
+	opened int
+	ran    []operation.Statement
+	break1 bool // the next statement breaks the connection
+	open   bool
+}
+
+func (s *server) dial(context.Context, lane.Target) (lane.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opened++
+	return s, nil
+}
+
+func (s *server) Exchange(_ time.Duration, statements ...operation.Statement) ([]operation.Answer, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var answers []operation.Answer
+	for _, st := range statements {
+		if s.break1 && st.TakesSlot() {
+			s.break1 = false
+			return answers, net.ErrClosed
+		}
+		s.ran = append(s.ran, st)
+		switch st.Kind {
+		case operation.Begin:
+			s.open = true
+		case operation.Rollback, operation.Commit:
+			s.open = false
+		}
+		a := operation.Answer{Rows: []string{st.Argument}, Proof: st.ID}
+		if s.open {
+			a.State = operation.Open
+		}
+		answers = append(answers, a)
+	}
+	return answers, nil
+}
+
+func (s *server) Close() {}
+
+func (s *server) kinds() []operation.Kind {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []operation.Kind
+	for _, st := range s.ran {
+		out = append(out, st.Kind)
+	}
+	return out
+}
+
+// lanes serves one instance.
+type lanes struct{ lane *lane.Lane }
+
+func (l lanes) Lane(server string) *lane.Lane {
+	if server != "i" {
+		return nil
+	}
+	return l.lane
+}
+
+func start(t *testing.T) (*server, *forward.Client, string) {
+	s := &server{}
+	l := lane.New(lane.Options{Group: "g", Server: "i", Dial: s.dial, Now: time.Now, Slots: 2, Connections: 4})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = forward.NewServer(lanes{l}, time.Now).Serve(ctx, listener)
+	}()
+	t.Cleanup(func() { stop(); <-done })
+	c := forward.NewClient(time.Now)
+	t.Cleanup(c.Close)
+	return s, c, listener.Addr().String()
+}
+
+func limit(d time.Duration) lane.Limit { return lane.Limit{Until: time.Now().Add(d)} }
+
+// TestForwardedStatements guards against connections that are opened for each statement, and against
+// parts of statements or answers that are lost on the way.
+func TestForwardedStatements(t *testing.T) {
+	s, c, address := start(t)
+	for range 5 {
+		h, err := c.Hold(forward.Request{Address: address, Server: "i", Account: "a"})
+		require.NoError(t, err)
+		answers, err := h.Run(t.Context(), limit(5*time.Second), map[string]string{"color": "red"},
+			operation.Statement{ID: "q", Kind: operation.Execute, Name: "mine", Argument: "x y", Shape: "q2c"})
+		require.NoError(t, err)
+		require.Equal(t, []operation.Answer{{Rows: []string{"x y"}, Proof: "q"}}, answers)
+		h.Release()
+	}
+	require.Equal(t, 1, s.opened)
+	require.Equal(t, []operation.Kind{operation.Set, operation.Prepare, operation.Execute}, s.kinds()[:3])
+	require.True(t, c.Usable(address))
+}
+
+// TestStreamEndRollsBack guards against a transaction that stays open after its caller left.
+func TestStreamEndRollsBack(t *testing.T) {
+	s, c, address := start(t)
+	h, err := c.Hold(forward.Request{Address: address, Server: "i", Account: "a", Hold: true})
+	require.NoError(t, err)
+	_, err = h.Run(t.Context(), limit(5*time.Second), nil, operation.Statement{Kind: operation.Begin}, operation.Statement{Kind: operation.Write})
+	require.NoError(t, err)
+	h.Release()
+	require.Eventually(t, func() bool {
+		kinds := s.kinds()
+		return kinds[len(kinds)-1] == operation.Rollback
+	}, 5*time.Second, time.Millisecond)
+}
+
+// TestOutcomes guards against a statement whose outcome is not known and that is called not run.
+func TestOutcomes(t *testing.T) {
+	s, c, address := start(t)
+	run := func(server string) error {
+		h, err := c.Hold(forward.Request{Address: address, Server: server, Account: "a"})
+		require.NoError(t, err)
+		defer h.Release()
+		_, err = h.Run(t.Context(), limit(2*time.Second), nil, operation.Statement{Kind: operation.Write})
+		return err
+	}
+	require.ErrorIs(t, run("other"), lane.ErrLeft)
+	s.break1 = true
+	require.ErrorIs(t, run("i"), lane.ErrBroken)
+	require.NoError(t, run("i"))
+	h, err := c.Hold(forward.Request{Address: "127.0.0.1:1", Server: "i", Account: "a"})
+	require.NoError(t, err)
+	_, err = h.Run(t.Context(), limit(time.Second), nil, operation.Statement{Kind: operation.Write})
+	require.ErrorIs(t, err, lane.ErrBroken)
+	require.True(t, errors.Is(err, forward.ErrPeer), "it tells nothing of the instance")
+}
--- a/internal/placement/finder.go
+++ b/internal/placement/finder.go
@@ -63,7 +63,7 @@
 // Primary returns the instance to ask as the primary. It is false if none is worth asking now;
 // then again says when one will be.
 func (f *Finder) Primary(now time.Time, members []ServerID) (id ServerID, again time.Duration, ok bool) {
-	if f.proved != "" && (f.proved == f.view || f.at.After(f.viewed)) && f.may(now, f.proved, members) {
+	if f.proved != "" && (f.proved == f.view || !f.at.Before(f.viewed)) && f.may(now, f.proved, members) {
 		return f.proved, 0, true
 	}
 	if f.may(now, f.view, members) {
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,112 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/placement"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// TestFinderFollowsAnswers guards against writes that go to a former primary because the control
+// group is not heard.
+func TestFinderFollowsAnswers(t *testing.T) {
+	members := []placement.ServerID{"a", "b", "c"}
+	f := placement.NewFinder()
+	f.View(epoch, "a")
+	id, _, ok := f.Primary(epoch, members)
+	require.True(t, ok)
+	require.Equal(t, placement.ServerID("a"), id)
+	f.Refuse(epoch, "a")
+	f.Refuse(epoch, "b")
+	id, _, _ = f.Primary(epoch, members)
+	require.Equal(t, placement.ServerID("c"), id)
+	f.Prove(epoch, "c")
+	id, _, _ = f.Primary(epoch.Add(time.Second), members)
+	require.Equal(t, placement.ServerID("c"), id, "an answer is newer than the view")
+	f.View(epoch.Add(2*time.Second), "b")
+	id, _, _ = f.Primary(epoch.Add(2*time.Second), members)
+	require.Equal(t, placement.ServerID("b"), id, "the view is newer than the answer")
+	for _, m := range members {
+		f.Refuse(epoch.Add(2*time.Second), m)
+	}
+	_, again, ok := f.Primary(epoch.Add(2*time.Second), members)
+	require.False(t, ok)
+	require.Positive(t, again)
+}
+
+// TestReaderPlaces guards against reads that load the primary while replicas are free, or wait for an
+// instance that lags or does not answer.
+func TestReaderPlaces(t *testing.T) {
+	r := placement.NewReader(1)
+	floor := position.Position{Term: 1, Offset: 10}
+	group := func() []placement.Candidate {
+		return []placement.Candidate{
+			{Server: "a", Primary: true, Latency: 15 * time.Millisecond, Slots: 2, Seen: floor},
+			{Server: "b", Latency: 25 * time.Millisecond, Distance: 11 * time.Millisecond, Slots: 2, Seen: floor},
+			{Server: "c", Latency: 25 * time.Millisecond, Distance: 11 * time.Millisecond, Slots: 2, Seen: floor},
+		}
+	}
+	counts := map[placement.ServerID]int{}
+	for range 200 {
+		g := group()
+		counts[g[r.Choose(floor, g)].Server]++
+	}
+	require.Zero(t, counts["a"])
+	require.Greater(t, counts["b"], 50)
+	require.Greater(t, counts["c"], 50)
+	g := group()
+	g[1].Missing, g[2].Seen.Offset = true, 5
+	require.Equal(t, 0, r.Choose(floor, g), "one is missing, the other lags")
+	g = group()
+	g[1].Waiting, g[2].Waiting = 20, 20
+	require.Equal(t, 0, r.Choose(floor, g), "both replicas are full")
+	g[0].Tried, g[1].Tried, g[2].Tried = true, true, true
+	require.Equal(t, -1, r.Choose(floor, g))
+}
+
+// TestOwnersAreStable guards against connections that move when an entry VM comes or goes, and
+// against one entry VM that keeps them all.
+func TestOwnersAreStable(t *testing.T) {
+	var entries []placement.EntryVM
+	for i := range 12 {
+		entries = append(entries, placement.EntryVM{ID: fmt.Sprint("vm", i), Address: fmt.Sprint(i), Zone: fmt.Sprint("zone", i%3)})
+	}
+	counts := map[string]int{}
+	moved := 0
+	for i := range 300 {
+		server := fmt.Sprint("i-", i)
+		owners := placement.Owners(server, "zone1", entries)
+		require.Len(t, owners, 4)
+		counts[owners[0].ID]++
+		after := placement.Owners(server, "zone1", entries[:11])
+		if after[0].ID != owners[0].ID {
+			moved++
+		}
+	}
+	require.Zero(t, moved, "the entry VM that left is of another zone")
+	for _, n := range counts {
+		require.InDelta(t, 75, n, 35)
+	}
+	require.Empty(t, placement.Owners("i", "elsewhere", entries))
+}
+
+// TestSilence guards against an instance that counts as silent while it answers, or as answering
+// while statements wait for it.
+func TestSilence(t *testing.T) {
+	s := placement.NewSense(time.Millisecond)
+	require.Zero(t, s.Silence(epoch))
+	s.Sent(epoch)
+	require.Equal(t, time.Second, s.Silence(epoch.Add(time.Second)))
+	s.Answered(epoch.Add(time.Second), epoch, position.Position{}, true)
+	require.Zero(t, s.Silence(epoch.Add(2*time.Second)))
+	s.Sent(epoch.Add(3 * time.Second))
+	s.Failed(epoch.Add(4 * time.Second))
+	require.Equal(t, time.Second, s.Silence(epoch.Add(5*time.Second)))
+	require.True(t, s.Missing())
+}
