Confirm reads of current data; name the client account in the first proof

Causes: (1) KNOWN-RED, TestCurrentReadsAreLinearizable: a read of age 0 could show a write that was not on a majority yet. Its answer is now kept back until a majority holds the end of the log that it was read from. TestFirstReads fails without the change.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -16,6 +16,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"fireflyrudder.example/fireflyrudder/internal/watermark"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
 // Bounds of a connection to a backend server.
@@ -278,6 +279,38 @@
 	}
 }
 
+// Position asks the instance for the end of its log, under the term that it follows. Outside a
+// transaction, what was read on this connection before is at or below it.
+func (c *Conn) Position() (position.Position, error) {
+	c.SetDeadline(time.Now().Add(connectTimeout))
+	defer c.SetDeadline(time.Time{})
+	if err := c.Send(&pgproto3.Query{String: "SELECT * FROM group_status()"}); err != nil {
+		return position.Position{}, err
+	}
+	if err := c.Flush(); err != nil {
+		return position.Position{}, err
+	}
+	var columns []string
+	var report watermark.Report
+	var failure error
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return position.Position{}, err
+		}
+		switch m := m.(type) {
+		case *pgproto3.RowDescription:
+			columns = names(columns, m)
+		case *pgproto3.DataRow:
+			report, failure = parseReport(columns, m.Values)
+		case *pgproto3.ErrorResponse:
+			failure = errors.Newf("backend: group_status on %s: %s", c.Target.Server, m.Message)
+		case *pgproto3.ReadyForQuery:
+			return position.Position{Term: report.Follows, Offset: report.At.Offset}, failure
+		}
+	}
+}
+
 // maxPrepared bounds the statements that one connection keeps prepared. Above it the connection is
 // reset before its next use.
 const maxPrepared = 256
--- a/internal/entryvm/exchange.go
+++ b/internal/entryvm/exchange.go
@@ -44,6 +44,9 @@
 	expects []expect
 	next    int
 
+	// current tells of a read of current data: its answer waits until a majority holds what it saw, since
+	// a write that is lost later could be read else, and then an older value.
+	current bool
 	holding bool
 	held    []byte // encoded answers that wait for confirmation
 
--- a/internal/entryvm/run.go
+++ b/internal/entryvm/run.go
@@ -9,7 +9,9 @@
 	"fireflyrudder.example/fireflyrudder/internal/caller"
 	"fireflyrudder.example/fireflyrudder/internal/retry"
 	"fireflyrudder.example/fireflyrudder/internal/statement"
+	"fireflyrudder.example/fireflyrudder/internal/watermark"
 	"fireflyrudder.example/fireflyrudder/pkg/outcome"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
 // Faults of an exchange after which the connection is closed.
@@ -222,6 +224,8 @@
 		return false, s.answer(outcome.New(outcome.NotRun, "the settings of the session could not be applied; the statement did not run", "send it again"))
 	}
 	x := newExchange(s, l, r.commits)
+	x.current = r.read && len(r.runs) > 0 && !r.begins() && s.parameters.ageOn(s.route) == 0
+	x.holding = x.current
 	defer x.release()
 	x.tentative = !r.read && !r.readOnly() && r.single()
 	size, err := x.sendWrapped(r)
@@ -308,7 +312,12 @@
 			return err
 		}
 	}
+	seen, err := x.seen()
 	s.hold(l, before, r)
+	if x.current && (err != nil || !s.settled(group, server, seen)) {
+		s.vm.metrics.unconfirmed.Add(1)
+		return s.answer(outcome.New(outcome.NotRun, "no majority of the group confirms what was read", "send the read again"))
+	}
 	if !x.position.IsZero() {
 		floor, held := s.vm.confirm(group, server, x.position)
 		if !held {
@@ -331,6 +340,28 @@
 	return s.ready()
 }
 
+// seen returns the end of the log of the server that answered a read of current data.
+func (x *exchange) seen() (position.Position, error) {
+	if !x.current || x.code != "" {
+		return position.Position{}, nil
+	}
+	at, err := x.conn.Position()
+	if err != nil {
+		x.conn.Doubt()
+	}
+	return at, err
+}
+
+// settled waits until a majority holds everything up to a position. A position without a record
+// needs no confirmation.
+func (s *callerSession) settled(g *group, server watermark.ServerID, at position.Position) bool {
+	if at.Offset == 0 {
+		return true
+	}
+	_, held := s.vm.confirm(g, server, at)
+	return held
+}
+
 // tellServed reports which kind of server ran a read, if it is not what was reported last.
 func (s *callerSession) tellServed(replica bool) error {
 	served := servedPrimary
--- a/internal/relay/group.go
+++ b/internal/relay/group.go
@@ -217,12 +217,15 @@
 	g.finder.Lose(g.now(), placement.ServerID(server))
 }
 
-// floor returns the position that a read of a session must see. It asks the primary if no proof is
+// floor returns the position that a read of a session of the client account must see. It asks the primary if no proof is
 // young enough. It is false if none answered until ctx ended.
-func (g *group) floor(ctx context.Context, age time.Duration, session position.Position) (position.Position, bool) {
+func (g *group) floor(ctx context.Context, account string, age time.Duration, session position.Position) (position.Position, bool) {
 	for {
 		g.mu.Lock()
 		g.used = g.now()
+		if g.account == "" {
+			g.account = account
+		}
 		at, ok := g.record.Floor(g.used, age-agingMargin)
 		if ok && !session.IsZero() {
 			at = freshness.Max(at, g.record.Raise(session))
--- a/internal/relay/single.go
+++ b/internal/relay/single.go
@@ -270,7 +270,7 @@
 	g := e.permit.route.group
 	for {
 		asked := e.now()
-		floor, ok := g.floor(ctx, e.permit.route.age, e.session.floor)
+		floor, ok := g.floor(ctx, e.permit.account.name, e.permit.route.age, e.session.floor)
 		took := e.now().Sub(asked)
 		e.session.relay.metrics.proofs.Add(took)
 		e.permit.trace.proof += took
