--- a/internal/failover/succession.go
+++ b/internal/failover/succession.go
@@ -62,7 +62,9 @@
 	}
 	for _, m := range g.view.GetMembers() {
 		s := g.server(ServerID(m.GetServer()))
-		if s.claims && now.Sub(s.since) >= wait && now.Sub(s.heard) < beatSilence {
+		// What was said before the primary was recorded, or while it was taking over, tells nothing.
+		later := wait == 0 || s.heard.Sub(g.cleared) >= wait
+		if s.claims && later && now.Sub(s.since) >= wait && now.Sub(s.heard) < beatSilence {
 			return ServerID(m.GetServer())
 		}
 	}
