--- a/internal/entryvm/control.go
+++ b/internal/entryvm/control.go
@@ -69,8 +69,7 @@
 
 // Offered implements renewal.Host.
 func (h host) Offered(o renewal.Offer) {
-	lease := offer{version: o.Version, until: o.Until.Sub(h.vm.started)}
-	h.vm.post(func(now time.Time) { h.vm.offered(now, lease) })
+	h.vm.post(func(now time.Time) { h.vm.offered(now, o) })
 }
 
 // Held implements renewal.Host.
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -9,6 +9,7 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/backend"
 	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/internal/watermark"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/outcome"
@@ -21,10 +22,6 @@
 // spareTime is the time after which an idle statement connection above the first is closed.
 const spareTime = time.Minute
 
-// lagWait is the time after which a version that the leader names and no stream brings has the streams
-// opened anew. Three tries fit into the configuration lease.
-const lagWait = 600 * time.Millisecond
-
 const (
 	// frozenAfter is the silence of a replica after which its connections are closed. It is above several
 	// retransmissions of TCP, so that loss alone does not end reads.
@@ -33,12 +30,6 @@
 	sweepInterval = 250 * time.Millisecond
 )
 
-// offer is a configuration lease for a version that is perhaps not applied yet.
-type offer struct {
-	version uint64
-	until   time.Duration // after VM.started
-}
-
 // own runs the owner goroutine.
 func (vm *VM) own() {
 	defer close(vm.done)
@@ -343,38 +334,18 @@
 	}
 }
 
-// offered takes a configuration lease from a reply to Renew. Before the version is applied it does
-// not count.
-func (vm *VM) offered(now time.Time, o offer) {
-	vm.offers = append(vm.offers, o)
-	if len(vm.offers) > 16 {
-		vm.offers = vm.offers[1:]
-	}
-	vm.extend()
-	if len(vm.offers) == 0 {
-		vm.lags = time.Time{}
-		return
-	}
-	switch {
-	case vm.lags.IsZero():
-		vm.lags = now
-	case now.Sub(vm.lags) > lagWait:
-		vm.lags = now
+// offered takes a configuration lease from a reply to Renew.
+func (vm *VM) offered(now time.Time, o renewal.Offer) {
+	if vm.offers.Take(now, o, vm.book.Version()) {
 		vm.control.Rewatch()
 	}
+	vm.extend()
 }
 
-// extend makes the offers count whose version is applied.
+// extend shows the sessions how long the configuration may be used.
 func (vm *VM) extend() {
-	kept := vm.offers[:0]
-	for _, o := range vm.offers {
-		if o.version > vm.book.Version() {
-			kept = append(kept, o)
-			continue
-		}
-		if int64(o.until) > vm.until.Load() {
-			vm.until.Store(int64(o.until))
-		}
+	vm.offers.Applied(vm.book.Version())
+	if until := vm.offers.Until(); !until.IsZero() {
+		vm.until.Store(int64(until.Sub(vm.started)))
 	}
-	vm.offers = kept
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -77,8 +77,7 @@
 	book   *contract.Book
 	groups map[string]*group
 	waits  uint64
-	offers []offer
-	lags   time.Time // since when a named version is missing; zero: none is
+	offers renewal.Offers
 }
 
 // New returns a VM that is not running.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,11 +32,6 @@
 	tick = 50 * time.Millisecond
 	// eventQueue lets other goroutines go on while the owner is busy.
 	eventQueue = 256
-	// lagWait is the time after which a version that the leader names and no stream brings has the
-	// streams opened anew.
-	lagWait = 600 * time.Millisecond
-	// keepOffers bounds the leases for versions that are not applied yet.
-	keepOffers = 16
 	// timeoutDefault bounds a statement of a route that states no timeout.
 	timeoutDefault = 10 * time.Second
 	// idleDefault is the time after which an idle transaction ends if the configuration states none.
@@ -108,8 +103,7 @@
 	// owner goroutine only
 	book   *contract.Book
 	groups map[string]*group
-	offers []renewal.Offer
-	lags   time.Time
+	offers renewal.Offers
 }
 
 // New returns a Relay that does not run.
@@ -313,37 +307,20 @@
 	return zoneWay
 }
 
-// offered takes a configuration lease. Before its version is applied it does not count.
+// offered takes a configuration lease.
 func (r *Relay) offered(now time.Time, o renewal.Offer) {
-	r.offers = append(r.offers, o)
-	if len(r.offers) > keepOffers {
-		r.offers = r.offers[1:]
-	}
-	r.extend()
-	switch {
-	case len(r.offers) == 0:
-		r.lags = time.Time{}
-	case r.lags.IsZero():
-		r.lags = now
-	case now.Sub(r.lags) > lagWait:
-		r.lags = now
+	if r.offers.Take(now, o, r.book.Version()) {
 		r.control.Rewatch()
 	}
+	r.extend()
 }
 
-// extend makes the offers count whose version is applied.
+// extend shows the sessions how long the configuration may be used.
 func (r *Relay) extend() {
-	kept := r.offers[:0]
-	for _, o := range r.offers {
-		if o.Version > r.book.Version() {
-			kept = append(kept, o)
-			continue
-		}
-		if until := int64(o.Until.Sub(r.started)); until > r.until.Load() {
-			r.until.Store(until)
-		}
+	r.offers.Applied(r.book.Version())
+	if until := r.offers.Until(); !until.IsZero() {
+		r.until.Store(int64(until.Sub(r.started)))
 	}
-	r.offers = kept
 }
 
 // leased reports whether the configuration may be used.
--- /dev/null
+++ b/internal/renewal/offers.go
@@ -0,0 +1,56 @@
+package renewal
+
+import "time"
+
+const (
+	// lagWait is the time after which a version that the leader names and no stream brings has the
+	// streams opened anew. Three tries fit into a configuration lease.
+	lagWait = 600 * time.Millisecond
+	// keptOffers bounds the leases for versions that are not applied yet.
+	keptOffers = 16
+)
+
+// Offers are the configuration leases of an entry VM. A lease counts once its version is applied. It
+// is not safe for concurrent use.
+type Offers struct {
+	waiting []Offer
+	until   time.Time // end of the lease that counts
+	lags    time.Time // since when a named version is missing; zero: none is
+}
+
+// Take adds a lease. It reports whether the named version is missing for so long that the streams of
+// updates are to be opened anew.
+func (o *Offers) Take(now time.Time, offer Offer, version uint64) bool {
+	o.waiting = append(o.waiting, offer)
+	if len(o.waiting) > keptOffers {
+		o.waiting = o.waiting[1:]
+	}
+	o.Applied(version)
+	switch {
+	case len(o.waiting) == 0:
+		o.lags = time.Time{}
+	case o.lags.IsZero():
+		o.lags = now
+	case now.Sub(o.lags) > lagWait:
+		o.lags = now
+		return true
+	}
+	return false
+}
+
+// Applied tells the version that is applied now.
+func (o *Offers) Applied(version uint64) {
+	kept := o.waiting[:0]
+	for _, w := range o.waiting {
+		switch {
+		case w.Version > version:
+			kept = append(kept, w)
+		case w.Until.After(o.until):
+			o.until = w.Until
+		}
+	}
+	o.waiting = kept
+}
+
+// Until returns the end of the lease, or zero before the first.
+func (o *Offers) Until() time.Time { return o.until }
