Leave half of an instance's connections to a successor

Now the entry VM that keeps the connections opens half of them. Ruled out: fewer entry VMs with connections, there is one already. TestConnectionsLeaveRoom sees 25 without the change, 14 at most with it.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,9 +42,10 @@
 	startLatency = 20 * time.Millisecond
 	// summaryEvery is the time between two lines with the latencies so far.
 	summaryEvery = 10 * time.Second
-	// spareConnections of each instance are left to control VMs, and to entry VMs that do not reach
-	// the one that keeps the connections.
-	spareConnections = 4
+	// keptParts is the part of an instance's connections, as a divisor, that the entry VM opens which keeps
+	// them. The other half is for its successor: an instance counts the connections of a VM that lost
+	// power for seconds.
+	keptParts = 2
 	// strayConnections are for an entry VM that does not reach the one that keeps the connections.
 	strayConnections = 2
 	// keptIdle and strayIdle are the times after which an unused connection is closed.
@@ -203,7 +204,7 @@
 	entries := r.entries.Load()
 	for _, g := range r.groups {
 		w, _ := r.book.Group(g.name)
-		g.share(now, r.options.Process, entries, int(w.GetConnections())-spareConnections)
+		g.share(now, r.options.Process, entries, int(w.GetConnections())/keptParts)
 		g.tend(now)
 		if s := g.sight(now); s != nil && !s.Reachable {
 			r.control.Wake() // the control group decides by what entry VMs miss
