--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -20,6 +20,7 @@
 	version uint64
 	index   uint64
 	groups  []string
+	entries bool   // it wants to know the entry VMs
 	entered uint64 // of the registrations sent last
 }
 
@@ -28,7 +29,7 @@
 // version that Renew names.
 func (s *service) Watch(r *wire.WatchRequest, stream wire.Control_WatchServer) error {
 	ctx := stream.Context()
-	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, entered: r.Entered}
+	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, entries: r.Entries, entered: r.Entered}
 	if err := s.vm.do(ctx, func(time.Time) { s.vm.watchers[w] = struct{}{} }); err != nil {
 		return failure(err)
 	}
@@ -69,7 +70,7 @@
 		if u, ok = s.vm.book.Since(w.version, w.index, w.groups); !ok {
 			u = s.vm.book.Full(w.groups)
 		}
-		if entered := s.vm.book.Entered(); entered > w.entered {
+		if entered := s.vm.book.Entered(); w.entries && entered > w.entered {
 			u.Entries, u.Entered = s.vm.book.Registrations(), entered
 		}
 	})
--- a/internal/entryvm/control.go
+++ b/internal/entryvm/control.go
@@ -76,7 +76,7 @@
 func (h host) Held(ctx context.Context) (*wire.WatchRequest, bool) {
 	held := make(chan *wire.WatchRequest, 1)
 	h.vm.post(func(time.Time) {
-		held <- &wire.WatchRequest{Version: h.vm.book.Version(), Index: h.vm.book.Index(), Entered: h.vm.book.Entered()}
+		held <- &wire.WatchRequest{Version: h.vm.book.Version(), Index: h.vm.book.Index()}
 	})
 	select {
 	case r := <-held:
--- a/internal/relay/host.go
+++ b/internal/relay/host.go
@@ -49,7 +49,7 @@
 	held := make(chan *wire.WatchRequest, 1)
 	h.relay.post(func(time.Time) {
 		b := h.relay.book
-		held <- &wire.WatchRequest{Version: b.Version(), Index: b.Index(), Entered: b.Entered()}
+		held <- &wire.WatchRequest{Version: b.Version(), Index: b.Index(), Entries: true, Entered: b.Entered()}
 	})
 	select {
 	case r := <-held:
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 )
 
@@ -82,53 +80,46 @@
 }
 
 // step runs the statement on the connection of the transaction. The first one begins it at an
-// instance; without one, held stays nil.
+// instance; held stays nil if none began it in time.
 func (s *Session) step(ctx context.Context, e *effort) ([]operation.Answer, error) {
-	if s.tx.held != nil {
-		return e.run(ctx, s.tx.held, e.st)
-	}
-	for {
-		answers, err, begun := e.open(ctx, s.tx)
-		if begun {
+	t := s.tx
+	for t.held == nil {
+		m, begin, ok := e.beginAt(ctx, t)
+		if !ok {
+			return nil, nil
+		}
+		answers, err := e.open(ctx, t, m, begin)
+		if t.held != nil {
 			return answers, err
 		}
-		if answers == nil && err == nil {
+		if !e.again(ctx, m, answers, err) {
 			return nil, nil
 		}
 	}
+	return e.run(ctx, t.held, e.st)
 }
 
-// open tries to begin the transaction and to run its first statement. Begun is false if nothing was
-// begun; then without an answer and an error there is no use in another try.
-func (e *effort) open(ctx context.Context, t *transaction) (answers []operation.Answer, err error, begun bool) { //nolint:revive // the error belongs to the answers
+// open begins the transaction at an instance and runs its first statement. It sets held if the
+// instance began it.
+func (e *effort) open(ctx context.Context, t *transaction, m *member, begin operation.Statement) ([]operation.Answer, error) {
 	g := e.permit.route.group
-	m, begin, ok := e.beginAt(ctx, t)
-	if !ok {
-		return nil, nil, false
-	}
 	h := g.way(m, e.ask(true))
 	sent := e.now()
-	answers, err = e.run(ctx, h, begin, e.st)
+	answers, err := e.run(ctx, h, begin, e.st)
 	if !begin.ReadOnly {
 		g.judge(m, sent, answers, err)
 	}
-	if len(answers) > 0 && answers[0].Code == operation.Done {
-		t.held = h
-		if !begin.ReadOnly {
-			t.led = sent
-		}
-		return answers, err, true
+	if len(answers) == 0 || answers[0].Code != operation.Done {
+		h.Release()
+		return answers, err
 	}
-	h.Release()
-	if !e.again(ctx, m, answers, err) {
-		return nil, nil, false
+	t.held = h
+	if !begin.ReadOnly {
+		t.led = sent
 	}
-	return answers, errRetry, false
+	return answers, err
 }
 
-// errRetry tells that another try to begin a transaction is due.
-var errRetry = errors.New("relay: begin again")
-
 // beginAt returns the instance and the statement that begin the transaction.
 func (e *effort) beginAt(ctx context.Context, t *transaction) (*member, operation.Statement, bool) {
 	begin := operation.Statement{Kind: operation.Begin}
