Close a connection that may not have the values of a session; let an event of a control VM run or not

TestValuesAfterLateAdjustment sees red for blue without the change. Now it runs while the caller waits, or never.

--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -235,10 +236,15 @@
 	}
 }
 
-// do runs an event on the goroutine of loop and waits until it has run.
+// do runs an event on the goroutine of loop and waits until it has run. With an error it has not run
+// and never will, so that nothing writes to what the caller shares with it.
 func (vm *VM) do(ctx context.Context, event func(now time.Time)) error {
+	var claimed atomic.Bool // by the loop, or by a caller that gave up
 	done := make(chan struct{})
 	err := vm.post(ctx, func(now time.Time) {
+		if !claimed.CompareAndSwap(false, true) {
+			return
+		}
 		event(now)
 		close(done)
 	})
@@ -249,10 +255,15 @@
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+		err = ctx.Err()
 	case <-vm.ended:
-		return errStopped
+		err = errStopped
 	}
+	if claimed.CompareAndSwap(false, true) {
+		return err
+	}
+	<-done
+	return nil
 }
 
 // post hands an event to the goroutine of loop.
--- a/internal/lane/held.go
+++ b/internal/lane/held.go
@@ -82,6 +82,7 @@
 	}
 	answers, err := h.exchange(until, first...)
 	if err != nil {
+		h.broken = true // the connection does not have the values that it is taken to have
 		return errors.CombineErrors(ErrNotSent, err)
 	}
 	for _, a := range answers {
--- /dev/null
+++ b/internal/lane/held_test.go
@@ -0,0 +1,90 @@
+package lane_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+)
+
+// instance gives connections that note the values which they were given.
+type instance struct {
+	mu     sync.Mutex
+	values []map[string]string // of each connection
+	ran    []map[string]string // of the connection at each read
+}
+
+// conn is one connection to it.
+type conn struct {
+	instance *instance
+	values   map[string]string
+}
+
+func (i *instance) dial(context.Context, lane.Target) (lane.Conn, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	c := &conn{i, map[string]string{}}
+	i.values = append(i.values, c.values)
+	return c, nil
+}
+
+func (c *conn) Exchange(_ time.Duration, statements ...operation.Statement) ([]operation.Answer, error) {
+	c.instance.mu.Lock()
+	defer c.instance.mu.Unlock()
+	for _, st := range statements {
+		switch st.Kind {
+		case operation.Set:
+			c.values[st.Name] = st.Argument
+		case operation.Reset:
+			clear(c.values)
+		case operation.Read:
+			seen := map[string]string{}
+			for name, value := range c.values {
+				seen[name] = value
+			}
+			c.instance.ran = append(c.instance.ran, seen)
+		}
+	}
+	return make([]operation.Answer, len(statements)), nil
+}
+
+func (c *conn) Close() {}
+
+// TestValuesAfterLateAdjustment guards against a connection that counts as having the values of a
+// session although the time was over before they were sent.
+func TestValuesAfterLateAdjustment(t *testing.T) {
+	i := &instance{}
+	now := time.Unix(1000, 0)
+	step := time.Duration(0)
+	var mu sync.Mutex
+	clock := func() time.Time {
+		mu.Lock()
+		defer mu.Unlock()
+		now = now.Add(step)
+		return now
+	}
+	l := lane.New(lane.Options{Server: "i", Dial: i.dial, Now: clock, Slots: 2, Connections: 1})
+	read := operation.Statement{Kind: operation.Read}
+	run := func(color string, limit time.Duration) error {
+		h := l.Hold("a", 1, true)
+		defer h.Release()
+		mu.Lock()
+		until := now.Add(limit)
+		mu.Unlock()
+		_, err := h.Run(t.Context(), lane.Limit{Until: until}, map[string]string{"color": color}, read)
+		return err
+	}
+	require.NoError(t, run("red", time.Second))
+	step = 250 * time.Millisecond // the time is over when the connection is there
+	require.Error(t, run("blue", time.Second))
+	step = 0
+	require.NoError(t, run("blue", time.Second))
+	for _, seen := range i.ran[1:] {
+		require.Equal(t, map[string]string{"color": "blue"}, seen)
+	}
+}
