entryvm: promote in tests only a server that has the log

A run with b isolated before that write fails every time. The harness now waits until the successor has the log; the test's bound is unchanged.

--- a/internal/entryvm/harness_test.go
+++ b/internal/entryvm/harness_test.go
@@ -188,9 +188,18 @@
 	return w
 }
 
-// promote makes a server the primary of the next term, as the control group does.
+// promote makes a server the primary of the next term, as the control group does: it chooses none
+// that lacks a record which another one has.
 func (w *world) promote(primary int) {
 	w.t.Helper()
+	require.Eventually(w.t, func() bool {
+		for _, s := range w.servers {
+			if s.Status().Offset > w.servers[primary].Status().Offset {
+				return false
+			}
+		}
+		return true
+	}, 5*time.Second, time.Millisecond, "the successor gets the log")
 	w.raise()
 	w.finish(primary, nil)
 }
