One queue of slots for both entry VMs; drop unused parts of lanes

Cause: reading the whole change showed the same code twice. internal/entryvm and internal/lane each wrapped the admission queue in a lock, a channel per waiting statement and the take-back of a ticket. internal/lane and internal/relay each had the loop that says whether statements take a slot.

Both wrappers are now internal/slots, with tests of its own. Removed because nothing calls them: forward.Client.Shun, Server of both Held types, Broken of forward.Held and of the interface in relay.

Behaviour is meant to stay. One edge differs: a target less than a microsecond away was sent as 'no target' and is now sent as passed.

Checked: go test -race of slots, lane, forward, relay and go test of entryvm pass.

--- a/internal/entryvm/group.go
+++ b/internal/entryvm/group.go
@@ -8,6 +8,7 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/backend"
 	"fireflyrudder.example/fireflyrudder/internal/route"
+	"fireflyrudder.example/fireflyrudder/internal/slots"
 	"fireflyrudder.example/fireflyrudder/internal/watermark"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
@@ -66,7 +67,7 @@
 	zone     string
 	pool     *backend.Pool
 	link     *backend.Link
-	slots    *slots
+	slots    *slots.Slots
 	allowed  int           // slots of the server for all VMs
 	router   *router       // of the group
 	distance time.Duration // one way
@@ -126,7 +127,7 @@
 		if primary {
 			state.primary = &state.servers[i]
 		}
-		state.servers[i].slots.boundReads(primary)
+		state.servers[i].slots.SetReads(primaryReads(primary))
 	}
 	old := g.state.Swap(state)
 	close(old.next)
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -7,9 +7,11 @@
 
 	"github.com/apex/log"
 
+	"fireflyrudder.example/fireflyrudder/internal/admission"
 	"fireflyrudder.example/fireflyrudder/internal/backend"
 	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/renewal"
+	"fireflyrudder.example/fireflyrudder/internal/slots"
 	"fireflyrudder.example/fireflyrudder/internal/watermark"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/outcome"
@@ -274,7 +276,7 @@
 		zone:    m.GetZone(),
 		pool:    backend.NewPool(vm.options.Credentials, vm.identity+"/statement", vm.control.Wake),
 		allowed: int(max(c.GetSlots(), 1)),
-		slots:   newSlots(int(max(c.GetSlots(), 1))),
+		slots:   slots.New(admission.Settings{Slots: int(max(c.GetSlots(), 1))}),
 		router:  g.router,
 	}
 	if s.zone != vm.options.Node.Zone {
--- a/internal/entryvm/session.go
+++ b/internal/entryvm/session.go
@@ -17,6 +17,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/backend"
 	"fireflyrudder.example/fireflyrudder/internal/caller"
 	"fireflyrudder.example/fireflyrudder/internal/session"
+	"fireflyrudder.example/fireflyrudder/internal/slots"
 	"fireflyrudder.example/fireflyrudder/internal/statement"
 	"fireflyrudder.example/fireflyrudder/pkg/outcome"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
@@ -63,7 +64,7 @@
 	// atOnce tells that closing does not wait for the open transaction.
 	atOnce atomic.Bool
 
-	ticket *ticket // for slots; nil before the first statement
+	ticket *slots.Ticket // for slots; nil before the first statement
 
 	mu      sync.Mutex
 	running *backend.Conn      // what a cancel request reaches; guarded by mu
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -151,19 +152,6 @@
 	p.pinged, p.replied = time.Time{}, clock()
 }
 
-// Shun leaves an entry VM out for a while.
-func (c *Client) Shun(address string) {
-	if p, err := c.peer(address); err == nil {
-		p.shun(c.now())
-	}
-}
-
-func (p *peer) shun(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.shunned = now.Add(shunned)
-}
-
 // begin notes a request. The returned function notes its end.
 func (p *peer) begin(now func() time.Time) func(err error) {
 	sent := now()
@@ -218,12 +206,6 @@
 	return &Held{client: c, request: r, peer: p}, nil
 }
 
-// Server returns the name of the backend server.
-func (h *Held) Server() string { return h.request.Server }
-
-// Broken reports whether the connection was lost.
-func (h *Held) Broken() bool { return h.broken }
-
 // Load returns how busy the other entry VM was at the last reply.
 func (h *Held) Load() Load { return h.load }
 
@@ -239,10 +221,7 @@
 		Limit: limit.Microseconds(), Values: values, Steps: encodeSteps(statements),
 	}
 	if !l.Target.IsZero() {
-		request.Target = min(l.Target.Sub(now).Microseconds(), -1)
-		if left := l.Target.Sub(now); left > 0 {
-			request.Target = left.Microseconds()
-		}
+		request.Target = cmp.Or(l.Target.Sub(now).Microseconds(), -1) // 0 on the wire states no target
 	}
 	ended := h.peer.begin(h.client.now)
 	reply, err := h.call(ctx, limit+wayBack, request)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -20,7 +20,7 @@
 	mu     sync.Mutex
 	opened int
 	ran    []operation.Statement
-	break1 bool // the next statement breaks the connection
+	breaks bool // the next statement breaks the connection
 	open   bool
 }
 
@@ -36,8 +36,8 @@
 	defer s.mu.Unlock()
 	var answers []operation.Answer
 	for _, st := range statements {
-		if s.break1 && st.TakesSlot() {
-			s.break1 = false
+		if s.breaks && st.TakesSlot() {
+			s.breaks = false
 			return answers, net.ErrClosed
 		}
 		s.ran = append(s.ran, st)
@@ -140,7 +140,7 @@
 		return err
 	}
 	require.ErrorIs(t, run("other"), lane.ErrLeft)
-	s.break1 = true
+	s.breaks = true
 	require.ErrorIs(t, run("i"), lane.ErrBroken)
 	require.NoError(t, run("i"))
 	h, err := c.Hold(forward.Request{Address: "127.0.0.1:1", Server: "i", Account: "a"})
--- a/internal/lane/held.go
+++ b/internal/lane/held.go
@@ -8,6 +8,7 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/admission"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/slots"
 )
 
 // endTimeout bounds the rollback of a transaction, which takes no slot.
@@ -24,9 +25,6 @@
 	broken  bool
 }
 
-// Server returns the name of the instance.
-func (h *Held) Server() string { return h.lane.options.Server }
-
 // Broken reports whether the connection was lost.
 func (h *Held) Broken() bool { return h.broken }
 
@@ -44,15 +42,19 @@
 	until := l.Until
 	ctx, cancel := context.WithTimeout(ctx, max(until.Sub(now()), 0))
 	defer cancel()
-	if takesSlot(statements) {
-		t := admission.Ticket{
+	if operation.TakeSlot(statements) {
+		t := slots.NewTicket()
+		t.Ticket = admission.Ticket{
 			Account: admission.AccountID(h.account), Weight: h.weight, Read: h.read, Continues: h.line != nil, Deadline: until, Target: l.Target,
 		}
 		if err := h.lane.enter(ctx, t); err != nil {
 			return nil, err
 		}
 		entered := now()
-		defer func() { h.lane.leave(t, now().Sub(entered), h.broken) }()
+		defer func() {
+			left := now()
+			h.lane.slots.Leave(left, t.Ticket, left.Sub(entered), h.broken)
+		}()
 	}
 	if h.line == nil {
 		if err := h.lane.attach(ctx, h, values); err != nil {
@@ -65,15 +67,6 @@
 	return h.runAll(until, statements)
 }
 
-func takesSlot(statements []operation.Statement) bool {
-	for i := range statements {
-		if statements[i].TakesSlot() {
-			return true
-		}
-	}
-	return false
-}
-
 // adjust brings the connection to the values of the session.
 func (h *Held) adjust(until time.Time, values map[string]string) error {
 	first := h.line.adjust(values)
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -9,6 +9,7 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/admission"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/slots"
 )
 
 // Errors of Held.Run. Except for ErrBroken and ErrSlow, the statement without an answer did not run.
@@ -69,9 +70,9 @@
 // VM are in progress there.
 type Lane struct {
 	options Options
+	slots   *slots.Slots
 
 	mu      sync.Mutex
-	queue   *admission.Queue
 	limit   int
 	ceiling int       // connections that the instance took last when it refused more; 0 for none
 	until   time.Time // end of the ceiling
@@ -90,13 +91,14 @@
 
 // New returns a Lane without connections.
 func New(o Options) *Lane {
-	l := &Lane{options: o, inUse: map[*Held]struct{}{}, limit: max(o.Connections, 1)}
-	slots := o.Slots
-	if slots <= 0 {
-		slots = slotsDefault
+	n := o.Slots
+	if n <= 0 {
+		n = slotsDefault
+	}
+	return &Lane{
+		options: o, slots: slots.New(admission.Settings{Slots: n + ahead, Fixed: true}),
+		inUse: map[*Held]struct{}{}, limit: max(o.Connections, 1),
 	}
-	l.queue = admission.NewWith(admission.Settings{Slots: slots + ahead, Fixed: true})
-	return l
 }
 
 // Server returns the name of the instance.
@@ -118,9 +120,10 @@
 
 // Load returns how busy the lane is.
 func (l *Lane) Load() Load {
+	running, waiting := l.slots.Load()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Load{Open: l.open, Running: l.queue.Running(), Waiting: l.queue.Waiting()}
+	return Load{Open: l.open, Running: running, Waiting: waiting}
 }
 
 // Sever closes every connection, so that who waits for an answer learns that none comes.
@@ -174,33 +177,11 @@
 	return &Held{lane: l, account: account, weight: weight, read: read}
 }
 
-// place is a waiting statement.
-type place struct {
-	ready chan admission.Result // buffered for one
-}
-
 // enter waits until the queue admits a statement.
-func (l *Lane) enter(ctx context.Context, t admission.Ticket) error {
-	ready := make(chan admission.Result, 1)
-	t.Tag = &place{ready}
-	l.mu.Lock()
-	at, result := l.queue.Push(l.options.Now(), t)
-	if result == admission.Waiting {
-		l.admit()
-	}
-	l.mu.Unlock()
+func (l *Lane) enter(ctx context.Context, t *slots.Ticket) error {
+	result := l.slots.Push(l.options.Now(), t)
 	if result == admission.Waiting {
-		select {
-		case result = <-ready:
-		case <-ctx.Done():
-			l.mu.Lock()
-			gone := l.queue.Cancel(at)
-			l.mu.Unlock()
-			if gone {
-				return ErrLate
-			}
-			result = <-ready
-		}
+		result = slots.Await(l.slots, t, ctx.Done())
 	}
 	switch result {
 	case admission.Admitted:
@@ -211,25 +192,6 @@
 	return ErrLate
 }
 
-// admit hands out what can run. The lock is held.
-func (l *Lane) admit() {
-	for {
-		t, result := l.queue.Pop(l.options.Now())
-		if result == admission.None {
-			return
-		}
-		t.Tag.(*place).ready <- result
-	}
-}
-
-// leave gives the room of a statement back.
-func (l *Lane) leave(t admission.Ticket, elapsed time.Duration, failed bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.queue.Done(l.options.Now(), t, elapsed, failed)
-	l.admit()
-}
-
 // attach gives a holder the idle connection of its client account that is nearest to the values, or
 // opens one. A connection of another account makes room. With all connections in use it waits.
 func (l *Lane) attach(ctx context.Context, h *Held, values map[string]string) error {
--- a/internal/operation/statement.go
+++ b/internal/operation/statement.go
@@ -56,6 +56,16 @@
 	return false
 }
 
+// TakeSlot reports whether a backend server needs a slot to run any of the statements.
+func TakeSlot(statements []Statement) bool {
+	for i := range statements {
+		if statements[i].TakesSlot() {
+			return true
+		}
+	}
+	return false
+}
+
 // State is the state of a transaction.
 type State uint8
 
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -27,7 +27,6 @@
 // holder runs statements on one connection of an instance, here or at another entry VM.
 type holder interface {
 	Run(ctx context.Context, l lane.Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error)
-	Broken() bool
 	Release()
 }
 
@@ -94,7 +93,7 @@
 	}()
 	switch {
 	case err == nil || len(answers) > 0:
-		w.member.sense.Answered(now, sent, lastPosition(answers), isTimed(statements))
+		w.member.sense.Answered(now, sent, lastPosition(answers), operation.TakeSlot(statements)) // only their time tells how busy an instance is
 	case isLost(err):
 		w.member.sense.Failed(now)
 	default:
@@ -119,16 +118,6 @@
 	log.WithFields(fields).Info("backend server")
 }
 
-// isTimed reports whether the time of the statements tells how busy an instance is.
-func isTimed(statements []operation.Statement) bool {
-	for i := range statements {
-		if statements[i].TakesSlot() {
-			return true
-		}
-	}
-	return false
-}
-
 // lastPosition returns the last position that answers name.
 func lastPosition(answers []operation.Answer) position.Position {
 	for i := len(answers) - 1; i >= 0; i-- {
--- /dev/null
+++ b/internal/slots/slots_test.go
@@ -0,0 +1,72 @@
+package slots_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/admission"
+	"fireflyrudder.example/fireflyrudder/internal/slots"
+)
+
+func ticket(account string) *slots.Ticket {
+	t := slots.NewTicket()
+	t.Ticket = admission.Ticket{Account: admission.AccountID(account)}
+	return t
+}
+
+// Guards against a slot that stays taken after its statement ended.
+func TestLeaveAdmitsNext(t *testing.T) {
+	s := slots.New(admission.Settings{Slots: 1, Fixed: true})
+	now := time.Now()
+	first, second := ticket("a"), ticket("b")
+	require.Equal(t, admission.Admitted, s.Push(now, first))
+	require.Equal(t, admission.Waiting, s.Push(now, second))
+	s.Leave(now, first.Ticket, time.Millisecond, false)
+	require.Equal(t, admission.Admitted, slots.Await[struct{}](s, second, nil))
+	running, waiting := s.Load()
+	require.Equal(t, 1, running)
+	require.Zero(t, waiting)
+}
+
+// Guards against a statement that is admitted after its session gave up, which loses the slot.
+func TestAwaitTakesTicketBack(t *testing.T) {
+	s := slots.New(admission.Settings{Slots: 1, Fixed: true})
+	now := time.Now()
+	first, second := ticket("a"), ticket("b")
+	require.Equal(t, admission.Admitted, s.Push(now, first))
+	require.Equal(t, admission.Waiting, s.Push(now, second))
+	done := make(chan struct{})
+	close(done)
+	require.Equal(t, admission.Late, slots.Await(s, second, done))
+	s.Leave(now, first.Ticket, time.Millisecond, false)
+	running, waiting := s.Load()
+	require.Zero(t, running)
+	require.Zero(t, waiting)
+}
+
+// Guards against a slot lost between an admission and a session that gives up at the same time.
+func TestNoSlotIsLost(t *testing.T) {
+	s := slots.New(admission.Settings{Slots: 2, Fixed: true})
+	var sessions sync.WaitGroup
+	for range 16 {
+		sessions.Go(func() {
+			one := ticket("a")
+			for range 200 {
+				result := s.Push(time.Now(), one)
+				if result == admission.Waiting {
+					result = slots.Await(s, one, time.After(50*time.Microsecond))
+				}
+				if result == admission.Admitted {
+					s.Leave(time.Now(), one.Ticket, time.Microsecond, false)
+				}
+			}
+		})
+	}
+	sessions.Wait()
+	running, waiting := s.Load()
+	require.Zero(t, running)
+	require.Zero(t, waiting)
+}
