One inbox for the owner goroutines of all processes; one way to make identities

Cause: the control VM, the entry VM of the SQL protocol and the relay each had a channel of events, a function that hands one over and, seven times, a wait for the answer or the end of a context. Only the control VM had the rule found with the race in TestFirstReads: an event whose caller gave up never runs. The entry VM of the SQL protocol still wrote to the Renew request after its caller had given up on it.

internal/owner is the control VM's mechanism, now used by all three, with tests of the rule. The random identity was made twice; renewal.NewIdentity makes it.

Behaviour otherwise stays. Checked: go test -race of owner, renewal, relay's path test in platform, controlvm and entryvm pass.

--- a/internal/controlvm/announce.go
+++ b/internal/controlvm/announce.go
@@ -82,7 +82,7 @@
 		return
 	}
 	vm.metrics.announced.Add(1)
-	err = vm.post(r.Context(), func(now time.Time) { vm.order(now, failover.Announced{Report: report}) })
+	err = vm.inbox.Post(r.Context(), func(now time.Time) { vm.order(now, failover.Announced{Report: report}) })
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
--- a/internal/controlvm/dump.go
+++ b/internal/controlvm/dump.go
@@ -45,7 +45,7 @@
 	var d dump
 	var book *wire.Book
 	var group *wire.Membership
-	err := vm.do(ctx, func(now time.Time) {
+	err := vm.inbox.Do(ctx, func(now time.Time) {
 		d = dump{
 			Identity:  vm.folder.Identity(),
 			Role:      vm.voter.Role().String(),
@@ -73,7 +73,7 @@
 // available reports whether this control VM leads or follows a leader.
 func (vm *VM) available(ctx context.Context) error {
 	var leader string
-	if err := vm.do(ctx, func(now time.Time) { leader = vm.voter.LeaderAddress(now) }); err != nil {
+	if err := vm.inbox.Do(ctx, func(now time.Time) { leader = vm.voter.LeaderAddress(now) }); err != nil {
 		return err
 	}
 	if leader == "" {
--- a/internal/controlvm/export_test.go
+++ b/internal/controlvm/export_test.go
@@ -51,5 +51,5 @@
 // Freeze stops the goroutine that owns the control state, as a frozen process does. Events and
 // messages wait meanwhile.
 func (vm *VM) Freeze(d time.Duration) {
-	vm.events <- func(time.Time) { time.Sleep(d) }
+	_ = vm.inbox.Post(context.Background(), func(time.Time) { time.Sleep(d) })
 }
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -140,7 +140,7 @@
 	log.WithFields(log.Fields{"event": "drain", "account": change.Account, "drained": change.Drained}).Info("reserve of a client account")
 	go func() {
 		r := <-w.answer
-		vm.post(d.ctx, func(time.Time) { d.issuer.Drained(change.Account, change.Drained, r.err == nil) }) //nolint:errcheck // the leadership has ended
+		vm.inbox.Post(d.ctx, func(time.Time) { d.issuer.Drained(change.Account, change.Drained, r.err == nil) }) //nolint:errcheck // the leadership has ended
 	}()
 }
 
@@ -155,7 +155,7 @@
 		if vm.fleet.Terminate(d.ctx, address, string(e.Entry)) != nil {
 			return
 		}
-		vm.post(d.ctx, func(time.Time) { d.issuer.Terminated(e.Entry, e.Server) }) //nolint:errcheck // the leadership has ended
+		vm.inbox.Post(d.ctx, func(time.Time) { d.issuer.Terminated(e.Entry, e.Server) }) //nolint:errcheck // the leadership has ended
 	}()
 }
 
--- a/internal/controlvm/order.go
+++ b/internal/controlvm/order.go
@@ -72,7 +72,7 @@
 		err = errors.Newf("controlvm: %s is %s of group %s, not %s of %s", c.Address, report.Server, report.Group, c.Server, c.Group)
 	}
 	answer := failover.Answered{Call: c, Report: report, Err: err}
-	vm.post(d.ctx, func(now time.Time) { //nolint:errcheck // the leadership has ended
+	vm.inbox.Post(d.ctx, func(now time.Time) { //nolint:errcheck // the leadership has ended
 		if vm.leadership == d {
 			vm.order(now, answer)
 		}
--- a/internal/controlvm/publish.go
+++ b/internal/controlvm/publish.go
@@ -107,7 +107,7 @@
 func (vm *VM) read(ctx context.Context) (*wire.Configuration, error) {
 	var c *wire.Configuration
 	refusal := error(errRedirect{})
-	err := vm.do(ctx, func(now time.Time) {
+	err := vm.inbox.Do(ctx, func(now time.Time) {
 		c = vm.book.Configuration()
 		if vm.voter.Lease(now) {
 			refusal = nil
@@ -127,7 +127,7 @@
 func (vm *VM) announced(ctx context.Context, r *wire.AnnounceRequest) error {
 	var entry *wire.Entry
 	var refusal error
-	err := vm.do(ctx, func(now time.Time) {
+	err := vm.inbox.Do(ctx, func(now time.Time) {
 		if vm.leadership == nil || !vm.voter.Lease(now) {
 			refusal = errRedirect{vm.otherLeader(now)}
 			return
--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -65,7 +65,7 @@
 
 // Deliver hands messages of other voters to the control log.
 func (s *service) Deliver(ctx context.Context, r *wire.DeliverRequest) (*wire.DeliverReply, error) {
-	err := s.vm.post(ctx, func(now time.Time) {
+	err := s.vm.inbox.Post(ctx, func(now time.Time) {
 		for _, m := range r.Messages {
 			s.vm.step(now, controllog.Received{Message: m})
 		}
@@ -94,7 +94,7 @@
 // commit proposes an entry and waits until it is applied.
 func (vm *VM) commit(ctx context.Context, e *wire.Entry) (result, error) {
 	var w *waiter
-	if err := vm.do(ctx, func(now time.Time) { w = vm.propose(now, e) }); err != nil {
+	if err := vm.inbox.Do(ctx, func(now time.Time) { w = vm.propose(now, e) }); err != nil {
 		return result{}, err
 	}
 	select {
@@ -111,7 +111,7 @@
 // because an older one misleads operators.
 func (s *service) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusReply, error) {
 	reply := &wire.StatusReply{}
-	err := s.vm.do(ctx, func(now time.Time) {
+	err := s.vm.inbox.Do(ctx, func(now time.Time) {
 		vm := s.vm
 		reply.Leader = vm.voter.LeaderAddress(now)
 		reply.Term = vm.voter.Term()
@@ -165,7 +165,7 @@
 
 // renew is false for an entry VM that must be registered first.
 func (s *service) renew(ctx context.Context, r *wire.RenewRequest) (reply *wire.RenewReply, known bool, err error) {
-	err = s.vm.do(ctx, func(now time.Time) { reply, known = s.vm.renew(now, r) })
+	err = s.vm.inbox.Do(ctx, func(now time.Time) { reply, known = s.vm.renew(now, r) })
 	return reply, known, err
 }
 
--- a/internal/controlvm/switch.go
+++ b/internal/controlvm/switch.go
@@ -23,7 +23,7 @@
 	defer cancel()
 	var before *wire.View
 	var refusal error
-	err := s.vm.do(ctx, func(now time.Time) {
+	err := s.vm.inbox.Do(ctx, func(now time.Time) {
 		vm := s.vm
 		if vm.leadership == nil || !vm.voter.Lease(now) {
 			refusal = errRedirect{vm.voter.LeaderAddress(now)}
@@ -64,7 +64,7 @@
 	defer ticker.Stop()
 	reply := &wire.SwitchReply{View: before}
 	for {
-		err := s.vm.do(ctx, func(time.Time) {
+		err := s.vm.inbox.Do(ctx, func(time.Time) {
 			if v, ok := s.vm.book.View(r.Group); ok {
 				reply.View = v
 			}
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -21,6 +20,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/disk"
 	"fireflyrudder.example/fireflyrudder/internal/failover"
 	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/owner"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
@@ -54,7 +54,7 @@
 	Replace time.Duration
 }
 
-// VM is one control process. Its fields below events belong to the goroutine of loop.
+// VM is one control process. Its fields below inbox belong to the goroutine of loop.
 type VM struct {
 	options  Options
 	pair     *certificate.Pair // nil without TLS
@@ -64,7 +64,7 @@
 	fleet    Fleet
 	peers    *peers
 	metrics  *metrics
-	events   chan func(now time.Time)
+	inbox    *owner.Inbox
 	ended    chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the listeners serve
 
@@ -88,13 +88,13 @@
 	vm := &VM{
 		options:  options,
 		metrics:  newMetrics(),
-		events:   make(chan func(time.Time), maxBatch),
 		ended:    make(chan struct{}),
 		ready:    make(chan struct{}),
 		proposed: map[uint64]*waiter{},
 		waiting:  map[uint64]*waiter{},
 		watchers: map[*watcher]struct{}{},
 	}
+	vm.inbox = owner.New(maxBatch, vm.ended, errStopped)
 	var err error
 	if vm.password, err = options.Control.Server.Secret(); err != nil {
 		return nil, err
@@ -202,7 +202,7 @@
 			vm.step(now, controllog.Tick{})
 			vm.duty(now)
 			vm.lonely(now)
-		case event := <-vm.events:
+		case event := <-vm.inbox.C():
 			event(clock.Now())
 			vm.drain()
 		}
@@ -228,7 +228,7 @@
 func (vm *VM) drain() {
 	for range maxBatch {
 		select {
-		case event := <-vm.events:
+		case event := <-vm.inbox.C():
 			event(clock.Now())
 		default:
 			return
@@ -236,46 +236,4 @@
 	}
 }
 
-// do runs an event on the goroutine of loop and waits until it has run. With an error it has not run
-// and never will, so that nothing writes to what the caller shares with it.
-func (vm *VM) do(ctx context.Context, event func(now time.Time)) error {
-	var claimed atomic.Bool // by the loop, or by a caller that gave up
-	done := make(chan struct{})
-	err := vm.post(ctx, func(now time.Time) {
-		if !claimed.CompareAndSwap(false, true) {
-			return
-		}
-		event(now)
-		close(done)
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		err = ctx.Err()
-	case <-vm.ended:
-		err = errStopped
-	}
-	if claimed.CompareAndSwap(false, true) {
-		return err
-	}
-	<-done
-	return nil
-}
-
-// post hands an event to the goroutine of loop.
-func (vm *VM) post(ctx context.Context, event func(now time.Time)) error {
-	select {
-	case vm.events <- event:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-vm.ended:
-		return errStopped
-	}
-}
-
 var errStopped = errors.WithHint(errors.New("controlvm: the process stops"), "ask another control VM")
--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -30,10 +30,10 @@
 func (s *service) Watch(r *wire.WatchRequest, stream wire.Control_WatchServer) error {
 	ctx := stream.Context()
 	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, entries: r.Entries, entered: r.Entered}
-	if err := s.vm.do(ctx, func(time.Time) { s.vm.watchers[w] = struct{}{} }); err != nil {
+	if err := s.vm.inbox.Do(ctx, func(time.Time) { s.vm.watchers[w] = struct{}{} }); err != nil {
 		return failure(err)
 	}
-	defer s.vm.post(context.WithoutCancel(ctx), func(time.Time) { delete(s.vm.watchers, w) }) //nolint:errcheck // the process has ended
+	defer s.vm.inbox.Post(context.WithoutCancel(ctx), func(time.Time) { delete(s.vm.watchers, w) }) //nolint:errcheck // the process has ended
 	contact := time.NewTicker(lostContact)
 	defer contact.Stop()
 	lost := 0
@@ -64,7 +64,7 @@
 
 // next returns what the watcher lacks and whether the leader is known.
 func (s *service) next(ctx context.Context, w *watcher) (u *wire.Update, led bool, err error) {
-	err = s.vm.do(ctx, func(now time.Time) {
+	err = s.vm.inbox.Do(ctx, func(now time.Time) {
 		led = s.vm.voter.LeaderAddress(now) != ""
 		var ok bool
 		if u, ok = s.vm.book.Since(w.version, w.index, w.groups); !ok {
--- a/internal/entryvm/control.go
+++ b/internal/entryvm/control.go
@@ -15,22 +15,15 @@
 
 // Observe asks the owner goroutine for version, sights and use of connections.
 func (h host) Observe(ctx context.Context, r *wire.RenewRequest) []lease.Usage {
-	answer := make(chan []lease.Usage, 1)
-	h.vm.post(func(now time.Time) {
+	var usages []lease.Usage
+	_ = h.vm.inbox.Do(ctx, func(now time.Time) { // without it, the request names neither
 		r.Version = h.vm.book.Version()
-		var usages []lease.Usage
 		for _, g := range h.vm.groups {
 			r.Sights = append(r.Sights, sight(now, g)...)
 			usages = append(usages, uses(g)...)
 		}
-		answer <- usages
 	})
-	select {
-	case usages := <-answer:
-		return usages
-	case <-ctx.Done():
-		return nil
-	}
+	return usages
 }
 
 // sight tells what this VM sees of the primary of a group. Nothing is told before the first answer
@@ -74,16 +67,11 @@
 
 // Held implements renewal.Host.
 func (h host) Held(ctx context.Context) (*wire.WatchRequest, bool) {
-	held := make(chan *wire.WatchRequest, 1)
-	h.vm.post(func(time.Time) {
-		held <- &wire.WatchRequest{Version: h.vm.book.Version(), Index: h.vm.book.Index()}
+	var held *wire.WatchRequest
+	err := h.vm.inbox.Do(ctx, func(time.Time) {
+		held = &wire.WatchRequest{Version: h.vm.book.Version(), Index: h.vm.book.Index()}
 	})
-	select {
-	case r := <-held:
-		return r, true
-	case <-ctx.Done():
-		return nil, false
-	}
+	return held, err == nil
 }
 
 // Update implements renewal.Host.
--- a/internal/entryvm/dump.go
+++ b/internal/entryvm/dump.go
@@ -49,14 +49,9 @@
 
 // Dump returns the state.
 func (vm *VM) Dump(ctx context.Context) (State, error) {
-	answer := make(chan State, 1)
-	vm.post(func(now time.Time) { answer <- vm.dump(now) })
-	select {
-	case s := <-answer:
-		return s, nil
-	case <-ctx.Done():
-		return State{}, errors.Wrap(ctx.Err(), "entryvm: dump")
-	}
+	var s State
+	err := vm.inbox.Do(ctx, func(now time.Time) { s = vm.dump(now) })
+	return s, errors.Wrap(err, "entryvm: dump")
 }
 
 // dump collects the state. Only the owner goroutine calls it.
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -42,7 +42,7 @@
 		select {
 		case <-vm.ctx.Done():
 			return
-		case f := <-vm.events:
+		case f := <-vm.inbox.C():
 			f(time.Now())
 			vm.more()
 		case <-ticker.C:
@@ -60,7 +60,7 @@
 func (vm *VM) more() {
 	for range batch {
 		select {
-		case f := <-vm.events:
+		case f := <-vm.inbox.C():
 			f(time.Now())
 		default:
 			return
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
-	"encoding/hex"
 	"io"
 	mathrand "math/rand/v2"
 	"net"
@@ -21,6 +19,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/backend"
 	"fireflyrudder.example/fireflyrudder/internal/caller"
 	"fireflyrudder.example/fireflyrudder/internal/contract"
+	"fireflyrudder.example/fireflyrudder/internal/owner"
 	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/internal/retry"
 	"fireflyrudder.example/fireflyrudder/internal/session"
@@ -59,7 +58,7 @@
 	ctx      context.Context
 	stop     context.CancelFunc
 	done     chan struct{} // closed when the owner goroutine has ended
-	events   chan func(now time.Time)
+	inbox    *owner.Inbox
 
 	table    atomic.Pointer[table]
 	until    atomic.Int64 // end of the configuration lease, in nanoseconds after started
@@ -82,13 +81,10 @@
 
 // New returns a VM that is not running.
 func New(o Options) (*VM, error) {
-	var id [12]byte
-	rand.Read(id[:]) //nolint:errcheck // never fails by its contract
 	vm := &VM{
 		options:  o,
-		identity: hex.EncodeToString(id[:]),
+		identity: renewal.NewIdentity(),
 		done:     make(chan struct{}),
-		events:   make(chan func(time.Time), eventQueue),
 		started:  time.Now(),
 		sessions: newRegistry(),
 		cache:    statement.NewCache(cachedStatements),
@@ -97,6 +93,7 @@
 		groups:   make(map[string]*group),
 	}
 	vm.ctx, vm.stop = context.WithCancel(context.Background())
+	vm.inbox = owner.New(eventQueue, vm.ctx.Done(), errStopped)
 	vm.control = renewal.New(host{vm}, renewal.Options{
 		Registration: &wire.Registration{Entry: vm.identity, Name: o.Node.Name, Zone: o.Node.Zone},
 		Groups:       o.Entry.Groups,
@@ -271,10 +268,10 @@
 	return nil
 }
 
+// errStopped tells that the owner goroutine has ended.
+var errStopped = errors.WithHint(errors.New("entryvm: the process stops"), "ask another entry VM")
+
 // post hands an event to the owner goroutine. It does nothing once the VM has stopped.
 func (vm *VM) post(f func(now time.Time)) {
-	select {
-	case vm.events <- f:
-	case <-vm.ctx.Done():
-	}
+	_ = vm.inbox.Post(vm.ctx, f)
 }
--- /dev/null
+++ b/internal/owner/inbox_test.go
@@ -0,0 +1,49 @@
+package owner_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/owner"
+)
+
+var errStopped = errors.New("stopped")
+
+// Guards against an event that writes to what its caller, who gave up, has taken back.
+func TestEventOfCallerWhoGaveUpNeverRuns(t *testing.T) {
+	i := owner.New(1, nil, errStopped)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	ran := false
+	require.ErrorIs(t, i.Do(ctx, func(time.Time) { ran = true }), context.DeadlineExceeded)
+	(<-i.C())(time.Now())
+	require.False(t, ran)
+}
+
+// Guards against a caller that takes an event in progress for one that does not run.
+func TestEventInProgressIsWaitedFor(t *testing.T) {
+	i := owner.New(1, nil, errStopped)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { (<-i.C())(time.Now()) }()
+	ran := false
+	err := i.Do(ctx, func(time.Time) {
+		cancel()
+		time.Sleep(5 * time.Millisecond)
+		ran = true
+	})
+	require.NoError(t, err)
+	require.True(t, ran)
+}
+
+// Guards against callers that hang once the owner has stopped.
+func TestStoppedOwnerIsReported(t *testing.T) {
+	ended := make(chan struct{})
+	close(ended)
+	i := owner.New(0, ended, errStopped)
+	require.ErrorIs(t, i.Post(context.Background(), func(time.Time) {}), errStopped)
+	require.ErrorIs(t, i.Do(context.Background(), func(time.Time) {}), errStopped)
+}
--- a/internal/relay/dump.go
+++ b/internal/relay/dump.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"fireflyrudder.example/fireflyrudder/internal/console"
 	"fireflyrudder.example/fireflyrudder/internal/lane"
 )
@@ -33,23 +35,17 @@
 }
 
 func (r *Relay) dump(ctx context.Context) (any, error) {
-	answer := make(chan dump, 1)
-	r.post(func(now time.Time) {
-		d := dump{
+	var d dump
+	err := r.inbox.Do(ctx, func(now time.Time) {
+		d = dump{
 			Identity: r.identity, Version: r.book.Version(), Leased: r.leased(now), Draining: r.draining.Load(),
 			Sessions: r.count(), Groups: map[string]dumpGroup{},
 		}
 		for name, g := range r.groups {
 			d.Groups[name] = g.dump(now)
 		}
-		answer <- d
 	})
-	select {
-	case d := <-answer:
-		return d, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return d, errors.Wrap(err, "relay: dump")
 }
 
 func (g *group) dump(now time.Time) dumpGroup {
--- a/internal/relay/host.go
+++ b/internal/relay/host.go
@@ -17,25 +17,14 @@
 // Observe implements renewal.Host. Connections are not leased: the entry VM that keeps those to an
 // instance is known to all.
 func (h host) Observe(ctx context.Context, w *wire.RenewRequest) []lease.Usage {
-	type seen struct {
-		version uint64
-		sights  []*wire.Sight
-	}
-	answer := make(chan seen, 1)
-	h.relay.post(func(now time.Time) {
-		s := seen{version: h.relay.book.Version()}
+	_ = h.relay.inbox.Do(ctx, func(now time.Time) { // without it, the request names neither
+		w.Version = h.relay.book.Version()
 		for _, g := range h.relay.groups {
-			if sight := g.sight(now); sight != nil {
-				s.sights = append(s.sights, sight)
+			if s := g.sight(now); s != nil {
+				w.Sights = append(w.Sights, s)
 			}
 		}
-		answer <- s
 	})
-	select {
-	case s := <-answer:
-		w.Version, w.Sights = s.version, s.sights
-	case <-ctx.Done():
-	}
 	return nil
 }
 
@@ -46,17 +35,12 @@
 
 // Held implements renewal.Host.
 func (h host) Held(ctx context.Context) (*wire.WatchRequest, bool) {
-	held := make(chan *wire.WatchRequest, 1)
-	h.relay.post(func(time.Time) {
+	var held *wire.WatchRequest
+	err := h.relay.inbox.Do(ctx, func(time.Time) {
 		b := h.relay.book
-		held <- &wire.WatchRequest{Version: b.Version(), Index: b.Index(), Entries: true, Entered: b.Entered()}
+		held = &wire.WatchRequest{Version: b.Version(), Index: b.Index(), Entries: true, Entered: b.Entered()}
 	})
-	select {
-	case r := <-held:
-		return r, true
-	case <-ctx.Done():
-		return nil, false
-	}
+	return held, err == nil
 }
 
 // Update implements renewal.Host.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,8 +8,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -21,6 +19,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/contract"
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/lane"
+	"fireflyrudder.example/fireflyrudder/internal/owner"
 	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
@@ -83,7 +82,7 @@
 	options  Options
 	identity string
 	started  time.Time
-	events   chan func(now time.Time)
+	inbox    *owner.Inbox
 	ctx      context.Context
 	stop     context.CancelFunc
 	ended    chan struct{}
@@ -109,17 +108,16 @@
 
 // New returns a Relay that does not run.
 func New(o Options) *Relay {
-	var id [12]byte
-	rand.Read(id[:]) //nolint:errcheck // never fails by its contract
 	r := &Relay{
-		options: o, identity: hex.EncodeToString(id[:]), started: o.Now(),
-		events: make(chan func(time.Time), eventQueue), ended: make(chan struct{}), metrics: newMetrics(),
+		options: o, identity: renewal.NewIdentity(), started: o.Now(),
+		ended: make(chan struct{}), metrics: newMetrics(),
 		sessions: map[*Session]struct{}{}, book: contract.New(), groups: map[string]*group{},
 	}
 	r.forward = forward.NewClient(o.Now)
 	r.entries.Store(&[]placement.EntryVM{})
 	r.lanes.Store(&map[string]*lane.Lane{})
 	r.ctx, r.stop = context.WithCancel(context.Background())
+	r.inbox = owner.New(eventQueue, r.ctx.Done(), errStopped)
 	r.table.Store(newTable(r.book.Configuration(), nil))
 	r.control = renewal.New(host{r}, renewal.Options{
 		Registration: &wire.Registration{Entry: r.identity, Name: o.Node.Name, Zone: o.Node.Zone, Process: o.Process, Forward: o.Forward},
@@ -183,7 +181,7 @@
 			}
 			r.forward.Close()
 			return
-		case f := <-r.events:
+		case f := <-r.inbox.C():
 			f(r.options.Now())
 		case <-ticker.C:
 			r.tend(r.options.Now())
@@ -191,12 +189,12 @@
 	}
 }
 
+// errStopped tells that the owner goroutine has ended.
+var errStopped = errors.WithHint(errors.New("relay: the process stops"), "ask another entry VM")
+
 // post hands an event to the owner goroutine. It does nothing once the VM has stopped.
 func (r *Relay) post(f func(now time.Time)) {
-	select {
-	case r.events <- f:
-	case <-r.ctx.Done():
-	}
+	_ = r.inbox.Post(r.ctx, f)
 }
 
 // tend does what is due.
--- /dev/null
+++ b/internal/renewal/identity.go
@@ -0,0 +1,16 @@
+package renewal
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+)
+
+// identityLength makes two equal identities practically impossible, in bytes.
+const identityLength = 12
+
+// NewIdentity returns a random identity for the Registration of a process.
+func NewIdentity() string {
+	var id [identityLength]byte
+	rand.Read(id[:]) //nolint:errcheck // never fails by its contract
+	return hex.EncodeToString(id[:])
+}
