relay: one place each for a proof in flight and for prepared statements

Cause: tend and refresh both started the fetch of a proof; start and handleOpen both looked up what a session prepared; lead built the same list of members for every statement; slow took its own trace a second time. Comments that told of earlier code are corrected. Behaviour stays.

Checked: the path test in platform and the test of local pass.

--- a/internal/relay/group.go
+++ b/internal/relay/group.go
@@ -66,10 +66,11 @@
 	flight   singleflight.Group
 
 	mu      sync.Mutex
-	members []*member // sorted by id
-	primary string    // as the control group names it
-	term    uint64    // of the control group
-	holding bool      // a planned switchover runs; new writes wait
+	members []*member            // in the order of the view
+	ids     []placement.ServerID // of members, for the finder
+	primary string               // as the control group names it
+	term    uint64               // of the control group
+	holding bool                 // a planned switchover runs; new writes wait
 	finder  *placement.Finder
 	reader  *placement.Reader
 	record  freshness.Record
@@ -87,7 +88,7 @@
 	}
 }
 
-// follow takes over a view. It returns the lanes of instances that left.
+// follow takes over a view. The lanes of instances that left close.
 func (g *group) follow(now time.Time, v *wire.View, retired map[string]bool, open func(m *wire.Member) *lane.Lane) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -108,6 +109,7 @@
 // replace brings the members up to the view. The lock is held.
 func (g *group) replace(v *wire.View, retired map[string]bool, open func(m *wire.Member) *lane.Lane) {
 	var members []*member
+	var ids []placement.ServerID
 	for _, w := range v.GetMembers() {
 		id := placement.ServerID(w.GetServer())
 		m := g.find(id)
@@ -116,6 +118,7 @@
 				id: id, lane: open(w), sense: placement.NewSense(startLatency), shunned: map[string]time.Time{}, born: w.GetBorn(),
 			}
 		}
+		ids = append(ids, id)
 		members = append(members, &member{
 			id: id, lane: m.lane, sense: m.sense, shunned: m.shunned, via: m.via, born: m.born, zone: w.GetZone(), slots: int(w.GetSlots()),
 			leaving: w.GetLeaving() || w.GetRetired() || retired[w.GetServer()],
@@ -126,7 +129,7 @@
 			m.lane.Close()
 		}
 	}
-	g.members = members
+	g.members, g.ids = members, ids
 }
 
 // find returns a member, or nil. The lock is held.
@@ -146,10 +149,10 @@
 	for _, m := range g.members {
 		m.lane.Close()
 	}
-	g.members = nil
+	g.members, g.ids = nil, nil
 }
 
-// share sets how many connections this VM may open: nearly all of an instance's if it keeps them for
+// share sets how many connections this VM may open: its part, all, of an instance's if it keeps them for
 // the others, else a few.
 func (g *group) share(now time.Time, self string, entries *[]placement.EntryVM, all int) {
 	g.mu.Lock()
@@ -184,11 +187,7 @@
 	if g.holding && fresh {
 		return nil, holdWait, g.changed
 	}
-	ids := make([]placement.ServerID, 0, len(g.members))
-	for _, m := range g.members {
-		ids = append(ids, m.id)
-	}
-	id, wait, ok := g.finder.Primary(now, ids)
+	id, wait, ok := g.finder.Primary(now, g.ids)
 	if !ok {
 		return nil, wait, g.changed
 	}
@@ -217,8 +216,8 @@
 	g.finder.Lose(g.now(), placement.ServerID(server))
 }
 
-// floor returns the position that a read of a session of the client account must see. It asks the primary if no proof is
-// young enough. It is false if none answered until ctx ended.
+// floor returns the position that a read of a session of the client account must see. It asks the
+// primary if no proof is young enough. It is false if none answered until ctx ended.
 func (g *group) floor(ctx context.Context, account string, age time.Duration, session position.Position) (position.Position, bool) {
 	for {
 		g.mu.Lock()
@@ -242,18 +241,22 @@
 
 // refresh fetches a proof, once for all who wait for it. It is false if ctx ended before.
 func (g *group) refresh(ctx context.Context) bool {
-	done := g.flight.DoChan("", func() (any, error) {
-		g.prove()
-		return nil, nil
-	})
 	select {
-	case <-done:
+	case <-g.proving():
 		return ctx.Err() == nil
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// proving has a proof fetched, unless one is being fetched. The channel receives when that has ended.
+func (g *group) proving() <-chan singleflight.Result {
+	return g.flight.DoChan("", func() (any, error) {
+		g.prove()
+		return nil, nil
+	})
+}
+
 // prove asks the primary for the end of its log: a plain transaction begins only on an instance that
 // leads, and takes no slot.
 func (g *group) prove() {
@@ -294,10 +297,7 @@
 	due := now.Sub(g.used) < usedFor && (!ok || now.Sub(sent) >= refreshAfter)
 	g.mu.Unlock()
 	if due {
-		g.flight.DoChan("", func() (any, error) {
-			g.prove()
-			return nil, nil
-		})
+		g.proving()
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	// tick is the precision of budgets, refreshes and idle transactions.
+	// tick is the precision of connection limits, refreshes and idle transactions.
 	tick = 50 * time.Millisecond
 	// eventQueue lets other goroutines go on while the owner is busy.
 	eventQueue = 256
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -152,12 +152,8 @@
 // start runs an operation: a transaction or a single statement.
 func (s *Session) start(ctx context.Context, st operation.Statement) operation.Answer {
 	arrived := s.relay.options.Now()
-	if st.Kind == operation.Execute {
-		known, ok := s.prepared[st.Name]
-		if !ok {
-			return operation.Answer{Code: operation.NoStatement, Detail: st.Name}
-		}
-		st.ReadOnly, st.Shape = known.readOnly, known.text
+	if !s.resolve(&st) {
+		return operation.Answer{Code: operation.NoStatement, Detail: st.Name}
 	}
 	p, refusal := s.admit(ctx, arrived, st.ID)
 	if refusal != nil {
@@ -170,10 +166,21 @@
 	a := s.single(ctx, arrived, p, st)
 	p.trace.total = s.relay.options.Now().Sub(arrived)
 	s.relay.observe(&st, a, p.trace.total)
-	s.relay.slow(p, &st, &p.trace, "single")
+	s.relay.slow(p, &st, "single")
 	return a
 }
 
+// resolve completes an Execute by what the session prepared. It is false if nothing of that name is
+// prepared.
+func (s *Session) resolve(st *operation.Statement) bool {
+	if st.Kind != operation.Execute {
+		return true
+	}
+	known, ok := s.prepared[st.Name]
+	st.ReadOnly, st.Shape = known.readOnly, known.text
+	return ok
+}
+
 // done is the answer to a statement that only this VM handles.
 func (s *Session) done() operation.Answer {
 	a := operation.Answer{Code: operation.Done, State: operation.Idle}
--- a/internal/relay/trace.go
+++ b/internal/relay/trace.go
@@ -20,7 +20,8 @@
 }
 
 // slow logs an operation that took longer than its callers expect.
-func (r *Relay) slow(p *permit, st *operation.Statement, t *trace, kind string) {
+func (r *Relay) slow(p *permit, st *operation.Statement, kind string) {
+	t := &p.trace
 	if p.route.target <= 0 || t.total <= p.route.target {
 		return
 	}
--- a/internal/relay/transaction.go
+++ b/internal/relay/transaction.go
@@ -30,13 +30,10 @@
 	case operation.Begin:
 		s.fail("a transaction is open already")
 		return operation.Answer{Code: operation.Malformed, Detail: s.aborts, State: operation.Failed}
-	case operation.Execute:
-		known, ok := s.prepared[st.Name]
-		if !ok {
-			s.fail("no statement of that name is prepared")
-			return operation.Answer{Code: operation.NoStatement, Detail: st.Name, State: operation.Failed}
-		}
-		st.ReadOnly, st.Shape = known.readOnly, known.text
+	}
+	if !s.resolve(&st) {
+		s.fail("no statement of that name is prepared")
+		return operation.Answer{Code: operation.NoStatement, Detail: st.Name, State: operation.Failed}
 	}
 	ctx, cancel := context.WithTimeout(ctx, t.permit.route.timeout)
 	defer cancel()
@@ -47,7 +44,7 @@
 	t.permit.trace.total += took
 	t.permit.trace.statements++
 	if s.tx == nil {
-		s.relay.slow(t.permit, &st, &t.permit.trace, "transaction")
+		s.relay.slow(t.permit, &st, "transaction")
 	}
 	return a
 }
