--- a/cmd/fireflyrudder-platform/main.go
+++ b/cmd/fireflyrudder-platform/main.go
@@ -13,18 +13,14 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"fireflyrudder.example/fireflyrudder/internal/command"
 	"fireflyrudder.example/fireflyrudder/internal/logline"
 	"fireflyrudder.example/fireflyrudder/platform"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
+const program = "fireflyrudder-platform"
 
 // logLevel selects which lines are written to standard output, as logfmt.
 type logLevel struct {
@@ -70,10 +66,10 @@
 // run executes one command and returns its exit code.
 func run(ctx context.Context, args []string) int {
 	var format logLevel
-	parser := flags.NewNamedParser("fireflyrudder-platform", flags.HelpFlag|flags.PassDoubleDash)
-	must(parser.AddGroup("log", "", &format))
-	must(parser.AddCommand("entry", "run an entry VM", "Runs an entry VM, to which callers connect.", &role{run: platform.RunEntry, ctx: ctx}))
-	must(parser.AddCommand("control", "run a control VM", "Runs a control VM: a voter of the control group.", &role{run: platform.RunControl, ctx: ctx}))
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	command.Must(parser.AddGroup("log", "", &format))
+	command.Must(parser.AddCommand("entry", "run an entry VM", "Runs an entry VM, to which callers connect.", &role{run: platform.RunEntry, ctx: ctx}))
+	command.Must(parser.AddCommand("control", "run a control VM", "Runs a control VM: a voter of the control group.", &role{run: platform.RunControl, ctx: ctx}))
 	lines := logline.New(os.Stdout, time.Now)
 	writing, stop := context.WithCancel(context.Background())
 	written := make(chan struct{})
@@ -85,37 +81,11 @@
 		stop()
 		<-written
 	}()
-	parser.CommandHandler = func(command flags.Commander, args []string) error {
+	parser.CommandHandler = func(c flags.Commander, args []string) error {
 		log.SetHandler(lines)
 		log.SetLevelFromString(format.Level)
-		return command.Execute(args)
+		return c.Execute(args)
 	}
 	_, err := parser.ParseArgs(args)
-	var usage *flags.Error
-	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-		fmt.Println(usage.Message)
-		return 0
-	case errors.As(err, &usage):
-		return report(err, exitUsage)
-	}
-	return report(err, exitFailure)
-}
-
-// must panics on a malformed option struct, which is a fault of this program.
-func must[T any](_ T, err error) {
-	if err != nil {
-		panic(err)
-	}
-}
-
-// report writes an error with its remedy and returns the exit code.
-func report(err error, code int) int {
-	fmt.Fprintln(os.Stderr, "fireflyrudder-platform:", err)
-	for _, hint := range errors.GetAllHints(err) {
-		fmt.Fprintln(os.Stderr, "remedy:", hint)
-	}
-	return code
+	return command.Finish(program, err, func(error) int { return command.Failure })
 }
--- a/cmd/fireflyrudder/main.go
+++ b/cmd/fireflyrudder/main.go
@@ -14,13 +14,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"fireflyrudder.example/fireflyrudder/internal/command"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
 )
 
-// Exit codes, also listed by --help.
 const (
-	exitFailure  = 1
-	exitUsage    = 2
+	program = "fireflyrudder"
+	// exitConflict is the exit code of a change that lost, besides those of package command.
 	exitConflict = 3
 )
 
@@ -58,38 +58,37 @@
 	parser := newParser(ctx, &g)
 	if file := settingsFile(args); file != "" {
 		if err := settings.Read(parser, file); err != nil {
-			return report(err, exitUsage)
+			return command.Report(program, err, command.Usage)
 		}
 	}
 	_, err := parser.ParseArgs(args)
-	var usage *flags.Error
+	return command.Finish(program, err, exitCode)
+}
+
+// exitCode returns the exit code of an error.
+func exitCode(err error) int {
 	switch {
-	case err == nil:
-		return 0
-	case errors.As(err, &usage) && usage.Type == flags.ErrHelp:
-		fmt.Println(usage.Message)
-		return 0
-	case errors.As(err, &usage), errors.Is(err, errUsage):
-		return report(err, exitUsage)
+	case errors.Is(err, errUsage):
+		return command.Usage
 	case errors.Is(err, errConflict):
-		return report(err, exitConflict)
+		return exitConflict
 	}
-	return report(err, exitFailure)
+	return command.Failure
 }
 
 // newParser returns a parser with every command.
 func newParser(ctx context.Context, g *globals) *flags.Parser {
-	parser := flags.NewNamedParser("fireflyrudder", flags.HelpFlag|flags.PassDoubleDash)
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "A proxy for SQL databases with session consistency.\n" +
 		"Exit codes: 0 success, 1 failure, 2 bad command line or settings, 3 conflict with another change."
-	must(parser.AddGroup("common", "", &g.common))
-	must(parser.AddGroup("node", "", &g.node))
-	must(parser.AddGroup("log", "", &g.log))
-	must(parser.AddGroup("console", "", &g.console))
-	must(parser.AddGroup("tls", "", &g.tls))
+	command.Must(parser.AddGroup("common", "", &g.common))
+	command.Must(parser.AddGroup("node", "", &g.node))
+	command.Must(parser.AddGroup("log", "", &g.log))
+	command.Must(parser.AddGroup("console", "", &g.console))
+	command.Must(parser.AddGroup("tls", "", &g.tls))
 	addCommands(ctx, parser, g)
-	parser.CommandHandler = func(command flags.Commander, args []string) error {
-		return execute(g, command, args)
+	parser.CommandHandler = func(c flags.Commander, args []string) error {
+		return execute(g, c, args)
 	}
 	return parser
 }
@@ -100,13 +99,13 @@
 }
 
 // execute checks the settings, then runs the command unless only the check was asked for.
-func execute(g *globals, command flags.Commander, args []string) error {
-	if command == nil {
+func execute(g *globals, c flags.Commander, args []string) error {
+	if c == nil {
 		return nil
 	}
 	checks := []func() error{g.node.Check, g.console.Check, g.tls.Check}
-	if c, ok := command.(checker); ok {
-		checks = append(checks, c.Check)
+	if one, ok := c.(checker); ok {
+		checks = append(checks, one.Check)
 	}
 	if err := check(checks...); err != nil {
 		return err
@@ -116,15 +115,7 @@
 		return nil
 	}
 	g.log.Apply()
-	return command.Execute(args)
-}
-
-// must panics on a malformed option struct, which is a fault of this program.
-func must[T any](value T, err error) T {
-	if err != nil {
-		panic(err)
-	}
-	return value
+	return c.Execute(args)
 }
 
 // settingsFile finds the INI file before the other options are parsed, since its values are defaults.
@@ -137,15 +128,6 @@
 	return c.Settings
 }
 
-// report writes an error with its remedy and returns the exit code.
-func report(err error, code int) int {
-	fmt.Fprintln(os.Stderr, "fireflyrudder:", err)
-	for _, hint := range errors.GetAllHints(err) {
-		fmt.Fprintln(os.Stderr, "remedy:", hint)
-	}
-	return code
-}
-
 // check runs every check and marks a failure as one of usage.
 func check(checks ...func() error) error {
 	for _, c := range checks {
--- a/cmd/fireflyrudder/questionnaire.go
+++ b/cmd/fireflyrudder/questionnaire.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"fireflyrudder.example/fireflyrudder/internal/command"
 	"fireflyrudder.example/fireflyrudder/internal/configuration"
 	"fireflyrudder.example/fireflyrudder/internal/questionnaire"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
@@ -18,10 +19,10 @@
 
 // addQuestionnaire registers the command and its subcommands.
 func addQuestionnaire(parser *flags.Parser) {
-	c := must(parser.AddCommand("questionnaire", "set up a new team", questionnaireLong, &struct{}{}))
-	must(c.AddCommand("blank", "write a blank questionnaire", "Writes a commented blank questionnaire to standard output.", &blankCommand{}))
-	must(c.AddCommand("check", "check a filled questionnaire", "Names the file, section, key and remedy of the first fault.", &checkCommand{}))
-	must(c.AddCommand("generate", "generate the configuration",
+	c := command.Must(parser.AddCommand("questionnaire", "set up a new team", questionnaireLong, &struct{}{}))
+	command.Must(c.AddCommand("blank", "write a blank questionnaire", "Writes a commented blank questionnaire to standard output.", &blankCommand{}))
+	command.Must(c.AddCommand("check", "check a filled questionnaire", "Names the file, section, key and remedy of the first fault.", &checkCommand{}))
+	command.Must(c.AddCommand("generate", "generate the configuration",
 		"Writes the configuration and makes the keys. The keys in clear are written once, to a new file that only its owner can read; "+
 			"the configuration has their verifiers.", &generateCommand{}))
 }
--- a/internal/console/metrics.go
+++ b/internal/console/metrics.go
@@ -1,13 +1,13 @@
 package console
 
 import (
-	"encoding/json"
 	"expvar"
 	"fmt"
 	"io"
 	"net/http"
 	"runtime/metrics"
-	"strings"
+
+	"fireflyrudder.example/fireflyrudder/internal/histogram"
 )
 
 // prefix goes before every name in /metrics.
@@ -29,25 +29,15 @@
 		m.Do(func(kv expvar.KeyValue) { fmt.Fprintf(w, "%s{kind=%q} %s\n", name, kv.Key, kv.Value) })
 		return
 	}
-	text := v.String()
-	if !strings.HasPrefix(text, "{") {
-		fmt.Fprintf(w, "%s %s\n", name, text)
+	if h, ok := v.(*histogram.Histogram); ok {
+		writeSummary(w, name, h.Snapshot())
 		return
 	}
-	writeSummary(w, name, text)
+	fmt.Fprintf(w, "%s %s\n", name, v)
 }
 
-// writeSummary writes a variable that is an object of numbers.
-func writeSummary(w io.Writer, name, text string) {
-	var s struct {
-		Count              int64
-		Sum, P50, P90, P99 float64
-		Max                float64
-	}
-	if err := json.Unmarshal([]byte(text), &s); err != nil {
-		fmt.Fprintf(w, "# %s is not readable: %v\n", name, err)
-		return
-	}
+// writeSummary writes a histogram.
+func writeSummary(w io.Writer, name string, s histogram.Snapshot) {
 	for _, q := range []struct {
 		quantile string
 		value    float64
--- a/internal/contract/publish.go
+++ b/internal/contract/publish.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -34,13 +35,7 @@
 type named interface{ GetName() string }
 
 func byName[T named](a, b T) int {
-	switch {
-	case a.GetName() < b.GetName():
-		return -1
-	case a.GetName() > b.GetName():
-		return 1
-	}
-	return 0
+	return cmp.Compare(a.GetName(), b.GetName())
 }
 
 // invalid returns what is wrong with a sorted configuration, or "".
@@ -125,7 +120,7 @@
 func (b *Book) isOld(m *wire.Member) bool {
 	for _, v := range b.views {
 		for _, known := range v.GetMembers() {
-			if known.GetServer() == m.GetServer() && !follows(m, known) {
+			if known.GetServer() == m.GetServer() && !Follows(m, known) {
 				return true
 			}
 			if known.GetServer() != m.GetServer() && known.GetAddress() == m.GetAddress() && known.GetBorn() > m.GetBorn() {
@@ -136,8 +131,8 @@
 	return false
 }
 
-// follows reports whether m was announced after known by the same instance.
-func follows(m, known *wire.Member) bool {
+// Follows reports whether m was announced after known by the same instance.
+func Follows(m, known *wire.Member) bool {
 	if m.GetBorn() != known.GetBorn() {
 		return m.GetBorn() > known.GetBorn()
 	}
--- a/internal/controlvm/client.go
+++ b/internal/controlvm/client.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
@@ -22,21 +21,18 @@
 // Client asks the control group on behalf of an operator. It is not safe for concurrent use.
 type Client struct {
 	controls  []string
-	pair      *certificate.Pair
-	conns     map[string]*grpc.ClientConn
+	peers     *peers
 	preferred string // address of the last known leader
 }
 
 // NewClient returns a client of the control VMs at the given addresses. A nil pair means no TLS.
 func NewClient(controls []string, pair *certificate.Pair) *Client {
-	return &Client{controls: controls, pair: pair, conns: map[string]*grpc.ClientConn{}}
+	return &Client{controls: controls, peers: newPeers(pair)}
 }
 
 // Close ends the connections.
 func (c *Client) Close() {
-	for _, conn := range c.conns {
-		_ = conn.Close()
-	}
+	c.peers.close()
 }
 
 // Status returns the status of the leader. If none answers before the context ends, it returns the
@@ -120,17 +116,13 @@
 }
 
 func (c *Client) attempt(ctx context.Context, address string, call func(context.Context, wire.ControlClient) (bool, error)) (bool, error) {
-	conn := c.conns[address]
-	if conn == nil {
-		var err error
-		if conn, err = Dial(address, c.pair); err != nil {
-			return false, err
-		}
-		c.conns[address] = conn
+	client, err := c.peers.client(address)
+	if err != nil {
+		return false, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return call(ctx, wire.NewControlClient(conn))
+	return call(ctx, client)
 }
 
 // Switch asks the leader for a planned switchover and waits for the outcome. It is not repeated
--- a/internal/controlvm/dial.go
+++ b/internal/controlvm/dial.go
@@ -1,6 +1,7 @@
 package controlvm
 
 import (
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"fireflyrudder.example/fireflyrudder/internal/certificate"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
 // Limits of connections between processes.
@@ -40,3 +42,14 @@
 	)
 	return conn, errors.Wrap(err, "controlvm: dial")
 }
+
+// Dialer returns a function that dials control VMs for package renewal. A nil pair means no TLS.
+func Dialer(pair *certificate.Pair) func(address string) (wire.ControlClient, io.Closer, error) {
+	return func(address string) (wire.ControlClient, io.Closer, error) {
+		c, err := Dial(address, pair)
+		if err != nil {
+			return nil, nil, err
+		}
+		return wire.NewControlClient(c), c, nil
+	}
+}
--- a/internal/controlvm/peers.go
+++ b/internal/controlvm/peers.go
@@ -9,8 +9,8 @@
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
-// peers holds the connections on which a control VM asks the leader for others. It is safe for
-// concurrent use.
+// peers holds connections to control VMs: those on which a control VM asks the leader for others, or
+// those of an operator. It is safe for concurrent use.
 type peers struct {
 	pair *certificate.Pair
 
--- a/internal/controlvm/publish.go
+++ b/internal/controlvm/publish.go
@@ -106,15 +106,11 @@
 // after the configuration was taken, since the process may have slept in between.
 func (vm *VM) read(ctx context.Context) (*wire.Configuration, error) {
 	var c *wire.Configuration
-	refusal := error(errRedirect{})
+	var refusal error
 	err := vm.inbox.Do(ctx, func(now time.Time) {
 		c = vm.book.Configuration()
-		if vm.voter.Lease(now) {
-			refusal = nil
-			return
-		}
-		if vm.voter.Role().String() != "leader" {
-			refusal = errRedirect{vm.voter.LeaderAddress(now)}
+		if !vm.voter.Lease(now) {
+			refusal = errRedirect{vm.otherLeader(now)}
 		}
 	})
 	if err != nil {
@@ -162,7 +158,7 @@
 	}
 	m := a.GetMember()
 	known, group, ok := vm.book.Member(m.GetServer())
-	if ok && (m.GetBorn() < known.GetBorn() || m.GetBorn() == known.GetBorn() && m.GetSequence() < known.GetSequence()) {
+	if ok && contract.Follows(known, m) {
 		return nil // overtaken by a later announcement
 	}
 	if _, configured := vm.book.Group(a.GetGroup()); !configured {
--- a/internal/entryvm/process.go
+++ b/internal/entryvm/process.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"io"
 	"os"
 
 	"github.com/apex/log"
@@ -15,7 +14,6 @@
 	"fireflyrudder.example/fireflyrudder/internal/controlvm"
 	"fireflyrudder.example/fireflyrudder/internal/session"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
-	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
 // Configure makes options from checked settings.
@@ -36,13 +34,7 @@
 		}
 		o.TLS = callerTLS(pair)
 	}
-	o.Dial = func(address string) (wire.ControlClient, io.Closer, error) {
-		c, err := controlvm.Dial(address, pair)
-		if err != nil {
-			return nil, nil, err
-		}
-		return wire.NewControlClient(c), c, nil
-	}
+	o.Dial = controlvm.Dialer(pair)
 	return o, nil
 }
 
