Keep the end of a configuration lease in renewal.Offers; share main

Cause: relay and entryvm each copied the end of the lease from Offers into an atomic number of nanoseconds after their start, with the same function. Offers now holds it for concurrent readers, and extend, until and started of both are gone. Both programs had the same main; it is command.Main.

Behaviour stays. Checked: go test -race of renewal, platform and cmd, go test of entryvm and local pass; the linter reports nothing.

--- a/cmd/fireflyrudder-platform/main.go
+++ b/cmd/fireflyrudder-platform/main.go
@@ -8,8 +8,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -57,10 +55,7 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:])
-	stop()
-	os.Exit(code)
+	command.Main(run)
 }
 
 // run executes one command and returns its exit code.
--- a/cmd/fireflyrudder/main.go
+++ b/cmd/fireflyrudder/main.go
@@ -7,9 +7,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -46,10 +43,7 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := run(ctx, os.Args[1:])
-	stop()
-	os.Exit(code)
+	command.Main(run)
 }
 
 // run executes one command and returns its exit code.
--- a/internal/command/finish.go
+++ b/internal/command/command.go
@@ -2,8 +2,11 @@
 package command
 
 import (
+	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -16,6 +19,14 @@
 	Usage   = 2 // bad command line or settings
 )
 
+// Main runs a program until it ends or is told to stop, and exits with its exit code.
+func Main(run func(ctx context.Context, args []string) int) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:])
+	stop()
+	os.Exit(code)
+}
+
 // Must panics on a malformed option struct, which is a fault of the program.
 func Must[T any](value T, err error) T {
 	if err != nil {
--- a/internal/entryvm/owner.go
+++ b/internal/entryvm/owner.go
@@ -183,7 +183,7 @@
 		vm.closeRevoked()
 		log.WithField("version", vm.book.Version()).Info("configuration applied")
 	}
-	vm.extend()
+	vm.offers.Applied(vm.book.Version())
 }
 
 func (vm *VM) serves(name string) bool {
@@ -341,13 +341,4 @@
 	if vm.offers.Take(now, o, vm.book.Version()) {
 		vm.control.Rewatch()
 	}
-	vm.extend()
-}
-
-// extend shows the sessions how long the configuration may be used.
-func (vm *VM) extend() {
-	vm.offers.Applied(vm.book.Version())
-	if until := vm.offers.Until(); !until.IsZero() {
-		vm.until.Store(int64(until.Sub(vm.started)))
-	}
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -61,8 +61,7 @@
 	inbox    *owner.Inbox
 
 	table    atomic.Pointer[table]
-	until    atomic.Int64 // end of the configuration lease, in nanoseconds after started
-	started  time.Time
+	offers   renewal.Offers // changed by the owner goroutine only
 	draining atomic.Bool
 	sessions *registry
 	credits  *renewal.Credits
@@ -76,7 +75,6 @@
 	book   *contract.Book
 	groups map[string]*group
 	waits  uint64
-	offers renewal.Offers
 }
 
 // New returns a VM that is not running.
@@ -85,7 +83,6 @@
 		options:  o,
 		identity: renewal.NewIdentity(),
 		done:     make(chan struct{}),
-		started:  time.Now(),
 		sessions: newRegistry(),
 		cache:    statement.NewCache(cachedStatements),
 		metrics:  newMetrics(),
@@ -254,7 +251,7 @@
 
 // leaseLeft returns how long the configuration lease lasts.
 func (vm *VM) leaseLeft(now time.Time) time.Duration {
-	return time.Duration(vm.until.Load()) - now.Sub(vm.started)
+	return vm.offers.Until().Sub(now)
 }
 
 // Ready reports why the VM does not serve, or nil.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -81,7 +81,6 @@
 type Relay struct {
 	options  Options
 	identity string
-	started  time.Time
 	inbox    *owner.Inbox
 	ctx      context.Context
 	stop     context.CancelFunc
@@ -93,7 +92,7 @@
 	table    atomic.Pointer[table]
 	entries  atomic.Pointer[[]placement.EntryVM]
 	lanes    atomic.Pointer[map[string]*lane.Lane] // by instance
-	until    atomic.Int64                          // end of the configuration lease, nanoseconds after started
+	offers   renewal.Offers                        // changed by the owner goroutine only
 	draining atomic.Bool
 	closing  atomic.Bool // new sessions are refused
 
@@ -103,13 +102,12 @@
 	// owner goroutine only
 	book   *contract.Book
 	groups map[string]*group
-	offers renewal.Offers
 }
 
 // New returns a Relay that does not run.
 func New(o Options) *Relay {
 	r := &Relay{
-		options: o, identity: renewal.NewIdentity(), started: o.Now(),
+		options: o, identity: renewal.NewIdentity(),
 		ended: make(chan struct{}), metrics: newMetrics(),
 		sessions: map[*Session]struct{}{}, book: contract.New(), groups: map[string]*group{},
 	}
@@ -241,7 +239,7 @@
 	if u.GetEntered() > 0 {
 		r.followEntries()
 	}
-	r.extend()
+	r.offers.Applied(r.book.Version())
 }
 
 // followEntries takes over the entry VMs that may keep connections.
@@ -311,21 +309,12 @@
 	if r.offers.Take(now, o, r.book.Version()) {
 		r.control.Rewatch()
 	}
-	r.extend()
-}
-
-// extend shows the sessions how long the configuration may be used.
-func (r *Relay) extend() {
-	r.offers.Applied(r.book.Version())
-	if until := r.offers.Until(); !until.IsZero() {
-		r.until.Store(int64(until.Sub(r.started)))
-	}
 }
 
 // leased reports whether the configuration may be used.
 func (r *Relay) leased(now time.Time) bool {
-	until := r.until.Load()
-	return until != 0 && now.Sub(r.started) < time.Duration(until)+r.options.Stale
+	until := r.offers.Until()
+	return !until.IsZero() && now.Before(until.Add(r.options.Stale))
 }
 
 // Ready reports why the VM does not serve, or nil.
--- a/internal/renewal/offers.go
+++ b/internal/renewal/offers.go
@@ -1,6 +1,9 @@
 package renewal
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
 const (
 	// lagWait is the time after which a version that the leader names and no stream brings has the
@@ -10,12 +13,12 @@
 	keptOffers = 16
 )
 
-// Offers are the configuration leases of an entry VM. A lease counts once its version is applied. It
-// is not safe for concurrent use.
+// Offers are the configuration leases of an entry VM. A lease counts once its version is applied. Only
+// Until is safe for concurrent use.
 type Offers struct {
 	waiting []Offer
-	until   time.Time // end of the lease that counts
-	lags    time.Time // since when a named version is missing; zero: none is
+	until   atomic.Pointer[time.Time] // end of the lease that counts; nil before the first
+	lags    time.Time                 // since when a named version is missing; zero: none is
 }
 
 // Take adds a lease. It reports whether the named version is missing for so long that the streams of
@@ -45,12 +48,18 @@
 		switch {
 		case w.Version > version:
 			kept = append(kept, w)
-		case w.Until.After(o.until):
-			o.until = w.Until
+		case w.Until.After(o.Until()):
+			o.until.Store(&w.Until)
 		}
 	}
 	o.waiting = kept
 }
 
 // Until returns the end of the lease, or zero before the first.
-func (o *Offers) Until() time.Time { return o.until }
+func (o *Offers) Until() time.Time {
+	until := o.until.Load()
+	if until == nil {
+		return time.Time{}
+	}
+	return *until
+}
