Let a former leader's own ballot end the promise to it

Change: a voter keeps the identity of the leader of its term with its vote. A ballot of that identity for a later term shows that it leads no more, so the promise to it has ended. A voter that itself may have led stands at once.

--- a/internal/controllog/cluster_test.go
+++ b/internal/controllog/cluster_test.go
@@ -143,7 +143,7 @@
 			if e.Term == m.durable.Term && m.durable.Vote != "" {
 				require.Equal(c.t, m.durable.Vote, e.Vote, "one vote per term")
 			}
-			m.durable.Term, m.durable.Vote = e.Term, e.Vote
+			m.durable.Term, m.durable.Vote, m.durable.Leader = e.Term, e.Vote, e.Leader
 		case controllog.Append:
 			m.pending = append(m.pending, e.Records)
 		case controllog.Commit:
--- a/internal/controllog/election.go
+++ b/internal/controllog/election.go
@@ -26,16 +26,35 @@
 	v.role = Follower
 	v.followers, v.votes = nil, nil
 	if term > v.term {
-		v.saveVote(term, "")
+		v.saveVote(term, "", "")
 		v.verified, v.owed = 0, nil
 	}
 	v.leader = leader
 	v.rest(now)
 }
 
-func (v *Voter) saveVote(term uint64, vote Identity) {
-	v.term, v.vote = term, vote
-	v.emit(SaveVote{term, vote})
+func (v *Voter) saveVote(term uint64, vote, leader Identity) {
+	v.term, v.vote, v.incumbent = term, vote, leader
+	v.emit(SaveVote{term, vote, leader})
+}
+
+// isPromised reports whether this voter has promised the leader of the term to vote for nobody yet. The
+// leader's lease rests on that.
+func (v *Voter) isPromised(now time.Time) bool {
+	return v.Formed() && !v.released && now.Sub(v.heard) < v.paced(ElectionLeast)
+}
+
+// release ends the promise to the leader of the term when it stands for a later one: it leads the term no
+// more and never will again.
+func (v *Voter) release(now time.Time, candidate Identity, term uint64) {
+	if term <= v.term || candidate != v.incumbent || v.released {
+		return
+	}
+	v.released = true
+	v.leader = ""
+	if v.role == Follower {
+		v.pause(now, v.paced(PollAgain)) // the candidate may lack records that others hold
+	}
 }
 
 // campaign asks whether votes would be given. The term stays, so that a voter that was cut off
@@ -80,7 +99,7 @@
 	case PreCandidate:
 		v.role = Candidate
 		v.pause(now, v.paced(BallotAgain))
-		v.saveVote(v.term+1, v.id)
+		v.saveVote(v.term+1, v.id, "")
 		v.verified, v.owed = 0, nil
 		v.votes = map[Identity]bool{v.id: true}
 		v.poll(false, v.term)
@@ -91,10 +110,10 @@
 }
 
 // ballot answers a candidate. A voter that heard from a leader within the least election timeout
-// refuses, because the leader's lease rests on that promise.
+// refuses, unless that leader itself is the candidate.
 func (v *Voter) ballot(now time.Time, m *wire.VoterMessage, b *wire.Ballot) {
-	promised := now.Sub(v.heard) < v.paced(ElectionLeast) && v.Formed()
-	if promised || v.role == Leader {
+	v.release(now, Identity(m.From), b.Term)
+	if v.role == Leader || v.isPromised(now) {
 		if m.Term < v.term {
 			v.answer(m, b, false) // tells the candidate the term
 		}
@@ -114,7 +133,7 @@
 	}
 	granted := upToDate && b.Term == v.term && (v.vote == "" || v.vote == Identity(m.From))
 	if granted && v.vote == "" {
-		v.saveVote(v.term, Identity(m.From))
+		v.saveVote(v.term, Identity(m.From), "")
 		v.rest(now)
 	}
 	v.answer(m, b, granted)
@@ -159,7 +178,7 @@
 func (v *Voter) startLeading(now time.Time) {
 	v.role = Leader
 	v.leader = v.place.Address
-	v.led, v.current = now, false
+	v.began, v.current = now, false
 	v.followers = map[Identity]*follower{}
 	v.enroll(now)
 	v.write(now, &wire.LogRecord{})
@@ -172,7 +191,7 @@
 		id := Identity(m.Identity)
 		present[id] = true
 		if id != v.id && v.followers[id] == nil {
-			v.followers[id] = &follower{next: v.log.last() + 1, heard: now, acked: v.led}
+			v.followers[id] = &follower{next: v.log.last() + 1, heard: now, acked: v.began}
 		}
 	}
 	for id := range v.followers {
--- a/internal/controllog/event.go
+++ b/internal/controllog/event.go
@@ -48,10 +48,12 @@
 	Message *wire.VoterMessage
 }
 
-// SaveVote makes the term and the vote durable.
+// SaveVote makes the term, the vote and the leader of the term durable. Vote and Leader are empty if
+// there is none yet.
 type SaveVote struct {
-	Term uint64
-	Vote Identity
+	Term   uint64
+	Vote   Identity
+	Leader Identity
 }
 
 // Append makes records durable. They replace all records from the first one's index on. The shell
--- a/internal/controllog/membership.go
+++ b/internal/controllog/membership.go
@@ -93,7 +93,7 @@
 	}
 	g.Voters = uint32(len(g.Members))
 	arrange(g)
-	v.saveVote(v.term+1, v.id)
+	v.saveVote(v.term+1, v.id, "")
 	r := &wire.LogRecord{Index: 1, Term: v.term, Body: &wire.LogRecord_Membership{Membership: g}}
 	v.log.put([]*wire.LogRecord{r})
 	v.emit(Append{[]*wire.LogRecord{r}})
--- a/internal/controllog/replication.go
+++ b/internal/controllog/replication.go
@@ -73,7 +73,7 @@
 		PreviousTerm: term,
 		Records:      records,
 		Commit:       v.commit,
-		Sent:         int64(now.Sub(v.led)),
+		Sent:         int64(now.Sub(v.began)),
 	}
 	f.next += uint64(len(records))
 	v.send(m.Address, m.Identity, &wire.VoterMessage{Body: &wire.VoterMessage_Append{Append: a}})
@@ -82,7 +82,7 @@
 // heartbeat returns a message without records for a follower that is being sent a snapshot. It is
 // refused, but keeps the follower from standing for election.
 func (v *Voter) heartbeat(now time.Time) *wire.VoterMessage {
-	a := &wire.AppendRecords{Previous: v.log.last(), PreviousTerm: v.log.lastTerm(), Sent: int64(now.Sub(v.led))}
+	a := &wire.AppendRecords{Previous: v.log.last(), PreviousTerm: v.log.lastTerm(), Sent: int64(now.Sub(v.began))}
 	return &wire.VoterMessage{Body: &wire.VoterMessage_Append{Append: a}}
 }
 
@@ -92,7 +92,7 @@
 		return false
 	}
 	f.installed = now
-	s := &wire.InstallSnapshot{Snapshot: v.log.snapshot, Sent: int64(now.Sub(v.led))}
+	s := &wire.InstallSnapshot{Snapshot: v.log.snapshot, Sent: int64(now.Sub(v.began))}
 	v.send(m.Address, m.Identity, &wire.VoterMessage{Body: &wire.VoterMessage_Install{Install: s}})
 	return true
 }
@@ -107,8 +107,11 @@
 	if m.Term > v.term || v.role != Follower {
 		v.follow(now, m.Term, m.Address)
 	}
+	if from := Identity(m.From); v.incumbent != from {
+		v.saveVote(v.term, v.vote, from)
+	}
 	v.leader = m.Address
-	v.heard = now
+	v.heard, v.released = now, false
 	v.rest(now)
 	return true
 }
@@ -202,7 +205,7 @@
 		return
 	}
 	f.heard = now
-	if acked := v.led.Add(time.Duration(r.Sent)); acked.After(f.acked) {
+	if acked := v.began.Add(time.Duration(r.Sent)); acked.After(f.acked) {
 		f.acked = acked
 	}
 	if r.Refused {
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -45,6 +45,7 @@
 type State struct {
 	Term     uint64
 	Vote     Identity
+	Leader   Identity            // leader of the term; empty if it was not heard
 	Snapshot *wire.VoterSnapshot // nil if there is none
 	Records  []*wire.LogRecord   // after the snapshot, without gaps
 }
@@ -55,14 +56,16 @@
 	place  Place
 	random *rand.Rand
 
-	term   uint64
-	vote   Identity
-	role   Role
-	log    log
-	commit uint64 // highest index known to be committed
-	synced uint64 // highest index that is durable here
+	term      uint64
+	vote      Identity
+	incumbent Identity // leader of the term; empty if it was not heard
+	role      Role
+	log       log
+	commit    uint64 // highest index known to be committed
+	synced    uint64 // highest index that is durable here
 
 	leader   string    // address of the leader of the term; empty if unknown
+	released bool      // the leader of the term leads no more, so the promise to it has ended
 	heard    time.Time // when the leader of the term was last heard; at start, the start
 	deadline time.Time // when to stand for election
 	greeted  time.Time // when Hello was last sent
@@ -76,7 +79,7 @@
 	compacted uint64                        // index at which a snapshot was last asked for
 	resting   Synced                        // last record handed over with that snapshot
 
-	led       time.Time // leader: when the term began
+	began     time.Time // leader: when the term began
 	beat      time.Time // leader: when heartbeats were last sent
 	current   bool      // leader: an entry of the own term is committed
 	followers map[Identity]*follower
@@ -102,9 +105,10 @@
 }
 
 // New returns a voter that continues from its data folder. Start counts as hearing from a leader,
-// because the promise made to a leader before the restart is not on disk.
+// because the time of the latest promise to a leader is not on disk. A voter that may itself have led
+// the term has promised nothing, and stands for election at once.
 func New(now time.Time, id Identity, place Place, random *rand.Rand, restored State) *Voter {
-	v := &Voter{id: id, place: place, random: random, term: restored.Term, vote: restored.Vote}
+	v := &Voter{id: id, place: place, random: random, term: restored.Term, vote: restored.Vote, incumbent: restored.Leader}
 	v.forming = map[string]*wire.VoterMessage{}
 	if place.Compact == 0 {
 		v.place.Compact = CompactAfter
@@ -122,6 +126,10 @@
 	v.synced = v.log.last()
 	v.heard = now
 	v.rest(now)
+	if v.incumbent == id || (v.incumbent == "" && v.vote == id) {
+		v.released = true
+		v.deadline = now
+	}
 	return v
 }
 
--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -90,6 +90,45 @@
 	}
 }
 
+// Guards against a group that waits for promises to a leader that has ended: after a restart of all
+// voters the former leader takes over before anybody's least election timeout.
+func TestRestartOfAllElectsFormerLeader(t *testing.T) {
+	for seed := range uint64(50) {
+		c := newCluster(t, seed, 3+2*int(seed%2), 0)
+		c.until(10*time.Second, "forming the group", c.whole)
+		c.propose()
+		c.run(time.Duration(100+seed) * step)
+		former := c.leader()
+		for _, m := range c.machines {
+			c.crash(m)
+		}
+		c.run(time.Second)
+		for _, m := range c.machines {
+			c.boot(m)
+		}
+		c.until(controllog.ElectionLeast/2, "election", func() bool { return c.leader() != nil })
+		require.Same(t, former, c.leader())
+	}
+}
+
+// Guards against a voter that keeps its promise to a leader that was started again and lost what
+// others hold.
+func TestFormerLeaderWithShorterLogReleasesOthers(t *testing.T) {
+	c := newCluster(t, 10, 3, 0)
+	c.until(10*time.Second, "forming the group", c.whole)
+	former := c.leader()
+	kept := former.durable
+	kept.Records = slices.Clone(kept.Records)
+	c.propose()
+	c.run(10 * step)
+	c.crash(former)
+	// The last record reached the others and not the leader's own disk.
+	former.durable = kept
+	c.boot(former)
+	c.until(controllog.ElectionLeast, "election", func() bool { return c.leader() != nil })
+	require.NotSame(t, former, c.leader())
+}
+
 // Guards against a voter that forgets with a restart, or because a candidate asks, the promise on
 // which the leader's lease rests: the third voter cannot reach the leader and stands for election.
 func TestPromiseToLeader(t *testing.T) {
--- a/internal/controlvm/effect.go
+++ b/internal/controlvm/effect.go
@@ -57,7 +57,7 @@
 		}
 		vm.outgoing = append(vm.outgoing, e)
 	case controllog.SaveVote:
-		vm.fail(vm.folder.SaveVote(e.Term, string(e.Vote)))
+		vm.fail(vm.folder.SaveVote(&wire.Vote{Term: e.Term, Candidate: string(e.Vote), Leader: string(e.Leader)}))
 	case controllog.Append:
 		vm.gather(e.Records)
 	case controllog.Commit:
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -134,7 +134,7 @@
 		Replace: vm.options.Replace, Pace: vm.options.Pace,
 	}
 	state := controllog.State{
-		Term: found.Vote.GetTerm(), Vote: controllog.Identity(found.Vote.GetCandidate()),
+		Term: found.Vote.GetTerm(), Vote: controllog.Identity(found.Vote.GetCandidate()), Leader: controllog.Identity(found.Vote.GetLeader()),
 		Snapshot: found.Snapshot, Records: found.Records,
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/disk/folder.go
+++ b/internal/disk/folder.go
@@ -138,8 +138,8 @@
 func (f *Folder) Cut() int64 { return f.cut }
 
 // SaveVote makes a vote durable.
-func (f *Folder) SaveVote(term uint64, candidate string) error {
-	return errors.Wrap(writeFile(f.name(voteFile), &wire.Vote{Term: term, Candidate: candidate}), "disk: vote")
+func (f *Folder) SaveVote(v *wire.Vote) error {
+	return errors.Wrap(writeFile(f.name(voteFile), v), "disk: vote")
 }
 
 // Append makes records durable with one sync. They replace all records from the first one's index on.
--- a/internal/disk/folder_test.go
+++ b/internal/disk/folder_test.go
@@ -55,7 +55,7 @@
 	identity := f.Identity()
 	require.Len(t, identity, 16)
 	require.Nil(t, f.State().Vote)
-	require.NoError(t, f.SaveVote(3, "x"))
+	require.NoError(t, f.SaveVote(&wire.Vote{Term: 3, Candidate: "x"}))
 	require.NoError(t, f.Append([]*wire.LogRecord{record(1, 1), record(2, 1), record(3, 1)}))
 	require.NoError(t, f.Append([]*wire.LogRecord{record(2, 2)}))
 	f = reopen(t, f, path)
@@ -130,7 +130,7 @@
 func TestBitFlip(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "data")
 	f := open(t, path)
-	require.NoError(t, f.SaveVote(1, "x"))
+	require.NoError(t, f.SaveVote(&wire.Vote{Term: 1, Candidate: "x"}))
 	require.NoError(t, f.Compact(&wire.VoterSnapshot{Index: 1, Term: 1, Book: &wire.Book{}}, nil))
 	require.NoError(t, f.Append([]*wire.LogRecord{record(2, 1)}))
 	require.NoError(t, f.Append([]*wire.LogRecord{record(3, 1)}))
