Give up first dials between processes after 150 ms

Change: first attempts end after 150 ms, later ones have up to 300 ms; a lost peer is dialed at least each 300 ms.

--- a/internal/controlvm/dial.go
+++ b/internal/controlvm/dial.go
@@ -18,14 +18,14 @@
 // Limits of connections between processes.
 const (
 	maxMessage     = 256 << 20 // bytes; a snapshot travels as one message
-	redialMost     = time.Second
-	connectTimeout = 500 * time.Millisecond
+	redialMost     = 300 * time.Millisecond
+	connectTimeout = 150 * time.Millisecond // of the first attempts; later ones get up to redialMost
 	pingEvery      = 10 * time.Second
 	pingTimeout    = 3 * time.Second
 )
 
 // Dial returns a connection to the gRPC listener of a control VM. It connects on first use and
-// again after a loss, at least once a second. A nil pair means no TLS.
+// again after a loss, at least each 300 ms. A nil pair means no TLS.
 func Dial(address string, pair *certificate.Pair) (*grpc.ClientConn, error) {
 	transport := insecure.NewCredentials()
 	if pair != nil {
