--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -231,7 +231,9 @@
 		}
 	}
 	if r.book.Version() != before || u.GetFull() != nil {
+		former := r.table.Load()
 		r.table.Store(newTable(c, r.groups))
+		r.tellLimits(former)
 		r.metrics.versions.Add(1)
 		log.WithFields(log.Fields{"event": "configuration", "version": r.book.Version(), "before": before, "routes": len(c.GetRoutes())}).Info("configuration applied")
 	}
@@ -242,6 +244,20 @@
 	r.offers.Applied(r.book.Version())
 }
 
+// tellLimits logs the client accounts whose limits changed.
+func (r *Relay) tellLimits(former *table) {
+	t := r.table.Load()
+	for name, a := range t.accounts {
+		before := former.accounts[name]
+		if before == nil || before.rate == a.rate && before.burst == a.burst {
+			continue
+		}
+		log.WithFields(log.Fields{
+			"event": "limit", "account": name, "rate": a.rate, "burst": a.burst, "before": before.rate, "version": t.version,
+		}).Info("limit of a client account changed")
+	}
+}
+
 // followEntries takes over the entry VMs that may keep connections.
 func (r *Relay) followEntries() {
 	var entries []placement.EntryVM
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -31,6 +31,7 @@
 	name   string
 	weight float64
 	rate   float64 // operations per second, over all entry VMs
+	burst  float64 // operations at once, over all entry VMs
 }
 
 func newTable(c *wire.Configuration, groups map[string]*group) *table {
@@ -45,7 +46,7 @@
 		}
 	}
 	for _, a := range c.GetAccounts() {
-		t.accounts[a.GetName()] = &account{name: a.GetName(), weight: float64(max(a.GetWeight(), 1)), rate: a.GetRate()}
+		t.accounts[a.GetName()] = &account{name: a.GetName(), weight: float64(max(a.GetWeight(), 1)), rate: a.GetRate(), burst: a.GetBurst()}
 		for _, k := range a.GetKeys() {
 			t.keys[[sha256.Size]byte(k.GetDigest())] = a.GetName()
 		}
