Give scarce rate credits to the latest operation whose answer can be in time

All operations that wait for a credit woke at each grant, and whoever ran first took it, up to 250 ms after its arrival; the targets are 150 to 400 ms. Change: lease.Line keeps who waits; a grant serves the latest arrival that can be in time, then the others, the oldest first. TestLineServesInTimeAboveTheRate plays an account at twice its rate; in order of arrival it serves no operation in time. What remains late are retries: 1.2 refusals each came before, and an entry VM cannot tell a retry, which comes by another VM, from a new operation.

--- /dev/null
+++ b/internal/lease/line_test.go
@@ -0,0 +1,92 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+)
+
+// Plays a client account that asks for twice its rate for a minute, as each VM sees it: an arrival each
+// 100 ms, a credit each 200 ms, a target of 150 ms. Guards against credits that go to operations whose
+// answers are late, while others could be in time.
+func TestLineServesInTimeAboveTheRate(t *testing.T) {
+	const (
+		arrival = 100 * time.Millisecond
+		grant   = 200 * time.Millisecond
+		target  = 150 * time.Millisecond
+		giveUp  = 250 * time.Millisecond
+	)
+	l := lease.NewLine()
+	arrived := map[*lease.Waiter]time.Time{}
+	inTime, late := 0, 0
+	for passed := time.Duration(0); passed < time.Minute; passed += 10 * time.Millisecond {
+		now := epoch.Add(passed)
+		for w, at := range arrived {
+			if now.Sub(at) >= giveUp {
+				require.True(t, l.Remove(w))
+				delete(arrived, w)
+			}
+		}
+		if passed%arrival == 0 {
+			w := &lease.Waiter{Account: "a", Cost: 1, Late: now.Add(target)}
+			l.Add(w)
+			arrived[w] = now
+		}
+		if passed%grant != 0 {
+			continue
+		}
+		credits := 1.0
+		for _, s := range l.Settle(now, spend(&credits)) {
+			if now.Before(s.Late) {
+				inTime++
+			} else {
+				late++
+			}
+			delete(arrived, s.Waiter)
+		}
+	}
+	require.Equal(t, int(time.Minute/grant), inTime, "every credit serves an operation in time")
+	require.Zero(t, late)
+}
+
+// spend takes from a number of credits.
+func spend(credits *float64) func(lease.AccountID, float64) lease.Result {
+	return func(_ lease.AccountID, cost float64) lease.Result {
+		if *credits < cost {
+			return lease.Result{Verdict: lease.Wait}
+		}
+		*credits -= cost
+		return lease.Result{Verdict: lease.Admitted}
+	}
+}
+
+// Guards against late operations that starve while nobody else wants the credits, and against an
+// operation that gave up and still takes one.
+func TestLineServesLateWithWhatIsLeft(t *testing.T) {
+	l := lease.NewLine()
+	first := &lease.Waiter{Account: "a", Cost: 1, Late: epoch.Add(10 * time.Millisecond)}
+	second := &lease.Waiter{Account: "a", Cost: 1, Late: epoch.Add(20 * time.Millisecond)}
+	gone := &lease.Waiter{Account: "a", Cost: 1}
+	other := &lease.Waiter{Account: "b", Cost: 1}
+	for _, w := range []*lease.Waiter{first, second, gone, other} {
+		l.Add(w)
+	}
+	require.True(t, l.Remove(gone))
+	require.False(t, l.Remove(gone))
+	credits := 1.0
+	take := spend(&credits)
+	settled := l.Settle(epoch.Add(time.Second), func(a lease.AccountID, cost float64) lease.Result {
+		if a == "b" {
+			return lease.Result{Verdict: lease.Refused, Retry: time.Second}
+		}
+		return take(a, cost)
+	})
+	require.Equal(t, []lease.Settled{
+		{Waiter: first, Result: lease.Result{Verdict: lease.Admitted}},
+		{Waiter: other, Result: lease.Result{Verdict: lease.Refused, Retry: time.Second}},
+	}, settled)
+	require.True(t, l.Remove(second))
+}
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
@@ -258,27 +260,34 @@
 	if refusal != nil || p.account.name == openAccount {
 		return p, refusal
 	}
+	result, place := s.relay.credits.Enter(arrived, lease.AccountID(p.account.name), 1, p.lateAt(arrived))
+	switch {
+	case result.Verdict == lease.Wait && s.relay.takeAlone(arrived, p.account):
+		s.relay.credits.Quit(place)
+		result.Verdict = lease.Admitted
+	case result.Verdict == lease.Wait:
+		result = s.awaitCredit(ctx, place)
+	}
+	if result.Verdict != lease.Admitted {
+		return nil, s.overRate(p, id, cmp.Or(result.Retry, creditWait))
+	}
+	now := s.relay.options.Now()
+	s.relay.metrics.waits.Add(now.Sub(arrived))
+	p.trace.credit = now.Sub(arrived)
+	return s.permitAgain(now, arrived, p, id)
+}
+
+// awaitCredit waits for the answer to an operation in the line for credits.
+func (s *Session) awaitCredit(ctx context.Context, place *renewal.Place) lease.Result {
 	timer := time.NewTimer(creditWait)
 	defer timer.Stop()
-	for {
-		now := s.relay.options.Now()
-		result, granted := s.relay.credits.Take(now, lease.AccountID(p.account.name), 1)
-		if result.Verdict == lease.Admitted || s.relay.takeAlone(now, p.account) {
-			s.relay.metrics.waits.Add(now.Sub(arrived))
-			p.trace.credit = now.Sub(arrived)
-			return s.permitAgain(now, arrived, p, id)
-		}
-		if result.Verdict == lease.Refused {
-			return nil, s.overRate(p, id, result.Retry)
-		}
-		select {
-		case <-granted:
-		case <-timer.C:
-			return nil, s.overRate(p, id, creditWait)
-		case <-ctx.Done():
-			return nil, s.overRate(p, id, creditWait)
-		}
+	select {
+	case result := <-place.Settled:
+		return result
+	case <-timer.C:
+	case <-ctx.Done():
 	}
+	return s.relay.credits.Quit(place)
 }
 
 // takeAlone admits an operation without a control group, within an equal part of the rate.
--- a/internal/renewal/credits.go
+++ b/internal/renewal/credits.go
@@ -13,27 +13,77 @@
 type Credits struct {
 	mu      sync.Mutex
 	holder  *lease.Holder
+	line    *lease.Line
+	places  map[*lease.Waiter]*Place
 	granted chan struct{} // closed and replaced by each grant
 	settled time.Time     // latest reply of an issuer that knows what all entry VMs hold
 	recheck func()        // has the time of the next Renew looked at again
 }
 
+// Place is the place of an operation that waits for credits.
+type Place struct {
+	Settled chan lease.Result // receives the answer
+	waiter  *lease.Waiter
+}
+
 // NewCredits returns Credits that hold nothing. recheck is called when a Renew is due earlier than
 // Next said before; it must not block.
 func NewCredits(recheck func()) *Credits {
-	return &Credits{holder: lease.NewHolder(), granted: make(chan struct{}), recheck: recheck}
+	return &Credits{
+		holder: lease.NewHolder(), line: lease.NewLine(), places: map[*lease.Waiter]*Place{}, granted: make(chan struct{}), recheck: recheck,
+	}
 }
 
 // Take spends credits. The channel closes at the next grant.
 func (c *Credits) Take(now time.Time, account lease.AccountID, cost float64) (lease.Result, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.take(now, account, cost), c.granted
+}
+
+// take spends credits. The lock is held.
+func (c *Credits) take(now time.Time, account lease.AccountID, cost float64) lease.Result {
 	before := c.holder.Next()
 	result := c.holder.Take(now, account, cost)
 	if c.holder.Next().Before(before) {
 		c.recheck()
 	}
-	return result, c.granted
+	return result
+}
+
+// Enter spends credits as Take does. An operation that must wait gets a place in the line, which it
+// leaves by an answer or by Quit. Late is when its answer is late for its caller; zero for never.
+func (c *Credits) Enter(now time.Time, account lease.AccountID, cost float64, late time.Time) (lease.Result, *Place) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	result := c.take(now, account, cost)
+	if result.Verdict != lease.Wait {
+		return result, nil
+	}
+	p := &Place{Settled: make(chan lease.Result, 1), waiter: &lease.Waiter{Account: account, Cost: cost, Late: late}}
+	c.line.Add(p.waiter)
+	c.places[p.waiter] = p
+	return result, p
+}
+
+// Quit gives up a place. The result is Wait, or the answer that came before.
+func (c *Credits) Quit(p *Place) lease.Result {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.line.Remove(p.waiter) {
+		return <-p.Settled
+	}
+	delete(c.places, p.waiter)
+	return lease.Result{Verdict: lease.Wait}
+}
+
+// settle answers who waits in the line, after a grant. The lock is held.
+func (c *Credits) settle(now time.Time) {
+	take := func(account lease.AccountID, cost float64) lease.Result { return c.take(now, account, cost) }
+	for _, s := range c.line.Settle(now, take) {
+		c.places[s.Waiter].Settled <- s.Result
+		delete(c.places, s.Waiter)
+	}
 }
 
 // TakeAlone spends from the part of a rate that is left to this VM while no issuer answers.
@@ -59,6 +109,7 @@
 	if !reply.GetSettling() {
 		c.settled = now
 	}
+	c.settle(now)
 	close(c.granted)
 	c.granted = make(chan struct{})
 }
