Let entry VMs reach a new control leader at once

Cause: after a restart of all VMs entry VMs reached the leader 30 to 250 ms after it led, and operations then waited another 80 to 200 ms for their first credits (event=slow lines: credit=85ms typical). A control VM without a leader answered at once, so entry VMs polled each 50 ms; a redirect cost another 50 ms; the next Renew came 100 ms after the first, which carried no demand yet. Change: a Renew waits up to 300 ms for a leader; a redirect is followed without a pause, twice at most; three Renews may follow each other after 10 ms, one more each 2 s. The pace under lasting demand stays 100 ms.

--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -17,6 +17,10 @@
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
+// leaderWait bounds how long a Renew waits for a leader. It is below the time after which an entry VM asks
+// another control VM.
+const leaderWait = 300 * time.Millisecond
+
 // configurationLease bounds how long an entry VM may serve, from the send time of its request.
 const configurationLease = 2500 * time.Millisecond
 
@@ -152,6 +156,9 @@
 	}
 	s.vm.metrics.renewals.Add(1)
 	reply, known, err := s.renew(ctx, r)
+	if err == nil && known && !reply.GetLeader() && reply.GetRedirect() == "" && s.awaitLeader(ctx) {
+		reply, known, err = s.renew(ctx, r)
+	}
 	if err != nil || known {
 		return reply, failure(err)
 	}
@@ -163,6 +170,32 @@
 	return reply, failure(err)
 }
 
+// awaitLeader waits a short while until a leader is known, so that entry VMs reach a new one at once. It
+// is false if none became known.
+func (s *service) awaitLeader(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaderWait)
+	defer cancel()
+	w := &watcher{wake: make(chan struct{}, 1)}
+	if s.vm.inbox.Do(ctx, func(time.Time) { s.vm.watchers[w] = struct{}{} }) != nil {
+		return false
+	}
+	defer s.vm.inbox.Post(context.WithoutCancel(ctx), func(time.Time) { delete(s.vm.watchers, w) }) //nolint:errcheck // the process has ended
+	for {
+		known := false
+		if s.vm.inbox.Do(ctx, func(now time.Time) { known = s.vm.voter.LeaderAddress(now) != "" }) != nil {
+			return false
+		}
+		if known {
+			return true
+		}
+		select {
+		case <-w.wake:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 // renew is false for an entry VM that must be registered first.
 func (s *service) renew(ctx context.Context, r *wire.RenewRequest) (reply *wire.RenewReply, known bool, err error) {
 	err = s.vm.inbox.Do(ctx, func(now time.Time) { reply, known = s.vm.renew(now, r) })
--- a/internal/renewal/client.go
+++ b/internal/renewal/client.go
@@ -35,6 +35,12 @@
 	watchers = 2
 	// LeaveWait bounds the last Renew of a process that leaves.
 	LeaveWait = time.Second
+	// mostHops is how many redirects are followed without a pause.
+	mostHops = 2
+	// paceBurst is how many Renews of waiting statements may come before their pauses have passed, and
+	// paceRefill the time after which another one may.
+	paceBurst  = 3
+	paceRefill = 2 * time.Second
 	// watchPause is the wait before another control VM is watched.
 	watchPause = 50 * time.Millisecond
 )
@@ -79,6 +85,8 @@
 	due      chan struct{} // holds one token when a Renew is due now
 	moved    chan struct{} // holds one token when the time of the next Renew may be earlier
 	started  time.Time
+	spare    float64   // Renews that may follow the one before quickly
+	earned   time.Time // when spare was computed
 	sequence uint64
 	term     uint64 // control log term of the latest reply; a leader grants only to requests that name its own
 	clients  map[string]wire.ControlClient
@@ -96,7 +104,7 @@
 // New returns a Client that does nothing until Run.
 func New(host Host, options Options) *Client {
 	c := &Client{
-		options: options, host: host, started: options.Now(),
+		options: options, host: host, started: options.Now(), spare: paceBurst, earned: options.Now(),
 		due: make(chan struct{}, 1), moved: make(chan struct{}, 1), clients: make(map[string]wire.ControlClient),
 		ended: make(chan struct{}), leaving: make(chan struct{}),
 		at: rand.IntN(max(len(options.Controls()), 1)), watched: make(map[string]bool), streams: make(map[string]context.CancelFunc),
@@ -166,7 +174,7 @@
 	for range min(watchers, len(c.addresses())) {
 		go c.watch(ctx)
 	}
-	at, redirect := rand.IntN(len(c.addresses())), ""
+	at, redirect, hops := rand.IntN(len(c.addresses())), "", 0
 	for {
 		addresses := c.addresses()
 		address := addresses[at%len(addresses)]
@@ -188,9 +196,16 @@
 			redirect = address
 		}
 		pause := renewInterval
-		if err != nil || !reply.GetLeader() {
+		switch {
+		case err != nil || reply.GetRedirect() == address:
+			pause = failPause
+		case !reply.GetLeader() && redirect != "" && hops < mostHops:
+			hops++
+			continue
+		case !reply.GetLeader():
 			pause = failPause
 		}
+		hops = 0
 		if !c.pause(ctx, pause) {
 			c.announceLeave(address)
 			return
@@ -200,30 +215,25 @@
 
 // pause waits for the next Renew. It returns false when the VM leaves.
 func (c *Client) pause(ctx context.Context, most time.Duration) bool {
-	least := time.NewTimer(min(c.options.Pause, most))
-	defer least.Stop()
-	select {
-	case <-least.C:
-	case <-c.leaving:
-		return false
-	case <-ctx.Done():
-		return false
-	}
+	woken := false
 	for start := c.options.Now(); ; {
 		now := c.options.Now()
-		left := min(most-now.Sub(start), c.credits.next().Sub(now))
+		passed := now.Sub(start)
+		left := min(most-passed, c.credits.next().Sub(now))
+		if woken {
+			left = 0
+		}
+		left = max(left, c.least(now, most)-passed)
 		if left <= 0 {
+			c.spend(passed, most)
 			return true
 		}
 		timer := time.NewTimer(left)
 		select {
 		case <-timer.C:
-			return true
 		case <-c.due:
-			timer.Stop()
-			return true
+			woken = true
 		case <-c.moved:
-			timer.Stop()
 		case <-c.leaving:
 			timer.Stop()
 			return false
@@ -231,6 +241,25 @@
 			timer.Stop()
 			return false
 		}
+		timer.Stop()
+	}
+}
+
+// least returns the least time between two Renews. A few may follow each other quickly: after a start, or
+// when a client account appears at this VM, statements wait for their first credits.
+func (c *Client) least(now time.Time, most time.Duration) time.Duration {
+	c.spare = min(c.spare+now.Sub(c.earned).Seconds()/paceRefill.Seconds(), paceBurst)
+	c.earned = now
+	if c.spare >= 1 {
+		return min(Pause, c.options.Pause, most)
+	}
+	return min(c.options.Pause, most)
+}
+
+// spend counts a Renew that came early.
+func (c *Client) spend(passed, most time.Duration) {
+	if passed < min(c.options.Pause, most) {
+		c.spare = max(c.spare-1, 0)
 	}
 }
 
