State the age of an entry VM at its registration, not at its first attempt

The issuer adds what was earned while no entry VM ran, by the ages that the new processes state; the trial with bucket levels shows an age of 0 each time, since the age was fixed at the first attempt, before there was a leader. Change: the age grows until a leader answers. A control VM that is in no group answers a Renew at once.

--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -171,7 +171,7 @@
 }
 
 // awaitLeader waits a short while until a leader is known, so that entry VMs reach a new one at once. It
-// is false if none became known.
+// is false if none became known, or if this control VM is in no group.
 func (s *service) awaitLeader(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, leaderWait)
 	defer cancel()
@@ -181,8 +181,11 @@
 	}
 	defer s.vm.inbox.Post(context.WithoutCancel(ctx), func(time.Time) { delete(s.vm.watchers, w) }) //nolint:errcheck // the process has ended
 	for {
-		known := false
-		if s.vm.inbox.Do(ctx, func(now time.Time) { known = s.vm.voter.LeaderAddress(now) != "" }) != nil {
+		formed, known := false, false
+		err := s.vm.inbox.Do(ctx, func(now time.Time) {
+			formed, known = s.vm.voter.Formed(), s.vm.voter.LeaderAddress(now) != ""
+		})
+		if err != nil || !formed {
 			return false
 		}
 		if known {
--- a/internal/renewal/client.go
+++ b/internal/renewal/client.go
@@ -269,7 +269,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.sequence == 0 {
+	if c.term == 0 {
+		// Until a leader answers, nothing was admitted here for as long as the process runs.
 		c.options.Registration.Age = c.options.Now().Sub(c.started).Milliseconds()
 	}
 	request := &wire.RenewRequest{Registration: c.options.Registration, Leaving: leaving, Term: c.term}
