--- a/internal/lane/held_test.go
+++ b/internal/lane/held_test.go
@@ -88,3 +88,29 @@
 		require.Equal(t, map[string]string{"color": "blue"}, seen)
 	}
 }
+
+// TestLargeAccountMakesRoom guards against connections of small client accounts that are closed in favor of
+// the idle ones of a large account: each would have to be opened again, which takes a slot of the instance.
+func TestLargeAccountMakesRoom(t *testing.T) {
+	i := &instance{}
+	l := lane.New(lane.Options{Server: "i", Dial: i.dial, Now: func() time.Time { return time.Unix(1000, 0) }, Slots: 8, Connections: 6})
+	run := func(accounts ...string) {
+		var held []*lane.Held
+		for _, account := range accounts {
+			h := l.Hold(account, 1, true)
+			_, err := h.Run(t.Context(), lane.Limit{Until: time.Unix(1001, 0)}, nil, operation.Statement{Kind: operation.Read})
+			require.NoError(t, err)
+			held = append(held, h)
+		}
+		for _, h := range held {
+			h.Release()
+		}
+	}
+	run("small", "smaller", "smallest")
+	run("large", "large", "large")
+	require.Len(t, i.values, 6)
+	run("another")
+	require.Len(t, i.values, 7)
+	run("small", "smaller", "smallest")
+	require.Len(t, i.values, 7, "their connections are still open")
+}
--- a/internal/lane/lane.go
+++ b/internal/lane/lane.go
@@ -209,7 +209,7 @@
 			return nil
 		}
 		if l.open >= l.most() && len(l.idle) > 0 {
-			l.drop(0)
+			l.drop(l.spare())
 		}
 		if l.open < l.most() {
 			l.open++
@@ -273,6 +273,23 @@
 	return best
 }
 
+// spare returns the idle connection that makes room for another client account: the oldest one of the
+// account with the most of them. It answers many accounts on few connections, where the bursts of a large
+// account would take the only connection of each small one. The lock is held.
+func (l *Lane) spare() int {
+	counts := make(map[string]int, len(l.idle))
+	for _, p := range l.idle {
+		counts[p.line.account]++
+	}
+	best := 0
+	for i, p := range l.idle {
+		if counts[p.line.account] > counts[l.idle[best].line.account] {
+			best = i
+		}
+	}
+	return best
+}
+
 // connect opens the connection that was counted for a holder.
 func (l *Lane) connect(ctx context.Context, h *Held) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
