Let statements wait for the entry VM that keeps the connections after a restart

A VM that had just started and held no views yet answered that the instance had left, so the others passed it over for 2 s; a connection between entry VMs that was being opened counted as unusable. Change: a VM without views lets statements of others wait for the first ones (400 ms at most). A statement waits up to 120 ms for a connection to the keeper that is being opened. Limits follow a view at once, not with the next tick.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -31,9 +31,12 @@
 	pingPause = 50 * time.Millisecond
 	// shunned is how long an entry VM that failed is left out.
 	shunned = time.Second
-	// connectTimeout bounds the opening of a connection.
-	connectTimeout = 300 * time.Millisecond
-	redialMost     = 500 * time.Millisecond
+	// connectTimeout bounds the first attempts to open a connection; later ones get up to redialMost.
+	connectTimeout = 150 * time.Millisecond
+	// openWait bounds the wait of statements for a connection that is being opened. It is above two ways
+	// between zones and the start of a VM that was restarted a moment later.
+	openWait   = 120 * time.Millisecond
+	redialMost = 500 * time.Millisecond
 )
 
 // ErrPeer marks the loss of the other entry VM, which tells nothing of the backend server.
@@ -57,6 +60,7 @@
 	replied     time.Time
 	pinged      time.Time // when the ping in progress was sent; zero if there is none
 	shunned     time.Time // not used before
+	apart       time.Time // since when there is no connection, as far as it was asked for; zero with one
 }
 
 // NewClient returns a Client without connections.
@@ -112,6 +116,42 @@
 	return p.answers(c.now)
 }
 
+// Await waits until the entry VM at an address is connected, if the connection has been opening for a short
+// time only.
+func (c *Client) Await(address string) {
+	p, err := c.peer(address)
+	if err != nil {
+		return
+	}
+	left := p.opening(c.now())
+	if left <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	for state := p.conn.GetState(); state != connectivity.Ready && state != connectivity.TransientFailure; state = p.conn.GetState() {
+		if !p.conn.WaitForStateChange(ctx, state) {
+			return
+		}
+	}
+}
+
+// opening returns how long the opening of the connection is still worth waiting for.
+func (p *peer) opening(now time.Time) time.Duration {
+	state := p.conn.GetState()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state == connectivity.Ready {
+		p.apart = time.Time{}
+		return 0
+	}
+	if p.apart.IsZero() {
+		p.apart = now
+		p.conn.Connect()
+	}
+	return openWait - now.Sub(p.apart)
+}
+
 // answers reports whether the peer replies. A request may take long because its instance is busy, so
 // the peer is asked once one is old.
 func (p *peer) answers(clock func() time.Time) bool {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -71,7 +71,7 @@
 // lanes serves one instance.
 type lanes struct{ lane *lane.Lane }
 
-func (l lanes) Lane(server string) *lane.Lane {
+func (l lanes) Lane(_ context.Context, server string) *lane.Lane {
 	if server != "i" {
 		return nil
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -24,8 +24,9 @@
 
 // Lanes finds the lane of a backend server. It is safe for concurrent use.
 type Lanes interface {
-	// Lane returns nil if the VM does not serve the backend server, or shuts down.
-	Lane(server string) *lane.Lane
+	// Lane returns nil if the VM does not serve the backend server, or shuts down. It may wait for a VM that
+	// has just started, until ctx ends.
+	Lane(ctx context.Context, server string) *lane.Lane
 }
 
 // Server runs statements for other entry VMs.
@@ -57,7 +58,7 @@
 	if len(r.GetSteps()) == 0 {
 		return &wire.ForwardReply{}, nil // asks whether this VM answers
 	}
-	l := s.lanes.Lane(r.GetServer())
+	l := s.lanes.Lane(ctx, r.GetServer())
 	if l == nil {
 		return &wire.ForwardReply{Failure: wire.Failure_FAILURE_LEFT}, nil
 	}
@@ -84,7 +85,7 @@
 			return err
 		}
 		if h == nil {
-			if l = s.lanes.Lane(r.GetServer()); l == nil {
+			if l = s.lanes.Lane(stream.Context(), r.GetServer()); l == nil {
 				return stream.Send(&wire.ForwardReply{Failure: wire.Failure_FAILURE_LEFT})
 			}
 			h = l.Hold(r.GetAccount(), r.GetWeight(), r.GetRead())
--- a/internal/relay/group.go
+++ b/internal/relay/group.go
@@ -62,6 +62,7 @@
 	now      func() time.Time
 	distance func(zone string) time.Duration
 	owner    func(m *member, now time.Time) string // address of the entry VM that keeps the connections; empty for this one
+	keeper   func(m *member) string                // address of the entry VM that is to keep them
 	forward  *forward.Client
 	flight   singleflight.Group
 
@@ -83,7 +84,7 @@
 
 func newGroup(name string, r *Relay) *group {
 	return &group{
-		name: name, now: r.options.Now, distance: r.distance, owner: r.owner, forward: r.forward,
+		name: name, now: r.options.Now, distance: r.distance, owner: r.owner, keeper: r.keeper, forward: r.forward,
 		finder: placement.NewFinder(), reader: placement.NewReader(rand.Uint64()), changed: make(chan struct{}),
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -92,6 +92,7 @@
 	table    atomic.Pointer[table]
 	entries  atomic.Pointer[[]placement.EntryVM]
 	lanes    atomic.Pointer[map[string]*lane.Lane] // by instance
+	viewed   chan struct{}                         // closed when the first views were published
 	offers   renewal.Offers                        // changed by the owner goroutine only
 	draining atomic.Bool
 	closing  atomic.Bool // new sessions are refused
@@ -108,7 +109,7 @@
 func New(o Options) *Relay {
 	r := &Relay{
 		options: o, identity: renewal.NewIdentity(),
-		ended: make(chan struct{}), metrics: newMetrics(),
+		ended: make(chan struct{}), viewed: make(chan struct{}), metrics: newMetrics(),
 		sessions: map[*Session]struct{}{}, book: contract.New(), groups: map[string]*group{},
 	}
 	r.forward = forward.NewClient(o.Now)
@@ -195,12 +196,19 @@
 	_ = r.inbox.Post(r.ctx, f)
 }
 
-// tend does what is due.
-func (r *Relay) tend(now time.Time) {
+// share sets how many connections to each instance this VM may open.
+func (r *Relay) share(now time.Time) {
 	entries := r.entries.Load()
 	for _, g := range r.groups {
 		w, _ := r.book.Group(g.name)
 		g.share(now, r.options.Process, entries, int(w.GetConnections())/keptParts)
+	}
+}
+
+// tend does what is due.
+func (r *Relay) tend(now time.Time) {
+	r.share(now)
+	for _, g := range r.groups {
 		g.tend(now)
 		if s := g.sight(now); s != nil && !s.Reachable {
 			r.control.Wake() // the control group decides by what entry VMs miss
@@ -241,6 +249,7 @@
 	if u.GetEntered() > 0 {
 		r.followEntries()
 	}
+	r.share(now)
 	r.offers.Applied(r.book.Version())
 }
 
@@ -302,6 +311,13 @@
 		}
 	}
 	r.lanes.Store(&lanes)
+	select {
+	case <-r.viewed:
+	default:
+		if len(lanes) > 0 {
+			close(r.viewed)
+		}
+	}
 }
 
 // open returns the lane of an instance.
--- a/internal/relay/way.go
+++ b/internal/relay/way.go
@@ -13,6 +13,9 @@
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
+// viewWait bounds the wait of other entry VMs' statements for the first views of this VM.
+const viewWait = 400 * time.Millisecond
+
 // unreachedFor is how long an entry VM that does not reach an instance is passed over for it.
 const unreachedFor = 2 * time.Second
 
@@ -41,6 +44,7 @@
 // way returns a holder for an instance: by the entry VM that keeps the connections to it, or by a
 // connection of this VM if that one does not answer.
 func (g *group) way(m *member, a ask) *way {
+	g.await(m)
 	g.mu.Lock()
 	g.account = a.account
 	via := g.owner(m, g.now())
@@ -61,6 +65,18 @@
 	return w
 }
 
+// await waits a short while for the connection to the entry VM that keeps those to an instance, if it is
+// being opened. Without it, each VM opens connections of its own after a restart, for which the instance
+// has neither room nor time.
+func (g *group) await(m *member) {
+	g.mu.Lock()
+	address := g.keeper(m)
+	g.mu.Unlock()
+	if address != "" {
+		g.forward.Await(address)
+	}
+}
+
 // Server returns the name of the instance.
 func (w *way) Server() string { return string(w.member.id) }
 
@@ -149,6 +165,16 @@
 	return errors.Is(err, lane.ErrBroken) || errors.Is(err, lane.ErrSlow)
 }
 
+// keeper returns the address of the entry VM that is to keep the connections to an instance, or "" for this
+// VM or none. The lock of the group is held.
+func (r *Relay) keeper(m *member) string {
+	all := m.candidates(r.entries.Load())
+	if len(all) == 0 || all[0].ID == r.options.Process {
+		return ""
+	}
+	return all[0].Address
+}
+
 // owner returns the address of the entry VM that keeps the connections to an instance, or "" for this
 // VM. The lock of the group is held.
 func (r *Relay) owner(m *member, now time.Time) string {
@@ -166,8 +192,16 @@
 	return ""
 }
 
-// Lane implements forward.Lanes.
-func (r *Relay) Lane(server string) *lane.Lane {
+// Lane implements forward.Lanes. A VM that has just started waits a short while for its first views: the
+// others would take an instance for gone and go other ways.
+func (r *Relay) Lane(ctx context.Context, server string) *lane.Lane {
+	ctx, cancel := context.WithTimeout(ctx, viewWait)
+	defer cancel()
+	select {
+	case <-r.viewed:
+	case <-ctx.Done():
+		return nil
+	}
 	if r.closing.Load() {
 		return nil
 	}
