End the promise to a control leader whose data folder was lost

Change: a process with another identity at the leader's address is asked to return a number; with it, the promise ends, since one process at a time has an address. A delayed message of an earlier process does not end it.

--- a/internal/controllog/election.go
+++ b/internal/controllog/election.go
@@ -34,7 +34,7 @@
 }
 
 func (v *Voter) saveVote(term uint64, vote, leader Identity) {
-	v.term, v.vote, v.incumbent = term, vote, leader
+	v.term, v.vote, v.incumbent, v.nonce = term, vote, leader, 0
 	v.emit(SaveVote{term, vote, leader})
 }
 
@@ -47,13 +47,18 @@
 // release ends the promise to the leader of the term when it stands for a later one: it leads the term no
 // more and never will again.
 func (v *Voter) release(now time.Time, candidate Identity, term uint64) {
-	if term <= v.term || candidate != v.incumbent || v.released {
-		return
+	if term > v.term && candidate == v.incumbent && !v.released {
+		v.end(now)
 	}
+}
+
+// end notes that the leader of the term leads no more. This voter may stand for election soon: the former
+// leader may lack records that others hold.
+func (v *Voter) end(now time.Time) {
 	v.released = true
 	v.leader = ""
 	if v.role == Follower {
-		v.pause(now, v.paced(PollAgain)) // the candidate may lack records that others hold
+		v.pause(now, v.paced(PollAgain))
 	}
 }
 
--- a/internal/controllog/membership.go
+++ b/internal/controllog/membership.go
@@ -13,7 +13,7 @@
 // greet introduces this process to the group while it has none, or has heard nothing of it.
 func (v *Voter) greet(now time.Time) {
 	silent := v.role != Leader && now.Sub(v.heard) >= Lonely
-	if (v.Formed() && !silent) || now.Sub(v.greeted) < HelloEvery {
+	if (v.Formed() && !silent) || now.Sub(v.greeted) < v.paced(HelloEvery) {
 		return
 	}
 	v.greeted = now
@@ -52,16 +52,49 @@
 
 // hello answers a process that introduces itself. A leader admits it as a learner.
 func (v *Voter) hello(now time.Time, m *wire.VoterMessage, h *wire.Hello) {
-	r := &wire.HelloReply{Zone: v.place.Zone, Formed: v.Formed(), Leader: v.LeaderAddress(now), Spare: v.place.Spare}
+	r := &wire.HelloReply{
+		Zone: v.place.Zone, Formed: v.Formed(), Leader: v.LeaderAddress(now), Spare: v.place.Spare, Challenge: v.challenge(now, m, h),
+	}
 	v.send(m.Address, m.From, &wire.VoterMessage{Body: &wire.VoterMessage_HelloReply{HelloReply: r}})
 	if v.role == Leader && v.settled() {
 		v.admit(now, &wire.VoterMember{Identity: m.From, Address: m.Address, Zone: h.Zone, Learner: true})
 	}
 }
 
+// challenge answers a process with another identity at the address of the leader of the term. Only one
+// process at a time has an address, so the leader has ended if the other one lives now; a delayed Hello of
+// an earlier process does not show that. So the process must return a number first.
+func (v *Voter) challenge(now time.Time, m *wire.VoterMessage, h *wire.Hello) uint64 {
+	if v.released || v.role == Leader || m.From == string(v.incumbent) || m.Address != v.incumbentAddress() {
+		return 0
+	}
+	if v.nonce != 0 && h.Echo == v.nonce {
+		v.end(now)
+		return 0
+	}
+	for v.nonce == 0 {
+		v.nonce = v.random.Uint64()
+	}
+	return v.nonce
+}
+
+// incumbentAddress returns the address of the leader of the term as the membership has it, or "".
+func (v *Voter) incumbentAddress() string {
+	for _, m := range v.Membership().Members {
+		if m.Identity == string(v.incumbent) {
+			return m.Address
+		}
+	}
+	return ""
+}
+
 // helloReply gathers what the other control VMs know. The one with the lowest address forms the
 // group, once all of them have said that they have none.
 func (v *Voter) helloReply(now time.Time, m *wire.VoterMessage, r *wire.HelloReply) {
+	if r.Challenge != 0 {
+		h := &wire.Hello{Zone: v.place.Zone, Spare: v.place.Spare, Echo: r.Challenge}
+		v.send(m.Address, m.From, &wire.VoterMessage{Body: &wire.VoterMessage_Hello{Hello: h}})
+	}
 	if r.Leader != "" && !slices.Contains(v.known, r.Leader) {
 		v.known = []string{r.Leader}
 	}
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -66,6 +66,7 @@
 
 	leader   string    // address of the leader of the term; empty if unknown
 	released bool      // the leader of the term leads no more, so the promise to it has ended
+	nonce    uint64    // challenge to a process at the address of the leader of the term; 0 for none
 	heard    time.Time // when the leader of the term was last heard; at start, the start
 	deadline time.Time // when to stand for election
 	greeted  time.Time // when Hello was last sent
--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -129,6 +129,49 @@
 	require.NotSame(t, former, c.leader())
 }
 
+// Guards against voters that keep their promise to a leader whose data folder was lost: a process with a
+// new identity at its address shows that it has ended.
+func TestLostFolderOfLeaderReleasesOthers(t *testing.T) {
+	for seed := range uint64(30) {
+		c := newCluster(t, seed, 3, 0)
+		c.until(10*time.Second, "forming the group", c.whole)
+		c.propose()
+		c.run(20 * step)
+		former := c.leader()
+		for _, m := range c.machines {
+			c.crash(m)
+		}
+		c.format(former)
+		for _, m := range c.machines {
+			c.boot(m)
+		}
+		c.until(controllog.ElectionLeast, "election", func() bool { return c.leader() != nil })
+		require.NotSame(t, former, c.leader())
+	}
+}
+
+// Guards against a delayed message of an earlier process at the leader's address that ends the promise to
+// the leader.
+func TestDelayedHelloKeepsPromise(t *testing.T) {
+	c := newCluster(t, 11, 3, 0)
+	c.until(10*time.Second, "forming the group", c.whole)
+	l := c.leader()
+	other := c.machines[0]
+	if l == other {
+		other = c.machines[1]
+	}
+	hello := &wire.VoterMessage{
+		From: "earlier", Address: l.place.Address, Body: &wire.VoterMessage_Hello{Hello: &wire.Hello{Echo: 7}},
+	}
+	c.handle(other, controllog.Received{Message: hello})
+	ballot := &wire.Ballot{Trial: true, Term: other.voter.Term() + 1, Last: 1 << 20, LastTerm: 1 << 20}
+	body := &wire.VoterMessage_Ballot{Ballot: ballot}
+	for _, e := range other.voter.Step(c.now(other), controllog.Received{Message: &wire.VoterMessage{From: "id009", Address: "vm9", Body: body}}) {
+		s, ok := e.(controllog.Send)
+		require.False(t, ok && s.Message.GetBallotReply().GetGranted())
+	}
+}
+
 // Guards against a voter that forgets with a restart, or because a candidate asks, the promise on
 // which the leader's lease rests: the third voter cannot reach the leader and stands for election.
 func TestPromiseToLeader(t *testing.T) {
