Run the latest statements first while a line is behind; refuse what is late and will not run

In order of arrival each statement runs just when it is late. Change: for 500 ms after a statement of a line was late, the latest one that can be in time goes first. A statement that has been late for 100 ms is refused when there were others in time for as long.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // lane separates statements of one client account that are scheduled by different rules.
 type lane uint8
 
@@ -30,7 +32,9 @@
 type line struct {
 	head, tail int32
 	length     int
-	place      int // index in the heap of the lane, or notHeld
+	place      int       // index in the heap of the lane, or notHeld
+	behind     time.Time // when a statement was last found late for its caller; zero if never
+	caught     time.Time // when a late one, or none, was last left to run
 }
 
 // flow is one client account at the server.
--- a/internal/admission/overdue_test.go
+++ b/internal/admission/overdue_test.go
@@ -89,3 +89,43 @@
 	require.Equal(t, admission.Admitted, result)
 	require.Equal(t, "new", ticket.Tag)
 }
+
+// Plays an account that asks for half more than a slot serves, for 4 s. Guards against statements that all
+// run just when they are late, and against refusals that come at the deadline although it was known long
+// before that the statement would not run.
+func TestLastingOverloadServesInTime(t *testing.T) {
+	const (
+		arrive = 13 * time.Millisecond
+		length = 4 * time.Second
+	)
+	works := []time.Duration{8 * time.Millisecond, 45 * time.Millisecond, 12 * time.Millisecond, 15 * time.Millisecond} // 20 ms on average
+	q := admission.NewWith(admission.Settings{Slots: 1, Fixed: true})
+	now := warm(q, "a", workEach)
+	start, next := now, now
+	inTime, ran := 0, 0
+	var held time.Duration // longest wait for a refusal
+	for now.Sub(start) < length {
+		for !next.After(now) {
+			q.Push(now, admission.Ticket{Account: "a", Read: true, Deadline: next.Add(givenUp), Target: next.Add(targetAfter), Tag: next})
+			next = next.Add(arrive)
+		}
+		ticket, result := q.Pop(now)
+		arrived, _ := ticket.Tag.(time.Time)
+		switch result {
+		case admission.Admitted:
+			work := works[ran%len(works)]
+			ran++
+			now = now.Add(work)
+			q.Done(now, ticket, work, false)
+			if now.Sub(arrived) <= targetAfter {
+				inTime++
+			}
+		case admission.Late:
+			held = max(held, now.Sub(arrived))
+		case admission.None:
+			now = now.Add(time.Millisecond)
+		}
+	}
+	require.GreaterOrEqual(t, inTime, ran*9/10, "in time, of those that ran")
+	require.Less(t, held, givenUp/2)
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -15,6 +15,14 @@
 // memory, which matters with thousands of queues.
 const fewFlows = 8
 
+const (
+	// behindFor is how long a line counts as behind after a statement of it was late for its caller.
+	behindFor = 500 * time.Millisecond
+	// lostAfter is how long a statement that is late for its caller waits for a moment without others, and
+	// how long there must have been none.
+	lostAfter = 100 * time.Millisecond
+)
+
 // Queue orders the statements of one entry VM for one backend server. It never holds back a
 // statement while fewer than the allowed number run. Accounts that used less than their share may
 // exceed the allowed number up to the slots. It is not safe for concurrent use.
@@ -148,6 +156,7 @@
 		// Above the limit there is room only for accounts that used less than their share.
 		return Ticket{}, None
 	}
+	q.dropLost(now, f, lane)
 	index := q.pick(now, f, lane)
 	t := q.nodes[index].ticket
 	if q.isLate(now, t.Deadline) {
@@ -163,15 +172,43 @@
 	return t, Admitted
 }
 
-// pick returns the first waiting statement of a line that is not late for its caller, or the first.
+// pick returns the next statement of a line: the first one that is not late for its caller, or the last
+// such one while the line is behind, or else the first. Behind, in order of arrival each statement would run
+// just when it is late.
 func (q *Queue) pick(now time.Time, f *flow, lane lane) int32 {
-	head := f.lines[lane].head
-	for index := head; index != noNode; index = q.nodes[index].next {
+	l := &f.lines[lane]
+	if q.isOverdue(now, f, &q.nodes[l.head].ticket) {
+		l.behind = now
+	}
+	from, step := l.head, func(n *node) int32 { return n.next }
+	if !l.behind.IsZero() && now.Sub(l.behind) < behindFor {
+		from, step = l.tail, func(n *node) int32 { return n.prev }
+	}
+	for index := from; index != noNode; index = step(&q.nodes[index]) {
 		if !q.isOverdue(now, f, &q.nodes[index].ticket) {
 			return index
 		}
 	}
-	return head
+	l.caught = now
+	return l.head
+}
+
+// dropLost takes out the statements of a line that are late for their callers and will not run: for some
+// time there were always others that are not late.
+func (q *Queue) dropLost(now time.Time, f *flow, lane lane) {
+	l := &f.lines[lane]
+	if l.caught.IsZero() {
+		l.caught = now
+	}
+	for l.length > 1 && lane != continuing && now.Sub(l.caught) >= lostAfter {
+		head := q.nodes[l.head].ticket
+		last := q.nodes[l.tail].ticket
+		if head.Target.IsZero() || now.Sub(head.Target) < lostAfter || q.isOverdue(now, f, &last) {
+			return
+		}
+		q.take(l.head)
+		q.shed = append(q.shed, head)
+	}
 }
 
 // isOverdue reports whether a statement that starts now is answered after its target.
@@ -430,6 +467,7 @@
 	f, l := n.flow, &n.flow.lines[n.lane]
 	if l.length == 1 {
 		q.heaps[n.lane].remove(f)
+		l.caught = time.Time{} // an empty line has caught up
 	}
 	if n.prev != noNode {
 		q.nodes[n.prev].next = n.next
