Let operations that wait run within the part of a rate that a VM without control group has

Ruled out: retries that use up the rate (each account admitted less than its rate), hot accounts. Change: the owner goroutine offers that part to the waiting operations each 50 ms, in the order of the line. Test: TestWaitersRunAlone. The bound of the parts is unchanged.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -207,6 +207,7 @@
 
 // tend does what is due.
 func (r *Relay) tend(now time.Time) {
+	r.settleAlone(now)
 	r.share(now)
 	for _, g := range r.groups {
 		g.tend(now)
--- a/internal/relay/session.go
+++ b/internal/relay/session.go
@@ -295,14 +295,32 @@
 	if r.options.Stale == 0 {
 		return false
 	}
-	part := a.rate / float64(max(len(*r.entries.Load()), 1))
-	if !r.credits.TakeAlone(now, lease.AccountID(a.name), part, 1) {
+	if !r.credits.TakeAlone(now, lease.AccountID(a.name), r.part(a), 1) {
 		return false
 	}
 	r.metrics.alone.Add(1)
 	return true
 }
 
+// part returns the part of the rate of a client account that is left to this VM without a control group.
+func (r *Relay) part(a *account) float64 {
+	return a.rate / float64(max(len(*r.entries.Load()), 1))
+}
+
+// settleAlone lets waiting operations run within the parts of the rates that are left to this VM.
+func (r *Relay) settleAlone(now time.Time) {
+	if r.options.Stale == 0 {
+		return
+	}
+	t := r.table.Load()
+	r.credits.SettleAlone(now, func(name lease.AccountID) float64 {
+		if a := t.accounts[string(name)]; a != nil {
+			return r.part(a)
+		}
+		return 0
+	})
+}
+
 // permitAgain checks the configuration again after a wait.
 func (s *Session) permitAgain(now, arrived time.Time, p *permit, id string) (*permit, *operation.Answer) {
 	if now.Sub(arrived) < tick {
--- a/internal/renewal/credits.go
+++ b/internal/renewal/credits.go
@@ -77,15 +77,30 @@
 	return lease.Result{Verdict: lease.Wait}
 }
 
-// settle answers who waits in the line, after a grant. The lock is held.
-func (c *Credits) settle(now time.Time) {
-	take := func(account lease.AccountID, cost float64) lease.Result { return c.take(now, account, cost) }
+// settle answers who waits in the line and gets credits. The lock is held.
+func (c *Credits) settle(now time.Time, take func(account lease.AccountID, cost float64) lease.Result) {
 	for _, s := range c.line.Settle(now, take) {
 		c.places[s.Waiter].Settled <- s.Result
 		delete(c.places, s.Waiter)
 	}
 }
 
+// SettleAlone answers who waits in the line, from the parts of the rates that are left to this VM while no
+// issuer answers. It is due often: such a part holds about one credit.
+func (c *Credits) SettleAlone(now time.Time, part func(account lease.AccountID) float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.holder.Alone(now) {
+		return
+	}
+	c.settle(now, func(account lease.AccountID, cost float64) lease.Result {
+		if c.holder.TakeAlone(now, account, part(account), cost) {
+			return lease.Result{Verdict: lease.Admitted}
+		}
+		return lease.Result{Verdict: lease.Wait}
+	})
+}
+
 // TakeAlone spends from the part of a rate that is left to this VM while no issuer answers.
 func (c *Credits) TakeAlone(now time.Time, account lease.AccountID, rate, cost float64) bool {
 	c.mu.Lock()
@@ -109,7 +124,7 @@
 	if !reply.GetSettling() {
 		c.settled = now
 	}
-	c.settle(now)
+	c.settle(now, func(account lease.AccountID, cost float64) lease.Result { return c.take(now, account, cost) })
 	close(c.granted)
 	c.granted = make(chan struct{})
 }
--- /dev/null
+++ b/internal/renewal/credits_test.go
@@ -0,0 +1,34 @@
+package renewal_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/renewal"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
+)
+
+// Guards against operations that wait in vain at an entry VM that is cut off: its part of the rate earns the
+// next credit some milliseconds after they came.
+func TestWaitersRunAlone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := renewal.NewCredits(func() {})
+	request := &wire.RenewRequest{Sequence: 1}
+	renewal.Ask(c, now, request, nil)
+	renewal.Grant(c, now, now, &wire.RenewReply{Leader: true, Sequence: 1})
+	part := func(lease.AccountID) float64 { return 20 }
+
+	now = now.Add(time.Second)
+	require.True(t, c.TakeAlone(now, "a", part("a"), 1))
+	require.False(t, c.TakeAlone(now, "a", part("a"), 1))
+	result, place := c.Enter(now, "a", 1, now.Add(150*time.Millisecond))
+	require.Equal(t, lease.Wait, result.Verdict)
+	c.SettleAlone(now.Add(10*time.Millisecond), part)
+	require.Empty(t, place.Settled)
+	c.SettleAlone(now.Add(60*time.Millisecond), part)
+	require.Len(t, place.Settled, 1)
+	require.Equal(t, lease.Admitted, (<-place.Settled).Verdict)
+}
