Hand the control leadership over before a planned stop

Cause: a control VM that stops in a planned way left its followers to wait for the end of its lease (0.30 to 0.45 s, plus the election); until then nobody grants credits, takes configurations or orders a failover. Change: on the request to stop a leader resigns, tells the others and stays 0.1 s for its vote. A message of the leader of a term that it leads no more ends the promise to it; a delayed one of an earlier term does not.

--- a/internal/controllog/election.go
+++ b/internal/controllog/election.go
@@ -52,6 +52,21 @@
 	}
 }
 
+// resign ends the own lead before a planned stop and tells the others. A voter that stops does not stand
+// for election again soon.
+func (v *Voter) resign(now time.Time) {
+	if v.role != Leader || v.alone() {
+		return
+	}
+	v.follow(now, v.term, "")
+	v.incumbent, v.released = v.id, true
+	for _, m := range v.Membership().Members {
+		if m.Identity != string(v.id) {
+			v.send(m.Address, m.Identity, &wire.VoterMessage{Body: &wire.VoterMessage_Resign{Resign: &wire.Resign{}}})
+		}
+	}
+}
+
 // end notes that the leader of the term leads no more. This voter may stand for election soon: the former
 // leader may lack records that others hold.
 func (v *Voter) end(now time.Time) {
--- a/internal/controllog/event.go
+++ b/internal/controllog/event.go
@@ -21,6 +21,9 @@
 	Entry *wire.Entry
 }
 
+// Stopping tells that the process is about to stop. A leader hands over to the others.
+type Stopping struct{}
+
 // Synced tells that the records up to Index, the last one of the given term, are durable.
 type Synced struct{ Index, Term uint64 }
 
@@ -35,6 +38,7 @@
 func (Proposed) event()  {}
 func (Synced) event()    {}
 func (Compacted) event() {}
+func (Stopping) event()  {}
 func (Installed) event() {}
 
 // Effect is an output of a Voter. Effects are performed in order. SaveVote, Append and Install are
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -152,6 +152,8 @@
 		v.receive(now, e.Message)
 	case Proposed:
 		v.propose(now, e)
+	case Stopping:
+		v.resign(now)
 	case Synced:
 		v.sync(e)
 	case Compacted:
@@ -267,6 +269,8 @@
 		v.hello(now, m, b.Hello)
 	case *wire.VoterMessage_HelloReply:
 		v.helloReply(now, m, b.HelloReply)
+	case *wire.VoterMessage_Resign:
+		v.release(now, Identity(m.From), m.Term+1)
 	}
 }
 
--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -52,10 +52,11 @@
 				c.crash(m)
 				c.boot(m)
 			},
-			"boot":  func(t *rapid.T) { c.boot(which(t)) },
-			"cut":   func(t *rapid.T) { m := which(t); m.cutoff = !m.cutoff },
-			"sever": func(t *rapid.T) { c.sever(which(t), which(t)) },
-			"heal":  func(t *rapid.T) { c.heal() },
+			"boot":      func(t *rapid.T) { c.boot(which(t)) },
+			"hand over": func(t *rapid.T) { c.handle(which(t), controllog.Stopping{}) },
+			"cut":       func(t *rapid.T) { m := which(t); m.cutoff = !m.cutoff },
+			"sever":     func(t *rapid.T) { c.sever(which(t), which(t)) },
+			"heal":      func(t *rapid.T) { c.heal() },
 			"freeze": func(t *rapid.T) {
 				which(t).frozen = c.elapsed + time.Duration(rapid.IntRange(100, 5000).Draw(t, "span"))*time.Millisecond
 			},
@@ -129,6 +130,20 @@
 	require.NotSame(t, former, c.leader())
 }
 
+// Guards against a planned stop of a leader after which the others wait for the end of its lease.
+func TestPlannedStopHandsOver(t *testing.T) {
+	for seed := range uint64(30) {
+		c := newCluster(t, seed, 3+2*int(seed%2), 0)
+		c.until(10*time.Second, "forming the group", c.whole)
+		former := c.leader()
+		c.handle(former, controllog.Stopping{})
+		require.False(t, former.voter.Lease(c.now(former)))
+		c.run(5 * step)
+		c.crash(former)
+		c.until(controllog.ElectionLeast/2, "election", func() bool { return c.leader() != nil })
+	}
+}
+
 // Guards against voters that keep their promise to a leader whose data folder was lost: a process with a
 // new identity at its address shows that it has ended.
 func TestLostFolderOfLeaderReleasesOthers(t *testing.T) {
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -27,10 +27,12 @@
 
 // Intervals and limits of the process.
 const (
-	tick      = 20 * time.Millisecond
-	maxBatch  = 256             // events handled before the disk is synced
-	stopGrace = 2 * time.Second // for calls in progress when the process stops
-	formGrace = 5 * time.Second // after which a process without a group says what it waits for
+	tick     = 20 * time.Millisecond
+	maxBatch = 256 // events handled before the disk is synced
+	// handOverWait is for the messages of a leader that hands over, and for its vote.
+	handOverWait = 100 * time.Millisecond
+	stopGrace    = 2 * time.Second // for calls in progress when the process stops
+	formGrace    = 5 * time.Second // after which a process without a group says what it waits for
 )
 
 // Options are the settings of a control VM.
@@ -162,7 +164,14 @@
 	defer io.Closer(vm.folder).Close()
 	defer vm.fleet.Close()
 	defer vm.peers.close()
-	g, ctx := errgroup.WithContext(ctx)
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	stopping := ctx
+	g, ctx := errgroup.WithContext(serving)
+	g.Go(func() error {
+		defer stop()
+		return vm.handOver(ctx, stopping)
+	})
 	g.Go(func() error { return vm.loop(ctx) })
 	g.Go(func() error { return vm.serve(ctx) })
 	if vm.options.Announce != nil || vm.options.Control.Announce != "" {
@@ -182,6 +191,30 @@
 	return err
 }
 
+// handOver waits for a planned stop and then gives the lead to another control VM, so that nobody has to
+// wait for the end of its lease.
+func (vm *VM) handOver(ctx, stopping context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-stopping.Done():
+	}
+	led := false
+	err := vm.inbox.Do(ctx, func(now time.Time) {
+		led = vm.leadership != nil
+		vm.step(now, controllog.Stopping{})
+	})
+	if err != nil || !led {
+		return nil //nolint:nilerr // the loop has ended, and its own error is returned
+	}
+	log.WithField("event", "stop").Info("control leadership handed over")
+	select {
+	case <-ctx.Done():
+	case <-time.After(handOverWait):
+	}
+	return nil
+}
+
 // Ready is closed when the listeners serve.
 func (vm *VM) Ready() <-chan struct{} { return vm.ready }
 
