--- a/internal/renewal/client.go
+++ b/internal/renewal/client.go
@@ -174,39 +174,16 @@
 	for range min(watchers, len(c.addresses())) {
 		go c.watch(ctx)
 	}
-	at, redirect, hops := rand.IntN(len(c.addresses())), "", 0
+	way := course{at: rand.IntN(len(c.addresses()))}
 	for {
-		addresses := c.addresses()
-		address := addresses[at%len(addresses)]
-		if redirect != "" {
-			address = redirect
-		}
+		address := way.next(c.addresses())
 		term := c.term
 		reply, err := c.renew(ctx, address, false)
-		switch {
-		case err != nil || (!reply.GetLeader() && reply.GetRedirect() == ""):
+		a := answer{failed: err != nil, leader: reply.GetLeader(), redirect: reply.GetRedirect(), learned: c.term != term}
+		if !a.leader && a.redirect == "" {
 			c.host.Renewed(false)
-			at, redirect = at+1, ""
-		case !reply.GetLeader():
-			redirect = reply.GetRedirect()
-			if redirect == address && c.term == term {
-				at, redirect = at+1, ""
-			}
-		default:
-			redirect = address
-		}
-		pause := renewInterval
-		switch {
-		case err != nil || reply.GetRedirect() == address:
-			pause = failPause
-		case !reply.GetLeader() && redirect != "" && hops < mostHops:
-			hops++
-			continue
-		case !reply.GetLeader():
-			pause = failPause
 		}
-		hops = 0
-		if !c.pause(ctx, pause) {
+		if pause := way.heard(address, a); pause > 0 && !c.pause(ctx, pause) {
 			c.announceLeave(address)
 			return
 		}
--- /dev/null
+++ b/internal/standin/describe.go
@@ -0,0 +1,107 @@
+package standin
+
+import (
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgtype"
+	pg "github.com/pganalyze/pg_query_go/v6"
+)
+
+// describeChange infers the parameters and the result of INSERT, UPDATE and DELETE.
+func (r *run) describeChange(n *pg.Node) ([]field, error) {
+	var relation *pg.RangeVar
+	var returning []*pg.Node
+	var where *pg.Node
+	insert, update, remove := n.GetInsertStmt(), n.GetUpdateStmt(), n.GetDeleteStmt()
+	switch {
+	case insert != nil:
+		relation, returning = insert.Relation, insert.ReturningList
+	case update != nil:
+		relation, returning, where = update.Relation, update.ReturningList, update.WhereClause
+	default:
+		relation, returning, where = remove.Relation, remove.ReturningList, remove.WhereClause
+	}
+	s, err := r.fromTable(relation, nil, false)
+	if err != nil {
+		return nil, err
+	}
+	if insert != nil {
+		err = s.inferInsert(insert)
+	}
+	if update != nil {
+		err = s.inferUpdate(update)
+	}
+	if err != nil {
+		return nil, err
+	}
+	s.scope.infer(where, pgtype.BoolOID)
+	fields, _, err := s.targets(returning)
+	return fields, err
+}
+
+func (s *source) inferInsert(q *pg.InsertStmt) error {
+	columns, err := s.columns(q.Cols)
+	if err != nil {
+		return err
+	}
+	query := q.SelectStmt.GetSelectStmt()
+	if query == nil {
+		return nil
+	}
+	outer := scope{run: s.scope.run}
+	for _, list := range query.ValuesLists {
+		for i, n := range list.GetList().Items {
+			if i < len(columns) {
+				outer.infer(n, s.scope.table.columns[columns[i]].kind)
+			}
+		}
+	}
+	if len(query.ValuesLists) == 0 {
+		for i, n := range query.TargetList {
+			if n.GetResTarget().Val.GetParamRef() != nil && i < len(columns) {
+				outer.infer(n.GetResTarget().Val, s.scope.table.columns[columns[i]].kind)
+			}
+		}
+		_, err = s.scope.run.describeSelect(query)
+	}
+	return err
+}
+
+func (s *source) inferUpdate(q *pg.UpdateStmt) error {
+	columns, err := s.columns(q.TargetList)
+	if err != nil {
+		return err
+	}
+	for i, n := range q.TargetList {
+		s.scope.infer(n.GetResTarget().Val, s.scope.table.columns[columns[i]].kind)
+	}
+	return nil
+}
+
+// describeSelect infers the parameters and the result of a SELECT.
+func (r *run) describeSelect(q *pg.SelectStmt) ([]field, error) {
+	if err := supported(q); err != nil {
+		return nil, err
+	}
+	if len(q.ValuesLists) > 0 {
+		var fields []field
+		for i, n := range q.ValuesLists[0].GetList().Items {
+			kind := (&scope{run: r}).infer(n, pgtype.TextOID)
+			fields = append(fields, field{fmt.Sprintf("column%d", i+1), kind})
+		}
+		return fields, nil
+	}
+	s, err := r.from(q.FromClause, nil, false)
+	if err != nil {
+		return nil, err
+	}
+	fields, _, err := s.targets(q.TargetList)
+	if err != nil {
+		return nil, err
+	}
+	s.scope.infer(q.WhereClause, pgtype.BoolOID)
+	outer := scope{run: r}
+	outer.infer(q.LimitCount, pgtype.Int8OID)
+	outer.infer(q.LimitOffset, pgtype.Int8OID)
+	return fields, nil
+}
