--- a/internal/relay/dump.go
+++ b/internal/relay/dump.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/cockroachdb/errors"
 
 	"fireflyrudder.example/fireflyrudder/internal/console"
 	"fireflyrudder.example/fireflyrudder/internal/lane"
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,21 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/relay"
+)
+
+// Guards against an entry VM that has just started and tells the others that an instance has left: they
+// would pass it over for two seconds and open connections of their own.
+func TestStartingVMWaitsForViews(t *testing.T) {
+	r := relay.New(relay.Options{Now: time.Now, Controls: func() []string { return []string{"127.0.0.1:1"} }})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	require.Nil(t, r.Lane(ctx, "i"))
+	require.Error(t, ctx.Err(), "it did not wait for the first views")
+}
