--- a/internal/renewal/client_test.go
+++ b/internal/renewal/client_test.go
@@ -98,3 +98,75 @@
 	renewal.Spend(client, most, most)
 	require.Equal(t, renewal.Pause, renewal.Least(client, now, most), "a Renew that waited its time costs nothing")
 }
+
+// switchboard gives connections to control VMs and entry VMs by address.
+type switchboard map[string]wire.ControlClient
+
+func (s switchboard) dial(address string) (wire.ControlClient, io.Closer, error) {
+	return s[address], io.NopCloser(nil), nil
+}
+
+// scripted answers Renews by a function. It has no updates.
+type scripted struct {
+	wire.ControlClient
+	renew func(*wire.RenewRequest) (*wire.RenewReply, error)
+}
+
+func (s *scripted) Renew(_ context.Context, r *wire.RenewRequest, _ ...grpc.CallOption) (*wire.RenewReply, error) {
+	return s.renew(r)
+}
+
+func (s *scripted) Watch(ctx context.Context, _ *wire.WatchRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[wire.Update], error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against an entry VM that is cut off from the control VMs only and lives on its equal part of the
+// rates, although other entry VMs reach the leader; and against one that asks others before it ever had a
+// leader, when there may be none.
+func TestRenewsPassThroughPeers(t *testing.T) {
+	var mu sync.Mutex
+	cut, direct, passed := true, 0, make(chan struct{})
+	leader := func(r *wire.RenewRequest) (*wire.RenewReply, error) {
+		return &wire.RenewReply{Leader: true, Sequence: r.Sequence, Term: 3}, nil
+	}
+	control := &scripted{renew: func(r *wire.RenewRequest) (*wire.RenewReply, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		if direct++; direct > 3 && cut {
+			return nil, io.ErrUnexpectedEOF
+		}
+		return leader(r)
+	}}
+	peer := renewal.New(idle{}, renewal.Options{
+		Registration: &wire.Registration{Entry: "peer", Forward: "peer"}, Controls: func() []string { return []string{"other"} },
+		Dial: switchboard{"other": &scripted{renew: leader}}.dial, Now: time.Now, Pause: renewal.Pause,
+	})
+	proxy := peer.Proxy()
+	defer proxy.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var once sync.Once
+	viaPeer := &scripted{renew: func(r *wire.RenewRequest) (*wire.RenewReply, error) {
+		mu.Lock()
+		require.Greater(t, direct, 3)
+		mu.Unlock()
+		reply, err := proxy.Renew(ctx, r)
+		if err == nil && reply.GetLeader() {
+			once.Do(func() { close(passed) })
+		}
+		return reply, err
+	}}
+	client := renewal.New(idle{}, renewal.Options{
+		Registration: &wire.Registration{Entry: "e"}, Controls: func() []string { return []string{"control"} },
+		Peers: func() []string { return []string{"peer"} }, Dial: switchboard{"control": control, "peer": viaPeer}.dial,
+		Now: time.Now, Pause: renewal.Pause,
+	})
+	go peer.Run(ctx)
+	go client.Run(ctx)
+	select {
+	case <-passed:
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "no Renew passed through the other entry VM")
+	}
+}
