--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -87,7 +87,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_ = forward.NewServer(lanes{l}, time.Now, nil).Serve(ctx, listener)
+		_ = forward.NewServer(lanes{l}, time.Now).Serve(ctx, listener)
 	}()
 	t.Cleanup(func() { stop(); <-done })
 	c := forward.NewClient(time.Now)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -32,23 +32,19 @@
 // Server runs statements for other entry VMs.
 type Server struct {
 	wire.UnimplementedForwardServer
-	lanes   Lanes
-	now     func() time.Time
-	control wire.ControlServer // passes Renews on; nil for none
+	lanes Lanes
+	now   func() time.Time
 }
 
-// NewServer returns a Server. The control, if there is one, answers the Renews of VMs that reach no control VM.
-func NewServer(lanes Lanes, now func() time.Time, control wire.ControlServer) *Server {
-	return &Server{lanes: lanes, now: now, control: control}
+// NewServer returns a Server.
+func NewServer(lanes Lanes, now func() time.Time) *Server {
+	return &Server{lanes: lanes, now: now}
 }
 
 // Serve answers until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	server := grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: pingTimeout}))
 	wire.RegisterForwardServer(server, s)
-	if s.control != nil {
-		wire.RegisterControlServer(server, s.control)
-	}
 	defer context.AfterFunc(ctx, func() {
 		timer := time.AfterFunc(stopGrace, server.Stop)
 		defer timer.Stop()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -122,26 +122,12 @@
 	r.table.Store(newTable(r.book.Configuration(), nil))
 	r.control = renewal.New(host{r}, renewal.Options{
 		Registration: &wire.Registration{Entry: r.identity, Name: o.Node.Name, Zone: o.Node.Zone, Process: o.Process, Forward: o.Forward},
-		Controls:     o.Controls, Dial: o.Dial, Now: o.Now, Pause: o.Pause, Peers: r.peers,
+		Controls:     o.Controls, Dial: o.Dial, Now: o.Now, Pause: o.Pause,
 	})
 	r.credits = r.control.Credits()
 	return r
 }
 
-// Proxy passes Renews of other entry VMs on to the control group.
-func (r *Relay) Proxy() *renewal.Proxy { return r.control.Proxy() }
-
-// peers returns where the other entry VMs listen for each other.
-func (r *Relay) peers() []string {
-	var addresses []string
-	for _, e := range *r.entries.Load() {
-		if e.Address != "" && e.ID != r.options.Process {
-			addresses = append(addresses, e.Address)
-		}
-	}
-	return addresses
-}
-
 // Run serves until ctx ends, then drains.
 func (r *Relay) Run(ctx context.Context) error {
 	defer r.stop()
--- a/internal/renewal/client.go
+++ b/internal/renewal/client.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -36,8 +35,6 @@
 	watchers = 2
 	// LeaveWait bounds the last Renew of a process that leaves.
 	LeaveWait = time.Second
-	// mostPeers is how many other entry VMs are asked in turn with the control VMs.
-	mostPeers = 2
 	// mostHops is how many redirects are followed without a pause.
 	mostHops = 2
 	// paceBurst is how many Renews of waiting statements may come before their pauses have passed, and
@@ -78,8 +75,6 @@
 	Dial         func(address string) (wire.ControlClient, io.Closer, error)
 	Now          func() time.Time
 	Pause        time.Duration // least time between two Renews
-	// Peers returns addresses of other entry VMs whose Proxy passes Renews on; nil for none.
-	Peers func() []string
 }
 
 // Client is the connection of an entry VM to the control group.
@@ -98,8 +93,6 @@
 	closers  []io.Closer
 	ended    chan struct{}
 	leaving  chan struct{}
-	direct   atomic.Bool            // a control VM was heard of since the last Renew
-	led      atomic.Pointer[string] // control VM that answered the last Renew as the leader; nil if none did
 
 	mu      sync.Mutex
 	learned []string                      // control VMs named by the latest reply
@@ -183,14 +176,13 @@
 	}
 	way := course{at: rand.IntN(len(c.addresses()))}
 	for {
-		address := way.next(c.asked(&way))
+		address := way.next(c.addresses())
 		term := c.term
 		reply, err := c.renew(ctx, address, false)
 		a := answer{failed: err != nil, leader: reply.GetLeader(), redirect: reply.GetRedirect(), learned: c.term != term}
 		if !a.leader && a.redirect == "" {
 			c.host.Renewed(false)
 		}
-		c.follow(address, a.leader)
 		if pause := way.heard(address, a); pause > 0 && !c.pause(ctx, pause) {
 			c.announceLeave(address)
 			return
@@ -198,38 +190,6 @@
 	}
 }
 
-// asked returns whom to ask: the control VMs, and if none of them answers a process that had a leader before,
-// also some of the other entry VMs.
-func (c *Client) asked(way *course) []string {
-	direct := c.addresses()
-	if c.direct.Swap(false) && !slices.Contains(direct, way.redirect) {
-		way.redirect = ""
-	}
-	if c.options.Peers == nil || c.term == 0 || way.misses < len(direct) {
-		return direct
-	}
-	peers := slices.Clone(c.options.Peers())
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return append(direct, peers[:min(len(peers), mostPeers)]...)
-}
-
-// follow notes which control VM leads, for the Proxy. Another entry VM does not count.
-func (c *Client) follow(address string, leader bool) {
-	if leader && slices.Contains(c.addresses(), address) {
-		c.led.Store(&address)
-		return
-	}
-	c.led.Store(nil)
-}
-
-// leader returns the control VM that answered the last Renew as the leader, or "".
-func (c *Client) leader() string {
-	if address := c.led.Load(); address != nil {
-		return *address
-	}
-	return ""
-}
-
 // pause waits for the next Renew. It returns false when the VM leaves.
 func (c *Client) pause(ctx context.Context, most time.Duration) bool {
 	woken := false
@@ -401,7 +361,6 @@
 		if err != nil {
 			return errors.Wrap(err, "renewal: watch")
 		}
-		c.direct.Store(true)
 		c.host.Update(u)
 	}
 }
--- a/internal/renewal/course.go
+++ b/internal/renewal/course.go
@@ -7,7 +7,6 @@
 	at       int    // of the control VM to ask, in the list of addresses
 	redirect string // address to ask instead; empty for none
 	hops     int    // redirects followed since the last pause
-	misses   int    // answers of no use since the last leader
 	avoid    string // address that was no use last; another one is asked first
 }
 
@@ -37,11 +36,10 @@
 	c.hops = 0
 	switch {
 	case a.leader:
-		c.redirect, c.misses = address, 0
+		c.redirect = address
 		return renewInterval
 	case a.failed || a.redirect == "" || a.redirect == address && !a.learned:
 		c.at, c.redirect, c.avoid = c.at+1, "", address
-		c.misses++
 		return failPause
 	}
 	c.redirect = a.redirect
