--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -170,7 +170,8 @@
 	g, ctx := errgroup.WithContext(serving)
 	g.Go(func() error {
 		defer stop()
-		return vm.handOver(ctx, stopping)
+		vm.handOver(ctx, stopping)
+		return nil
 	})
 	g.Go(func() error { return vm.loop(ctx) })
 	g.Go(func() error { return vm.serve(ctx) })
@@ -193,10 +194,10 @@
 
 // handOver waits for a planned stop and then gives the lead to another control VM, so that nobody has to
 // wait for the end of its lease.
-func (vm *VM) handOver(ctx, stopping context.Context) error {
+func (vm *VM) handOver(ctx, stopping context.Context) {
 	select {
 	case <-ctx.Done():
-		return nil
+		return
 	case <-stopping.Done():
 	}
 	led := false
@@ -205,14 +206,13 @@
 		vm.step(now, controllog.Stopping{})
 	})
 	if err != nil || !led {
-		return nil //nolint:nilerr // the loop has ended, and its own error is returned
+		return // the loop has ended, and its own error is returned
 	}
 	log.WithField("event", "stop").Info("control leadership handed over")
 	select {
 	case <-ctx.Done():
 	case <-time.After(handOverWait):
 	}
-	return nil
 }
 
 // Ready is closed when the listeners serve.
