Share the registration of watchers; give entryvm back its time to leave

Found on reading the change: awaitLeader repeated the registration that Watch has; both use service.subscribe now. Client.Leave had come to wait for its limit alone, so entryvm waited 1 s for the control group where it had waited 1.4 s; LeaveWait now names both parts, and entryvm waits as before.

--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -176,10 +176,11 @@
 	ctx, cancel := context.WithTimeout(ctx, leaderWait)
 	defer cancel()
 	w := &watcher{wake: make(chan struct{}, 1)}
-	if s.vm.inbox.Do(ctx, func(time.Time) { s.vm.watchers[w] = struct{}{} }) != nil {
+	stop, err := s.subscribe(ctx, w)
+	if err != nil {
 		return false
 	}
-	defer s.vm.inbox.Post(context.WithoutCancel(ctx), func(time.Time) { delete(s.vm.watchers, w) }) //nolint:errcheck // the process has ended
+	defer stop()
 	for {
 		formed, known := false, false
 		err := s.vm.inbox.Do(ctx, func(now time.Time) {
--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -30,10 +30,11 @@
 func (s *service) Watch(r *wire.WatchRequest, stream wire.Control_WatchServer) error {
 	ctx := stream.Context()
 	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, entries: r.Entries, entered: r.Entered}
-	if err := s.vm.inbox.Do(ctx, func(time.Time) { s.vm.watchers[w] = struct{}{} }); err != nil {
+	stop, err := s.subscribe(ctx, w)
+	if err != nil {
 		return failure(err)
 	}
-	defer s.vm.inbox.Post(context.WithoutCancel(ctx), func(time.Time) { delete(s.vm.watchers, w) }) //nolint:errcheck // the process has ended
+	defer stop()
 	contact := time.NewTicker(lostContact)
 	defer contact.Stop()
 	lost := 0
@@ -62,6 +63,16 @@
 	}
 }
 
+// subscribe wakes a watcher at each change of the book until the returned function is called.
+func (s *service) subscribe(ctx context.Context, w *watcher) (stop func(), err error) {
+	if err := s.vm.inbox.Do(ctx, func(time.Time) { s.vm.watchers[w] = struct{}{} }); err != nil {
+		return nil, err
+	}
+	return func() {
+		_ = s.vm.inbox.Post(context.WithoutCancel(ctx), func(time.Time) { delete(s.vm.watchers, w) }) // it fails once the process has ended
+	}, nil
+}
+
 // next returns what the watcher lacks and whether the leader is known.
 func (s *service) next(ctx context.Context, w *watcher) (u *wire.Update, led bool, err error) {
 	err = s.vm.inbox.Do(ctx, func(now time.Time) {
--- a/internal/renewal/client.go
+++ b/internal/renewal/client.go
@@ -33,8 +33,10 @@
 	// watchers is the number of control VMs watched at once. A control VM that is frozen sends nothing and
 	// looks like one without news; the other stream then brings what changed.
 	watchers = 2
-	// LeaveWait bounds the last Renew of a process that leaves.
-	LeaveWait = time.Second
+	// lastTimeout bounds the last Renew of a process that leaves.
+	lastTimeout = time.Second
+	// LeaveWait is enough to leave: for a Renew in progress and the last one.
+	LeaveWait = renewTimeout + lastTimeout
 	// mostHops is how many redirects are followed without a pause.
 	mostHops = 2
 	// paceBurst is how many Renews of waiting statements may come before their pauses have passed, and
@@ -376,7 +378,7 @@
 
 // announceLeave sends the last Renew.
 func (c *Client) announceLeave(address string) {
-	ctx, stop := context.WithTimeout(context.Background(), LeaveWait)
+	ctx, stop := context.WithTimeout(context.Background(), lastTimeout)
 	defer stop()
 	if _, err := c.renew(ctx, address, true); err != nil {
 		log.WithError(err).Warn("the control group did not hear that this entry VM leaves")
