Measure the stages of a statement at the owner of the connections

The owner of the connections publishes a histogram of each stage and writes them with event=summary.

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -134,12 +134,14 @@
 		return nil, ErrQueueTimeout
 	}
 	answers, err := h.pooled.conn.Exchange(limit+AnswerGrace, statements...)
+	elapsed := h.pool.options.Now().Sub(sent)
+	h.pool.options.Observe(StageExchange, elapsed)
 	if n := len(answers); n > 0 {
 		h.state = answers[n-1].State
 	}
 	if err != nil {
 		h.broken = true
-		if elapsed := h.pool.options.Now().Sub(sent); elapsed >= limit && elapsed < lostAfter {
+		if elapsed >= limit && elapsed < lostAfter {
 			return answers, errors.CombineErrors(ErrAnswerTimeout, err)
 		}
 		return answers, errors.CombineErrors(ErrConnectionLost, err)
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -58,8 +58,21 @@
 	Now                    func() time.Time
 	Slots                  int // statements that the instance runs concurrently; 0 if unknown
 	Connections            int // initial limit on the connections of this VM
+	// Observe receives how long statements spend in each stage. It must be safe for concurrent use; nil for none.
+	Observe func(Stage, time.Duration)
 }
 
+// Stage is a stage of a statement in a Pool.
+type Stage int
+
+// Stages of a statement, in order.
+const (
+	StageQueue      Stage = iota // waits for a slot
+	StageConnection              // waits for a connection in use, because no more may be opened
+	StageDial                    // waits for a new connection
+	StageExchange                // runs at the instance
+)
+
 // Load is the number of open connections and of running and waiting statements of a Pool. Its fields are
 // written to the /dump page under their names.
 type Load struct {
@@ -98,6 +111,9 @@
 	if n <= 0 {
 		n = slotsDefault
 	}
+	if o.Observe == nil {
+		o.Observe = func(Stage, time.Duration) {}
+	}
 	return &Pool{
 		options: o, slots: slots.New(admission.Settings{Slots: n + inFlightMargin, Fixed: true}),
 		inUse: map[*Handle]struct{}{}, limit: max(o.Connections, 1),
@@ -182,7 +198,9 @@
 
 // admit waits in the queue until a slot is free for the statement.
 func (p *Pool) admit(ctx context.Context, t *slots.Ticket) error {
-	result := p.slots.Push(p.options.Now(), t)
+	queued := p.options.Now()
+	defer func() { p.options.Observe(StageQueue, p.options.Now().Sub(queued)) }()
+	result := p.slots.Push(queued, t)
 	if result == admission.Waiting {
 		result = slots.Await(p.slots, t, ctx.Done())
 	}
@@ -223,17 +241,27 @@
 		freed := make(chan struct{}, 1)
 		p.waiting = append(p.waiting, freed)
 		p.mu.Unlock()
-		select {
-		case <-freed:
-		case <-ctx.Done():
-			p.mu.Lock()
-			p.removeWaiter(freed)
-			p.mu.Unlock()
+		if !p.awaitFreed(ctx, freed) {
 			return ErrQueueTimeout
 		}
 	}
 }
 
+// awaitFreed waits until a connection is free. It returns false if ctx ended before.
+func (p *Pool) awaitFreed(ctx context.Context, freed chan struct{}) bool {
+	since := p.options.Now()
+	defer func() { p.options.Observe(StageConnection, p.options.Now().Sub(since)) }()
+	select {
+	case <-freed:
+		return true
+	case <-ctx.Done():
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.removeWaiter(freed)
+		return false
+	}
+}
+
 // maxOpen returns how many connections may be open now. The caller holds the lock.
 func (p *Pool) maxOpen() int {
 	if p.serverLimit > 0 && p.options.Now().Before(p.serverLimitUntil) {
@@ -300,7 +328,9 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	o := p.options
+	started := o.Now()
 	conn, err := o.Dial(ctx, Target{Group: o.Group, Server: o.Server, Address: o.Address, Account: h.account})
+	o.Observe(StageDial, o.Now().Sub(started))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -3,7 +3,9 @@
 import (
 	"expvar"
 	"sync/atomic"
+	"time"
 
+	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/histogram"
 )
 
@@ -30,7 +32,13 @@
 	proofs       *histogram.Histogram // waits for a proof of the position that a read must see
 	reads        *histogram.Histogram
 	changes      *histogram.Histogram
-	connected    atomic.Bool // the last Renew succeeded
+	stages       map[connpool.Stage]*histogram.Histogram // of statements on the connections of this VM; immutable
+	connected    atomic.Bool                             // the last Renew succeeded
+}
+
+// stageNames are the names under which the latencies of the stages are published.
+var stageNames = map[connpool.Stage]string{
+	connpool.StageQueue: "queue", connpool.StageConnection: "connection", connpool.StageDial: "dial", connpool.StageExchange: "exchange",
 }
 
 func newMetrics() *metrics {
@@ -52,5 +60,15 @@
 	m.all.Set("proof", m.proofs)
 	m.all.Set("read", m.reads)
 	m.all.Set("change", m.changes)
+	m.stages = map[connpool.Stage]*histogram.Histogram{}
+	for stage, name := range stageNames {
+		m.stages[stage] = histogram.New()
+		m.all.Set(name, m.stages[stage])
+	}
 	return m
 }
+
+// observeStage records how long a statement spent in a stage.
+func (m *metrics) observeStage(stage connpool.Stage, elapsed time.Duration) {
+	m.stages[stage].Add(elapsed)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -338,7 +338,7 @@
 func (p *Proxy) newPool(g *group, m *wire.Member) *connpool.Pool {
 	return connpool.New(connpool.Options{
 		Group: g.name, Server: m.GetServer(), Address: m.GetAddress(), Dial: p.options.Server, Now: p.options.Now,
-		Slots: int(m.GetSlots()), Connections: fallbackConnections,
+		Slots: int(m.GetSlots()), Connections: fallbackConnections, Observe: p.metrics.observeStage,
 	})
 }
 
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -54,10 +54,14 @@
 // summarize logs latencies and refusals since the start of the process.
 func (p *Proxy) summarize() {
 	m := p.metrics
-	log.WithFields(log.Fields{
+	fields := log.Fields{
 		"event": "summary", "sessions": m.sessions.Value(), "credit": m.waits.Summary(), "proof": m.proofs.Summary(),
 		"read": m.reads.Summary(), "change": m.changes.Summary(), "retries": m.retries.Value(), "refusals": m.reasons.String(),
-	}).Info("summary")
+	}
+	for stage, name := range stageNames {
+		fields[name] = m.stages[stage].Summary()
+	}
+	log.WithFields(fields).Info("summary")
 }
 
 // observe records the latency of a successful statement.
