Admit a statement only when both a slot and a connection are there for it

Cause: connpool took a slot first and a connection second. While open transactions held all connections, the statements that waited for one held all slots, and the statements that would have ended these transactions queued behind them.

Change: the queue counts the connections in use and admits a statement outside a transaction only if one is free. A statement of an open transaction has its connection and needs a slot only.

Evidence: TestTransactionContinuesWhileOthersWaitForConnections failed before (the commit got no slot in 5 s).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -39,6 +39,10 @@
 	// ReadShare is the share of the slot time that reads may use while writes wait; 0 means no limit. It is
 	// set for primaries.
 	ReadShare float64
+	// Connections is the number of connections that statements may use at once; 0 means no limit. A statement
+	// outside a transaction is admitted only if one is free, and uses it until ReleaseConnection. Statements of
+	// open transactions have theirs already.
+	Connections int
 }
 
 // Ticket is a statement that requests a slot.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -25,6 +25,9 @@
 	limit      limit
 	service    service
 
+	connections      int // Settings.Connections
+	connectionsInUse int // may exceed connections after SetConnections
+
 	virtual     float64 // virtual time: start tag of the statement admitted last
 	latest      float64 // largest start tag assigned
 	arrived     uint64
@@ -51,7 +54,7 @@
 func NewWith(s Settings) *Queue {
 	q := &Queue{
 		policy: s.Policy, maxWaiting: s.MaxWaiting, readShare: clampReadShare(s.ReadShare), limit: newLimit(s.Slots, s.Fixed),
-		flows: make(map[AccountID]*flow), sweepAt: minSweep, freeNodes: noNode,
+		connections: s.Connections, flows: make(map[AccountID]*flow), sweepAt: minSweep, freeNodes: noNode,
 	}
 	if q.maxWaiting <= 0 {
 		q.maxWaiting = DefaultMaxWaiting
@@ -77,6 +80,22 @@
 	q.readShare = clampReadShare(share)
 }
 
+// SetConnections changes Settings.Connections of a queue that was created with a limit.
+func (q *Queue) SetConnections(n int) {
+	q.connections = max(n, 1)
+}
+
+// ReleaseConnection records that an admitted statement, or the transaction that it began, no longer uses its
+// connection.
+func (q *Queue) ReleaseConnection() {
+	q.connectionsInUse = max(q.connectionsInUse-1, 0)
+}
+
+// hasConnection reports whether a statement outside a transaction can have a connection.
+func (q *Queue) hasConnection() bool {
+	return q.connections == 0 || q.connectionsInUse < q.connections
+}
+
 // clampReadShare leaves writes a share of at least a tenth.
 func clampReadShare(share float64) float64 {
 	return min(max(share, 0), 0.9)
@@ -156,6 +175,9 @@
 		return t, Late
 	}
 	q.charge(f, lane)
+	if lane != continuing && q.connections > 0 {
+		q.connectionsInUse++
+	}
 	q.remove(index)
 	q.fixHeaps(f)
 	q.running[lane]++
@@ -207,6 +229,8 @@
 	}
 	writes, reads := q.heaps[writing].entries, q.heaps[reading].entries
 	switch {
+	case !q.hasConnection():
+		return 0, false
 	case len(writes) == 0:
 		return reading, len(reads) > 0
 	case len(reads) == 0:
--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -21,6 +21,7 @@
 	weight  float64
 	read    bool
 	pooled  *pooledConn // nil before the first statement
+	counted bool        // the queue counts a connection for this Handle
 	state   operation.State
 	broken  bool
 }
@@ -50,6 +51,7 @@
 		if err := h.pool.admit(ctx, t); err != nil {
 			return nil, err
 		}
+		h.counted = h.counted || h.pooled == nil
 		entered := now()
 		defer func() {
 			left := now()
@@ -58,6 +60,7 @@
 	}
 	if h.pooled == nil {
 		if err := h.pool.acquire(ctx, h, values); err != nil {
+			h.releaseAdmission()
 			return nil, err
 		}
 	}
@@ -149,6 +152,15 @@
 	return answers, nil
 }
 
+// releaseAdmission lets the queue give the connection of h to another statement.
+func (h *Handle) releaseAdmission() {
+	if !h.counted {
+		return
+	}
+	h.counted = false
+	h.pool.slots.ReleaseConnection(h.pool.options.Now())
+}
+
 // Release returns the connection to the pool. A transaction that is still open is rolled back first; the
 // connection is closed if the instance does not confirm the rollback.
 func (h *Handle) Release() {
--- a/internal/connpool/handle_test.go
+++ b/internal/connpool/handle_test.go
@@ -115,3 +115,30 @@
 	run("small", "smaller", "smallest")
 	require.Len(t, i.values, 7, "the connections of the small accounts must still be open")
 }
+
+// TestTransactionContinuesWhileOthersWaitForConnections guards against statements that hold all slots while they
+// wait for a connection: the transactions that have the connections then get no slot to end.
+func TestTransactionContinuesWhileOthersWaitForConnections(t *testing.T) {
+	i := &instance{}
+	l := connpool.New(connpool.Options{Server: "i", Dial: i.dial, Now: time.Now, Slots: 1, Connections: 1})
+	open := l.NewHandle("a", 1, false)
+	begin := []operation.Statement{{Kind: operation.Begin}, {Kind: operation.Write}}
+	_, err := open.Run(t.Context(), connpool.Limit{Until: time.Now().Add(time.Minute)}, nil, begin...)
+	require.NoError(t, err)
+	var others sync.WaitGroup
+	for _, account := range []string{"b", "c", "d"} {
+		others.Go(func() {
+			h := l.NewHandle(account, 1, true)
+			defer h.Release()
+			_, err := h.Run(t.Context(), connpool.Limit{Until: time.Now().Add(time.Minute)}, nil, operation.Statement{Kind: operation.Read})
+			require.NoError(t, err)
+		})
+	}
+	require.Eventually(t, func() bool { load := l.Load(); return load.Running+load.Waiting == 3 }, time.Minute, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err = open.Run(ctx, connpool.Limit{Until: time.Now().Add(time.Minute)}, nil, operation.Statement{Kind: operation.Commit})
+	require.NoError(t, err)
+	open.Release()
+	others.Wait()
+}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -115,7 +115,7 @@
 		o.Observe = func(Stage, time.Duration) {}
 	}
 	return &Pool{
-		options: o, slots: slots.New(admission.Settings{Slots: n + inFlightMargin, Fixed: true}),
+		options: o, slots: slots.New(admission.Settings{Slots: n + inFlightMargin, Fixed: true, Connections: max(o.Connections, 1)}),
 		inUse: map[*Handle]struct{}{}, limit: max(o.Connections, 1),
 	}
 }
@@ -135,6 +135,7 @@
 		p.closeIdleAt(0)
 	}
 	p.wake()
+	p.slots.SetConnections(p.options.Now(), p.maxOpen())
 }
 
 // Load returns the current load.
@@ -196,7 +197,7 @@
 	return &Handle{pool: p, account: account, weight: weight, read: read}
 }
 
-// admit waits in the queue until a slot is free for the statement.
+// admit waits in the queue until a slot is free for the statement, and a connection unless its transaction has one.
 func (p *Pool) admit(ctx context.Context, t *slots.Ticket) error {
 	queued := p.options.Now()
 	defer func() { p.options.Observe(StageQueue, p.options.Now().Sub(queued)) }()
@@ -353,6 +354,7 @@
 // put returns the connection of h to the idle list, or closes it if it is unhealthy, above the limit, or the
 // pool is closed.
 func (p *Pool) put(h *Handle, healthy bool) {
+	defer h.releaseAdmission()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.inUse, h)
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -87,6 +87,22 @@
 	s.dispatch(now)
 }
 
+// SetConnections changes the limit on connections; see admission.Settings.
+func (s *Slots) SetConnections(now time.Time, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.SetConnections(n)
+	s.dispatch(now)
+}
+
+// ReleaseConnection frees the connection of an admitted statement.
+func (s *Slots) ReleaseConnection(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.ReleaseConnection()
+	s.dispatch(now)
+}
+
 // dispatch delivers the results that the queue has ready. The lock must be held.
 func (s *Slots) dispatch(now time.Time) {
 	for {
