Share the proofs of an instance's lead between entry VMs

Cause: each entry VM that uses a group asks its primary for the end of the log every 400 ms, by a read-write BEGIN on a connection of the client account that it served last. With 88 entry VMs that is 220 a second for each primary, for up to 84 accounts, while the owner of the connections keeps 41. Most of them found no idle connection of their account: they closed one of another account and opened one, 12 ms of one of five slots, outside the queue of the statements. The statements then found their connections closed, opened new ones, and waited in the median 60 to 100 ms for each. Background work that grows with the number of entry VMs times the number of groups, against the fixed capacity of a primary.

At the owners of replicas 0.3 connections for a statement.

Change: connpool keeps the latest proof that any statement gives by the way (a write or a read-write BEGIN that succeeded), and answers requests for a proof with it for 100 ms, with its age. Otherwise concurrent requests share one BEGIN on an idle connection of any account. The age is counted from the sending of the statement at the owner and taken off the send time of the request, so a proof is never dated later than it was. Between VMs a request for a proof is a field of its own.

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -16,14 +16,15 @@
 
 // Handle runs statements on one connection of a Pool. It is used by one goroutine at a time.
 type Handle struct {
-	pool    *Pool
-	account string
-	weight  float64
-	read    bool
-	pooled  *pooledConn // nil before the first statement
-	counted bool        // the queue counts a connection for this Handle
-	state   operation.State
-	broken  bool
+	pool       *Pool
+	account    string
+	weight     float64
+	read       bool
+	pooled     *pooledConn // nil before the first statement
+	anyAccount bool        // a connection of any client account will do, with any session values
+	counted    bool        // the queue counts a connection for this Handle
+	state      operation.State
+	broken     bool
 }
 
 // Broken reports whether the connection was lost.
@@ -139,6 +140,7 @@
 	answers, err := h.pooled.conn.Exchange(limit+AnswerGrace, statements...)
 	elapsed := h.pool.options.Now().Sub(sent)
 	h.pool.options.Observe(StageExchange, elapsed)
+	h.pool.recordProof(sent, statements, answers)
 	if n := len(answers); n > 0 {
 		h.state = answers[n-1].State
 	}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/singleflight"
 
 	"fireflyrudder.example/fireflyrudder/internal/admission"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
@@ -97,6 +98,9 @@
 	inUse            map[*Handle]struct{}
 	waiting          []chan struct{} // one for each Handle that waits for a connection, first come first served
 	closed           bool
+	proof            Proof // latest one, with the log position only
+
+	proofFlight singleflight.Group
 }
 
 // idleConn is a connection that no Handle uses.
@@ -224,7 +228,7 @@
 			p.mu.Unlock()
 			return ErrClosed
 		}
-		if best := p.bestMatch(h.account, values); best >= 0 {
+		if best := p.bestMatch(h, values); best >= 0 {
 			h.pooled = p.idle[best].pooled
 			p.idle = append(p.idle[:best], p.idle[best+1:]...)
 			p.inUse[h] = struct{}{}
@@ -291,12 +295,15 @@
 	p.waiting = p.waiting[1:]
 }
 
-// bestMatch returns the index of the account's idle connection that needs the fewest statements to match the
-// session values, or -1. The caller holds the lock.
-func (p *Pool) bestMatch(account string, values map[string]string) int {
+// bestMatch returns the index of the idle connection for h that needs the fewest statements to match the session
+// values, or -1. The caller holds the lock.
+func (p *Pool) bestMatch(h *Handle, values map[string]string) int {
+	if h.anyAccount {
+		return len(p.idle) - 1
+	}
 	best, least := -1, 0
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if p.idle[i].pooled.account != account {
+		if p.idle[i].pooled.account != h.account {
 			continue
 		}
 		if d := p.idle[i].pooled.adjustCost(values); best < 0 || d < least {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -264,17 +264,49 @@
 	if !l.Target.IsZero() {
 		request.Target = cmp.Or(l.Target.Sub(now).Microseconds(), -1) // 0 on the wire states no target
 	}
+	reply, err := h.exchange(ctx, limit, request)
+	if err != nil {
+		return nil, err
+	}
+	err = decodeFailure(reply)
+	h.broken = h.broken || errors.Is(err, connpool.ErrConnectionLost) || errors.Is(err, connpool.ErrAnswerTimeout) || errors.Is(err, connpool.ErrNotSent)
+	return decodeAnswers(reply.GetResults()), err
+}
+
+// Prove requests a proof like connpool.Handle.Prove. Sent is not later than the statement was sent.
+func (h *Handle) Prove(ctx context.Context, l connpool.Limit, maxAge time.Duration) (connpool.Proof, error) {
+	now := h.client.now()
+	limit := l.Until.Sub(now)
+	if limit <= 0 {
+		return connpool.Proof{}, connpool.ErrQueueTimeout
+	}
+	reply, err := h.exchange(ctx, limit, &wire.ForwardRequest{
+		Server: h.request.Server, Account: h.request.Account, Limit: limit.Microseconds(), ProofAge: max(maxAge.Microseconds(), 1),
+	})
+	if err != nil {
+		return connpool.Proof{}, err
+	}
+	if err := decodeFailure(reply); err != nil {
+		return connpool.Proof{}, err
+	}
+	answers := decodeAnswers(reply.GetResults())
+	if len(answers) == 0 {
+		return connpool.Proof{}, connpool.ErrUnreachable
+	}
+	return connpool.Proof{Sent: now.Add(-time.Duration(reply.GetProofAge()) * time.Microsecond), Answer: answers[0]}, nil
+}
+
+// exchange sends a request and waits for its reply.
+func (h *Handle) exchange(ctx context.Context, limit time.Duration, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
 	ended := h.peer.track(h.client.now)
-	reply, err := h.call(ctx, limit+replyMargin, request)
+	reply, err := h.call(ctx, limit+replyMargin, r)
 	ended(err)
 	if err != nil {
 		h.broken = true
 		return nil, errors.Mark(errors.CombineErrors(connpool.ErrConnectionLost, err), ErrPeerLost)
 	}
 	h.load = Load{Running: int(reply.GetRunning()), Waiting: int(reply.GetWaiting())}
-	err = decodeFailure(reply)
-	h.broken = h.broken || errors.Is(err, connpool.ErrConnectionLost) || errors.Is(err, connpool.ErrAnswerTimeout) || errors.Is(err, connpool.ErrNotSent)
-	return decodeAnswers(reply.GetResults()), err
+	return reply, nil
 }
 
 func (h *Handle) call(ctx context.Context, limit time.Duration, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -56,7 +57,7 @@
 
 // Run implements wire.ForwardServer.
 func (s *Server) Run(ctx context.Context, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
-	if len(r.GetSteps()) == 0 {
+	if len(r.GetSteps()) == 0 && r.GetProofAge() == 0 {
 		return &wire.ForwardReply{}, nil // a probe
 	}
 	pool := s.pools.Pool(ctx, r.GetServer())
@@ -65,9 +66,25 @@
 	}
 	h := pool.NewHandle(r.GetAccount(), r.GetWeight(), r.GetRead())
 	defer h.Release()
+	if r.GetProofAge() > 0 {
+		return s.prove(ctx, pool, h, r), nil
+	}
 	return s.run(ctx, pool, h, r), nil
 }
 
+// prove answers a request for a proof.
+func (s *Server) prove(ctx context.Context, pool *connpool.Pool, h *connpool.Handle, r *wire.ForwardRequest) *wire.ForwardReply {
+	now := s.now()
+	limit := connpool.Limit{Until: now.Add(time.Duration(r.GetLimit()) * time.Microsecond)}
+	proof, err := h.Prove(ctx, limit, time.Duration(r.GetProofAge())*time.Microsecond)
+	if err != nil {
+		return reply(pool, nil, err)
+	}
+	out := reply(pool, []operation.Answer{proof.Answer}, nil)
+	out.ProofAge = max(now.Sub(proof.Sent).Microseconds(), 0)
+	return out
+}
+
 // Hold implements wire.ForwardServer.
 func (s *Server) Hold(stream wire.Forward_HoldServer) error {
 	var pool *connpool.Pool
@@ -110,6 +127,11 @@
 		limit.Target = now.Add(time.Duration(r.GetTarget()) * time.Microsecond)
 	}
 	answers, err := h.Run(ctx, limit, r.GetValues(), decodeSteps(r.GetSteps())...)
+	return reply(pool, answers, err)
+}
+
+// reply returns the reply with the outcome of statements and the load of the pool.
+func reply(pool *connpool.Pool, answers []operation.Answer, err error) *wire.ForwardReply {
 	failure, code := encodeFailure(err)
 	load := pool.Load()
 	return &wire.ForwardReply{
--- a/internal/operation/statement.go
+++ b/internal/operation/statement.go
@@ -49,6 +49,11 @@
 	return s.Kind == Write || (s.Kind == Execute && !s.ReadOnly)
 }
 
+// NeedsPrimary reports whether the statement succeeds only at an instance that leads its group.
+func (s *Statement) NeedsPrimary() bool {
+	return s.Writes() || s.Kind == Begin && !s.ReadOnly
+}
+
 // NeedsSlot reports whether the statement occupies a slot of the backend server while it runs.
 func (s *Statement) NeedsSlot() bool {
 	switch s.Kind {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -30,6 +30,7 @@
 // runner runs statements on one connection to an instance, of this VM or of another entry VM.
 type runner interface {
 	Run(ctx context.Context, l connpool.Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error)
+	Prove(ctx context.Context, l connpool.Limit, maxAge time.Duration) (connpool.Proof, error)
 	Release()
 }
 
@@ -83,10 +84,7 @@
 // Run runs statements and records how the instance answers.
 func (c *serverConn) Run(ctx context.Context, l connpool.Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
 	g := c.group
-	sent := g.now()
-	g.mu.Lock()
-	c.member.stats.Sent(sent)
-	g.mu.Unlock()
+	sent := c.recordSent()
 	answers, err := c.runner.Run(ctx, l, values, statements...)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -94,6 +92,34 @@
 	return answers, err
 }
 
+// Prove requests a proof that the instance leads, and records how the instance answers. A proof from before the
+// request does not show that the instance answers now.
+func (c *serverConn) Prove(ctx context.Context, l connpool.Limit, maxAge time.Duration) (connpool.Proof, error) {
+	g := c.group
+	sent := c.recordSent()
+	proof, err := c.runner.Prove(ctx, l, maxAge)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case err != nil:
+		c.record(sent, nil, nil, err)
+	case proof.Sent.Before(sent):
+		c.member.stats.Refused(g.now())
+	default:
+		c.record(sent, nil, []operation.Answer{proof.Answer}, nil)
+	}
+	return proof, err
+}
+
+// recordSent records the sending of statements and returns its time.
+func (c *serverConn) recordSent() time.Time {
+	c.group.mu.Lock()
+	defer c.group.mu.Unlock()
+	sent := c.group.now()
+	c.member.stats.Sent(sent)
+	return sent
+}
+
 // record updates the statistics of the instance with the outcome. The caller holds the lock of the group.
 func (c *serverConn) record(sent time.Time, statements []operation.Statement, answers []operation.Answer, err error) {
 	now := c.group.now()
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -22,6 +22,9 @@
 	// proofRefreshAge is the age of the newest proof at which another one is fetched while the group is in use.
 	// It is well below the smallest maximum staleness that the first users configured, 1.5 s.
 	proofRefreshAge = 400 * time.Millisecond
+	// sharedProofAge is the age up to which the entry VMs share the proof of the one that owns the connections
+	// to the primary. Otherwise the statements for proofs would grow with the number of entry VMs.
+	sharedProofAge = 100 * time.Millisecond
 	// activePeriod is how long a group counts as in use after its last statement.
 	activePeriod = 5 * time.Second
 	// proofTimeout bounds one attempt to fetch a proof. The attempt needs no slot.
@@ -261,8 +264,7 @@
 	})
 }
 
-// queryProof queries the end of the primary's log by beginning a read-write transaction, which succeeds only
-// on an instance that leads and needs no slot.
+// queryProof queries the end of the primary's log with a statement that succeeds only on an instance that leads.
 func (g *group) queryProof() {
 	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
 	defer cancel()
@@ -277,8 +279,22 @@
 	h := g.newConn(m, connRequest{account: g.proofAccount(), weight: 1, read: true})
 	defer h.Release()
 	sent := g.now()
-	answers, err := h.Run(ctx, connpool.Limit{Until: sent.Add(proofTimeout)}, nil, operation.Statement{Kind: operation.Begin})
-	g.recordPrimaryAnswer(m, sent, answers, err)
+	proof, err := h.Prove(ctx, connpool.Limit{Until: sent.Add(proofTimeout)}, sharedProofAge)
+	switch {
+	case err != nil:
+		g.recordPrimaryAnswer(m, sent, nil, err)
+	case proof.Answer.Code == operation.Done && proof.Sent.Before(sent):
+		g.recordPosition(proof.Sent, proof.Answer.At)
+	default:
+		g.recordPrimaryAnswer(m, sent, []operation.Answer{proof.Answer}, nil)
+	}
+}
+
+// recordPosition records a proof from before the request for it. It does not show which instance leads now.
+func (g *group) recordPosition(sent time.Time, at position.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.proofs.Observe(sent, at)
 }
 
 // recordPrimaryAnswer records whether an instance leads, according to its answer to the beginning of a
