Stagger the first credits of entry VMs without a control group

Cause: an entry VM without an issuer has an equal share of each rate and started with no credit. With 88 entry VMs and a rate of 24 a second each needs 3.7 s for its first whole credit, all at the same moment; together they admitted nothing until then.

Change: the shares start with different fractions of a credit, in an order that differs by account. Together they then yield whole credits as fast as the whole rate would, and never more.

Test: TestDisconnectedSharesAddUpToTheRate, red before (44 statements in 2 s with 11 entry VMs and a rate of 26, 52 are due); TestToleratedBound also plays 88 entry VMs against the bound.

--- a/internal/lease/disconnected_test.go
+++ b/internal/lease/disconnected_test.go
@@ -86,7 +86,7 @@
 
 // take admits a statement the way an entry VM does for its callers.
 func (s *cluster) take(now time.Time, e *entryVM) {
-	part := accountRate / float64(len(s.entries))
+	part := lease.NewDisconnectedShare("a", accountRate, slices.Index(s.entries, e), len(s.entries))
 	if e.holder.Take(now, "a", 1).Verdict == lease.Admitted || e.holder.TakeDisconnected(now, "a", part, 1) {
 		s.spent = append(s.spent, now)
 	}
@@ -109,11 +109,15 @@
 // partitioned and reconnected, and issuers replace each other.
 func TestToleratedBound(t *testing.T) {
 	limit := int((accountRate*tolerance.Window.Seconds()+accountBurst)*(1+tolerance.Overrun) + tolerance.Slack)
-	for run := range 40 {
+	for run := range 50 {
 		t.Run(fmt.Sprint(run), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(*seed, uint64(run)))
 			s := &cluster{drained: map[string]bool{}}
-			for i := range 11 {
+			entries := 11
+			if run >= 40 {
+				entries = 88
+			}
+			for i := range entries {
 				s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
 			}
 			now := epoch
@@ -165,3 +169,31 @@
 	}
 	require.GreaterOrEqual(t, len(s.spent), int(accountRate*3), "statements in 5 s without an issuer")
 }
+
+// TestDisconnectedSharesAddUpToTheRate guards against entry VMs that refuse everything for the seconds that each of
+// many needs to earn one whole credit.
+func TestDisconnectedSharesAddUpToTheRate(t *testing.T) {
+	const outage = 2 * time.Second
+	for _, entries := range []int{11, 88} {
+		s := &cluster{}
+		for i := range entries {
+			s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
+		}
+		now := epoch
+		s.newLeader(now)
+		for _, e := range s.entries {
+			s.renew(now, e)
+		}
+		s.hasLeader = false
+		for !s.entries[0].holder.Disconnected(now) {
+			now = now.Add(timeStep)
+		}
+		s.spent = nil
+		for end := now.Add(outage); now.Before(end); now = now.Add(timeStep) {
+			for _, e := range s.entries {
+				s.take(now, e)
+			}
+		}
+		require.InDelta(t, accountRate*outage.Seconds(), len(s.spent), 2, "%d entry VMs", entries)
+	}
+}
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -104,7 +104,7 @@
 
 // TakeDisconnected spends the cost of a request from this entry VM's own share of the account's rate, if it
 // is disconnected from the issuer.
-func (h *Holder) TakeDisconnected(now time.Time, account AccountID, rate, cost float64) bool {
+func (h *Holder) TakeDisconnected(now time.Time, account AccountID, s DisconnectedShare, cost float64) bool {
 	if !h.Disconnected(now) {
 		return false
 	}
@@ -114,9 +114,9 @@
 	}
 	begun := h.lastAnswered.Add(disconnectTimeout)
 	if p.disconnectedAt.Before(begun) {
-		p.disconnectedCredits, p.disconnectedAt = 0, begun
+		p.disconnectedCredits, p.disconnectedAt = s.start, begun
 	}
-	p.disconnectedCredits = min(p.disconnectedCredits+rate*now.Sub(p.disconnectedAt).Seconds(), max(1, rate*recountInterval.Seconds()))
+	p.disconnectedCredits = min(p.disconnectedCredits+s.rate*now.Sub(p.disconnectedAt).Seconds(), max(1, s.rate*recountInterval.Seconds()))
 	p.disconnectedAt = now
 	if p.disconnectedCredits+epsilon < cost {
 		return false
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -4,11 +4,13 @@
 	"cmp"
 	"context"
 	"crypto/sha256"
+	"slices"
 	"sync"
 	"time"
 
 	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
@@ -296,17 +298,19 @@
 	if p.options.LeaseGrace == 0 {
 		return false
 	}
-	if !p.credits.TakeDisconnected(now, lease.AccountID(a.name), p.disconnectedRate(a), 1) {
+	if !p.credits.TakeDisconnected(now, lease.AccountID(a.name), p.disconnectedShare(a), 1) {
 		return false
 	}
 	p.metrics.disconnected.Add(1)
 	return true
 }
 
-// disconnectedRate returns the share of a client account's rate that this VM may use while no control group is
-// reachable: an equal part for each entry VM.
-func (p *Proxy) disconnectedRate(a *account) float64 {
-	return a.rate / float64(max(len(*p.entries.Load()), 1))
+// disconnectedShare returns the share of a client account's rate that this VM may use while no control group is
+// reachable.
+func (p *Proxy) disconnectedShare(a *account) lease.DisconnectedShare {
+	entries := *p.entries.Load()
+	index := slices.IndexFunc(entries, func(e placement.EntryVM) bool { return e.ID == p.options.Process })
+	return lease.NewDisconnectedShare(lease.AccountID(a.name), a.rate, index, len(entries))
 }
 
 // serveDisconnected admits waiting operations within this VM's shares of the rates.
@@ -315,11 +319,11 @@
 		return
 	}
 	t := p.config.Load()
-	p.credits.ServeDisconnected(now, func(name lease.AccountID) float64 {
+	p.credits.ServeDisconnected(now, func(name lease.AccountID) lease.DisconnectedShare {
 		if a := t.accounts[string(name)]; a != nil {
-			return p.disconnectedRate(a)
+			return p.disconnectedShare(a)
 		}
-		return 0
+		return lease.DisconnectedShare{}
 	})
 }
 
--- a/internal/renewal/credits.go
+++ b/internal/renewal/credits.go
@@ -87,7 +87,7 @@
 
 // ServeDisconnected admits waiters within the share of the rates that this VM may use while no issuer
 // answers. Call it often, because such a share accumulates only about one credit.
-func (c *Credits) ServeDisconnected(now time.Time, share func(account lease.AccountID) float64) {
+func (c *Credits) ServeDisconnected(now time.Time, share func(account lease.AccountID) lease.DisconnectedShare) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.holder.Disconnected(now) {
@@ -102,10 +102,10 @@
 }
 
 // TakeDisconnected spends from the share of a rate that this VM may use while no issuer answers.
-func (c *Credits) TakeDisconnected(now time.Time, account lease.AccountID, rate, cost float64) bool {
+func (c *Credits) TakeDisconnected(now time.Time, account lease.AccountID, share lease.DisconnectedShare, cost float64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.holder.TakeDisconnected(now, account, rate, cost)
+	return c.holder.TakeDisconnected(now, account, share, cost)
 }
 
 // fillRequest sets the demands and needs of a request.
--- a/internal/renewal/credits_test.go
+++ b/internal/renewal/credits_test.go
@@ -20,7 +20,7 @@
 	request := &wire.RenewRequest{Sequence: 1}
 	renewal.FillRequest(c, now, request, nil)
 	renewal.ApplyReply(c, now, now, &wire.RenewReply{Leader: true, Sequence: 1})
-	part := func(lease.AccountID) float64 { return 20 }
+	part := func(a lease.AccountID) lease.DisconnectedShare { return lease.NewDisconnectedShare(a, 20, 0, 1) }
 
 	now = now.Add(time.Second)
 	require.True(t, c.TakeDisconnected(now, "a", part("a"), 1))
