Keep the reserve of a client account also with many entry VMs

Cause: the reserve that a new issuer may grant from, and the small limit of what one entry VM may hold, were in force only where the tolerated excess gives each entry VM a whole credit (float > 0). With 88 entry VMs that share rounds down to 0: an entry VM that had not reported then counted as holding half of a burst, and two of them blocked every account until 2.02 s had passed.

Change: reserve and limit follow from the tolerance itself. Only the float needs a whole credit for each entry VM.

Test: TestNewIssuerServesManyEntryVMs, red before: 1 of 25 statements within the rate admitted.

--- a/internal/lease/bucket.go
+++ b/internal/lease/bucket.go
@@ -14,7 +14,8 @@
 	issuer           *Issuer
 	rate             float64  // credits per second
 	burst            float64  // including the tolerated excess
-	float            float64  // tolerated excess of one entry VM
+	excess           float64  // tolerated excess; 0 without a tolerance
+	float            float64  // tolerated excess of one entry VM in whole credits; 0 if there are too many entry VMs
 	level            float64  // credits that may be granted
 	outstanding      float64  // sum over all shares
 	unmet            float64  // sum over all shares
@@ -85,7 +86,7 @@
 
 // maxPerHolder returns how many credits one entry VM may hold.
 func (b *bucket) maxPerHolder() float64 {
-	if b.float > 0 {
+	if b.excess > 0 {
 		return max(1, b.float, b.burst/maxHeldDivisor)
 	}
 	return max(1, b.burst/2)
@@ -94,7 +95,7 @@
 // reserve is the level below which the issuer grants only after the control log has recorded the bucket as
 // drained. Without a tolerance there is none.
 func (b *bucket) reserve() float64 {
-	if b.float == 0 {
+	if b.excess == 0 {
 		return 0
 	}
 	return b.burst / reserveDivisor
--- a/internal/lease/disconnected_test.go
+++ b/internal/lease/disconnected_test.go
@@ -197,3 +197,45 @@
 		require.InDelta(t, accountRate*outage.Seconds(), len(s.spent), 2, "%d entry VMs", entries)
 	}
 }
+
+// TestNewIssuerServesManyEntryVMs guards against a new issuer that grants nothing while a few of many entry VMs have
+// not reported to it.
+func TestNewIssuerServesManyEntryVMs(t *testing.T) {
+	random := rand.New(rand.NewPCG(*seed, 0))
+	s := &cluster{drained: map[string]bool{}}
+	for i := range 88 {
+		s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
+	}
+	now := epoch
+	asked, admitted := 0, 0
+	serve := func(period time.Duration) {
+		waiting := map[*entryVM]time.Time{}
+		for end := now.Add(period); now.Before(end); now = now.Add(timeStep) {
+			if random.Float64() < 0.6*accountRate*timeStep.Seconds() {
+				asked++
+				waiting[s.entries[10+random.IntN(78)]] = now.Add(250 * time.Millisecond)
+			}
+			for _, e := range s.entries {
+				until, ok := waiting[e]
+				if ok && e.holder.Take(now, "a", 1).Verdict == lease.Admitted {
+					admitted++
+					delete(waiting, e)
+				}
+				if ok && now.After(until) {
+					delete(waiting, e)
+				}
+				s.renew(now, e)
+			}
+			s.logDrains(now)
+		}
+	}
+	s.newLeader(now)
+	serve(10 * time.Second)
+	for _, e := range s.entries[:10] {
+		e.partitioned = true
+	}
+	s.newLeader(now)
+	asked, admitted = 0, 0
+	serve(1500 * time.Millisecond)
+	require.GreaterOrEqual(t, admitted, asked*95/100, "of %d statements within the rate", asked)
+}
--- a/internal/lease/issuer.go
+++ b/internal/lease/issuer.go
@@ -95,11 +95,11 @@
 // SetTolerance sets the tolerance. It is zero unless set before the first Configure.
 func (i *Issuer) SetTolerance(t Tolerance) { i.tolerance = t }
 
-// setLimits sets rate, burst and float of a bucket.
+// setLimits sets the limits of a bucket.
 func (i *Issuer) setLimits(b *bucket, a *wire.Account) {
-	extra := i.tolerance.excess(a.GetRate(), a.GetBurst())
-	b.rate, b.burst, b.removed = a.GetRate(), a.GetBurst()+extra, false
-	b.float = math.Floor(extra / float64(max(len(i.holders), 1)))
+	b.excess = i.tolerance.excess(a.GetRate(), a.GetBurst())
+	b.rate, b.burst, b.removed = a.GetRate(), a.GetBurst()+b.excess, false
+	b.float = math.Floor(b.excess / float64(max(len(i.holders), 1)))
 }
 
 // SetPolicy selects the policy. It is Pooled unless set before the first Renew.
