Let the floats of many entry VMs add up to the tolerated excess

What callers saw: from the loss of a control leader until 0.71 s later every operation was refused with reason=rate.

Cause: the tolerated excess, out of which entry VMs hold credits without demand, was divided by the number of entry VMs and rounded down: nothing with 88 entry VMs, and 11 of 21 credits with 11.

Change: the share is rounded up for as many entry VMs as the excess has credits for, others for each account. Where it is less than a credit, only these prefetch, and only that one. The hash that orders the owners of connections became package spread, which both use.

Test: TestFloatsAddUpToTheExcess, red before (10 of 21 credits with 11 entry VMs, fails there first).

--- a/internal/lease/bucket.go
+++ b/internal/lease/bucket.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"fireflyrudder.example/fireflyrudder/internal/spread"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -15,7 +16,7 @@
 	rate             float64  // credits per second
 	burst            float64  // including the tolerated excess
 	excess           float64  // tolerated excess; 0 without a tolerance
-	float            float64  // tolerated excess of one entry VM in whole credits; 0 if there are too many entry VMs
+	float            float64  // tolerated excess divided by the number of entry VMs
 	level            float64  // credits that may be granted
 	outstanding      float64  // sum over all shares
 	unmet            float64  // sum over all shares
@@ -33,6 +34,7 @@
 // share is what one holder has of one account.
 type share struct {
 	bucket      *bucket
+	turn        float64 // fraction of a credit, different for each holder, by which its float is rounded up
 	outstanding float64 // credits that the holder may still spend
 	unmet       float64 // credits that it requested and did not get
 	spent       float64 // total reported last
@@ -42,6 +44,12 @@
 	refilledAt  time.Time
 }
 
+// float returns the credits that the holder keeps without demand. The floats of all holders add up to about the
+// tolerated excess, also where it is less than a credit for each.
+func (s *share) float() float64 {
+	return math.Floor(s.bucket.float + s.turn)
+}
+
 // setOutstanding sets the credits that the holder may still spend.
 func (s *share) setOutstanding(out float64) {
 	s.bucket.outstanding = max(0, s.bucket.outstanding-s.outstanding+out)
@@ -87,7 +95,7 @@
 // maxPerHolder returns how many credits one entry VM may hold.
 func (b *bucket) maxPerHolder() float64 {
 	if b.excess > 0 {
-		return max(1, b.float, b.burst/maxHeldDivisor)
+		return max(1, math.Ceil(b.float), b.burst/maxHeldDivisor)
 	}
 	return max(1, b.burst/2)
 }
@@ -150,7 +158,7 @@
 		}
 		s, ok := h.shares[AccountID(d.GetAccount())]
 		if !ok {
-			s = &share{bucket: b, spent: d.GetSpent()}
+			s = &share{bucket: b, turn: spread.Fraction(d.GetAccount(), string(h.id)), spent: d.GetSpent()}
 			h.shares[AccountID(d.GetAccount())] = s
 		}
 		if s.sequence == h.sequence {
@@ -169,7 +177,7 @@
 			c.Amount = s.grantStatic(now, d, len(i.holders))
 		} else {
 			c.Amount = s.grantPooled(d)
-			c.Float = b.float
+			c.Float = s.float()
 			c.Retry = s.retryAfter(d.GetWant()-c.Amount, i.unreported).Milliseconds()
 		}
 		credits = append(credits, c)
@@ -225,8 +233,10 @@
 	b := s.bucket
 	goal, reserve := s.demand.target(), b.burst/2
 	switch {
-	case b.float > 0:
-		goal, reserve = max(goal, b.float), prefetchLevel*b.reserve()
+	case b.float >= 1:
+		goal, reserve = max(goal, s.float()), prefetchLevel*b.reserve()
+	case s.float() > 0:
+		goal, reserve = s.float(), prefetchLevel*b.reserve()
 	case b.rate < minPrefetchRate:
 		return 0
 	}
--- a/internal/lease/disconnected.go
+++ b/internal/lease/disconnected.go
@@ -1,6 +1,6 @@
 package lease
 
-import "hash/fnv"
+import "fireflyrudder.example/fireflyrudder/internal/spread"
 
 // DisconnectedShare is the part of the rate of a client account that one entry VM may use while no issuer answers.
 type DisconnectedShare struct {
@@ -13,8 +13,6 @@
 // credits one after the other, as fast as the whole rate would. The order differs by account.
 func NewDisconnectedShare(account AccountID, rate float64, index, count int) DisconnectedShare {
 	count = max(count, 1)
-	h := fnv.New32a()
-	h.Write([]byte(account)) //nolint:errcheck // never fails by its contract
-	turn := (max(index, 0) + int(h.Sum32()%uint32(count))) % count
-	return DisconnectedShare{rate: rate / float64(count), start: float64(turn) / float64(count)}
+	place := (max(index, 0) + int(spread.Fraction(string(account))*float64(count))) % count
+	return DisconnectedShare{rate: rate / float64(count), start: float64(place) / float64(count)}
 }
--- a/internal/lease/disconnected_test.go
+++ b/internal/lease/disconnected_test.go
@@ -210,21 +210,27 @@
 	asked, admitted := 0, 0
 	serve := func(period time.Duration) {
 		waiting := map[*entryVM]time.Time{}
+		take := func(e *entryVM) {
+			if e.holder.Take(now, "a", 1).Verdict == lease.Admitted {
+				admitted++
+				delete(waiting, e)
+			}
+		}
 		for end := now.Add(period); now.Before(end); now = now.Add(timeStep) {
 			if random.Float64() < 0.6*accountRate*timeStep.Seconds() {
 				asked++
-				waiting[s.entries[10+random.IntN(78)]] = now.Add(250 * time.Millisecond)
+				e := s.entries[10+random.IntN(78)]
+				waiting[e] = now.Add(250 * time.Millisecond)
+				take(e)
 			}
 			for _, e := range s.entries {
-				until, ok := waiting[e]
-				if ok && e.holder.Take(now, "a", 1).Verdict == lease.Admitted {
-					admitted++
-					delete(waiting, e)
-				}
-				if ok && now.After(until) {
+				due := !now.Before(e.next)
+				s.renew(now, e)
+				if until, ok := waiting[e]; ok && now.After(until) {
 					delete(waiting, e)
+				} else if ok && due {
+					take(e)
 				}
-				s.renew(now, e)
 			}
 			s.logDrains(now)
 		}
@@ -239,3 +245,32 @@
 	serve(1500 * time.Millisecond)
 	require.GreaterOrEqual(t, admitted, asked*95/100, "of %d statements within the rate", asked)
 }
+
+// TestFloatsAddUpToTheExcess guards against many entry VMs that keep no credit at all and refuse everything as soon
+// as the issuer does not answer.
+func TestFloatsAddUpToTheExcess(t *testing.T) {
+	excess := 0.6 * (tolerance.Overrun*(accountRate*tolerance.Window.Seconds()+accountBurst) + tolerance.Slack)
+	for _, entries := range []int{11, 88} {
+		s := &cluster{drained: map[string]bool{}}
+		for i := range entries {
+			s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
+		}
+		now := epoch
+		s.newLeader(now)
+		for i := range 1500 {
+			now = now.Add(timeStep)
+			for k, e := range s.entries {
+				if i%500 == 5*k {
+					e.holder.Take(now, "a", 1)
+				}
+				s.renew(now, e)
+			}
+			s.logDrains(now)
+		}
+		held := 0.0
+		for _, e := range s.entries {
+			held += e.holder.Held(now, "a")
+		}
+		require.InDelta(t, excess, held, excess/2, "%d entry VMs", entries)
+	}
+}
--- a/internal/lease/issuer.go
+++ b/internal/lease/issuer.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -99,7 +98,7 @@
 func (i *Issuer) setLimits(b *bucket, a *wire.Account) {
 	b.excess = i.tolerance.excess(a.GetRate(), a.GetBurst())
 	b.rate, b.burst, b.removed = a.GetRate(), a.GetBurst()+b.excess, false
-	b.float = math.Floor(b.excess / float64(max(len(i.holders), 1)))
+	b.float = b.excess / float64(max(len(i.holders), 1))
 }
 
 // SetPolicy selects the policy. It is Pooled unless set before the first Renew.
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
-	"hash/fnv"
+	"cmp"
 	"slices"
+
+	"fireflyrudder.example/fireflyrudder/internal/spread"
 )
 
 // EntryVM is an entry VM that may own the connections to backend servers.
@@ -24,26 +26,7 @@
 		}
 	}
 	slices.SortFunc(near, func(a, b EntryVM) int {
-		x, y := score(server, a.ID), score(server, b.ID)
-		switch {
-		case x > y:
-			return -1
-		case x < y:
-			return 1
-		}
-		return 0
+		return cmp.Compare(spread.Hash(b.ID, server), spread.Hash(a.ID, server))
 	})
 	return near
 }
-
-// score returns the weight of an entry VM for an instance.
-func score(server, entry string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(entry))  //nolint:errcheck // never fails by its contract
-	h.Write([]byte{0})      //nolint:errcheck // never fails by its contract
-	h.Write([]byte(server)) //nolint:errcheck // never fails by its contract
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd // finalizer of MurmurHash3, since FNV mixes the last bytes poorly
-	return x ^ x>>33
-}
