Send published configurations to entry VMs as edits

Cause: no deltas were kept across a published version, so each version was sent in full, with all views, over both streams of each entry VM. 81 routes and 81 client accounts are tens of KB; ten versions a second are more than a link of 2 Mbit/s takes, and the statements wait behind them.

Change: publishing a version stores the edits that lead to it from its predecessor, if applying them gives exactly that version; otherwise the full one is sent as before. Edits of an accepted version are not checked again by the entry VM.

--- a/internal/controlstate/change.go
+++ b/internal/controlstate/change.go
@@ -65,8 +65,17 @@
 func (s *State) accept(c *wire.Change, d *draft) {
 	d.next.Version = s.Version() + 1
 	d.next.Change = c.GetId()
-	for _, r := range d.edits {
-		r.version = d.next.Version
+	s.keepEdits(d.next.Version, d.edits)
+	s.configuration = d.next
+	for _, e := range c.GetEdits() {
+		s.updateViews(e)
+	}
+}
+
+// keepEdits stores the edits that make a version, for deltas.
+func (s *State) keepEdits(version uint64, edits []acceptedEdit) {
+	for _, r := range edits {
+		r.version = version
 		s.edits = append(s.edits, r)
 	}
 	// Deltas start after baseVersion, so a version whose edits are kept only in part is never sent.
@@ -74,10 +83,6 @@
 		s.baseVersion = s.edits[n-1].version
 		s.edits = s.edits[n:]
 	}
-	s.configuration = d.next
-	for _, e := range c.GetEdits() {
-		s.updateViews(e)
-	}
 }
 
 // updateViews adds, removes or changes views as an accepted edit requires.
--- a/internal/controlstate/draft.go
+++ b/internal/controlstate/draft.go
@@ -29,7 +29,7 @@
 	state          *State
 	next           *wire.Configuration
 	edits          []acceptedEdit
-	trusted        bool // a control VM has accepted the edits; a copy may lack the groups and servers that they name
+	trusted        bool // the edits are of an accepted version and are not checked again
 	checkAllRoutes bool // an account or group was dropped, so all routes are checked and not only the changed ones
 	changedRoutes  []string
 }
@@ -37,6 +37,7 @@
 func newDraft(s *State) *draft {
 	c := s.configuration
 	return &draft{state: s, next: &wire.Configuration{
+		Idle:     c.GetIdle(),
 		Accounts: c.GetAccounts(),
 		Routes:   c.GetRoutes(),
 		Groups:   c.GetGroups(),
@@ -88,8 +89,21 @@
 }
 
 func (d *draft) putAccount(a *wire.Account) string {
+	if problem := d.checkAccount(a); problem != "" {
+		return problem
+	}
+	if old, ok := d.account(a.GetName()); ok && len(a.GetKeys()) == 0 {
+		a = withKeys(a, old.GetKeys())
+	}
+	d.next.Accounts = putNamed(d.next.GetAccounts(), a, (*wire.Account).GetName)
+	return ""
+}
+
+func (d *draft) checkAccount(a *wire.Account) string {
 	name := a.GetName()
 	switch {
+	case d.trusted:
+		return ""
 	case isInvalidName(name):
 		return invalidNameProblem("account", name)
 	case name == PublicAccount:
@@ -107,10 +121,6 @@
 			return fmt.Sprintf("account %q has two keys named %q; rename one", name, k.GetName())
 		}
 	}
-	if old, ok := d.account(name); ok && len(a.GetKeys()) == 0 {
-		a = withKeys(a, old.GetKeys())
-	}
-	d.next.Accounts = putNamed(d.next.GetAccounts(), a, (*wire.Account).GetName)
 	return ""
 }
 
@@ -164,7 +174,18 @@
 }
 
 func (d *draft) putRoute(r *wire.Route) string {
+	if problem := d.checkRoute(r); problem != "" {
+		return problem
+	}
+	d.next.Routes = putNamed(d.next.GetRoutes(), r, (*wire.Route).GetName)
+	d.changedRoutes = append(d.changedRoutes, r.GetName())
+	return ""
+}
+
+func (d *draft) checkRoute(r *wire.Route) string {
 	switch {
+	case d.trusted:
+		return ""
 	case isInvalidName(r.GetName()):
 		return invalidNameProblem("route", r.GetName())
 	case r.GetDatabase() == "":
@@ -177,8 +198,6 @@
 			return fmt.Sprintf("route %q lists account %q twice; list it once", r.GetName(), a)
 		}
 	}
-	d.next.Routes = putNamed(d.next.GetRoutes(), r, (*wire.Route).GetName)
-	d.changedRoutes = append(d.changedRoutes, r.GetName())
 	return ""
 }
 
@@ -191,13 +210,23 @@
 }
 
 func (d *draft) putGroup(g *wire.Group) string {
+	if problem := d.checkGroup(g); problem != "" {
+		return problem
+	}
+	d.next.Groups = putNamed(d.next.GetGroups(), g, (*wire.Group).GetName)
+	return ""
+}
+
+func (d *draft) checkGroup(g *wire.Group) string {
 	v, _ := d.state.View(g.GetName())
 	switch {
+	case d.trusted:
+		return ""
 	case isInvalidName(g.GetName()):
 		return invalidNameProblem("group", g.GetName())
 	case g.GetMembers() < 1:
 		return fmt.Sprintf("group %q has no members; give at least 1, better 3", g.GetName())
-	case !d.trusted && int(g.GetMembers()) < len(v.GetMembers()):
+	case int(g.GetMembers()) < len(v.GetMembers()):
 		return fmt.Sprintf("group %q has %d members; retire servers and wait for their removal before a lower number",
 			g.GetName(), len(v.GetMembers()))
 	case g.GetSlots() < 1:
@@ -205,7 +234,6 @@
 	case g.GetConnections() < minConnections:
 		return fmt.Sprintf("group %q has %d connections; give at least %d", g.GetName(), g.GetConnections(), minConnections)
 	}
-	d.next.Groups = putNamed(d.next.GetGroups(), g, (*wire.Group).GetName)
 	return ""
 }
 
--- a/internal/controlstate/publish.go
+++ b/internal/controlstate/publish.go
@@ -75,12 +75,11 @@
 }
 
 // publish replaces the configuration with one of a higher version. A configuration of the current or a lower
-// version has no effect. No deltas are kept across a published version.
+// version has no effect.
 func (s *State) publish(c *wire.Configuration) *wire.Decision {
 	if c.GetVersion() > s.Version() {
+		s.keepDifference(c)
 		s.configuration = c
-		s.baseVersion = c.GetVersion()
-		s.edits = nil
 		s.syncViews()
 	}
 	return &wire.Decision{Verdict: wire.Verdict_VERDICT_ACCEPTED, Version: s.Version()}
