Send the list of entry VMs at most once a second on a stream

Change: a stream carries the list at most once a second. The list only names who may own connections; an owner that does not answer is passed over without it.

--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -14,6 +14,10 @@
 // entry VMs, so that they watch another control VM before their configuration lease ends.
 const leaderContactInterval = time.Second
 
+// registrationInterval is the least time between two lists of the entry VMs on a stream. Each list names all of them,
+// so without it a roll of all entry VMs would send as many lists as there are entry VMs to each one.
+const registrationInterval = time.Second
+
 // watcher is the state of one stream of updates to an entry VM.
 type watcher struct {
 	wake              chan struct{} // contains one token when the control state has changed
@@ -22,6 +26,7 @@
 	groups            []string
 	wantRegistrations bool   // the stream includes the registrations of entry VMs
 	registrationIndex uint64 // registration index of the last update
+	registrationsSent time.Time
 }
 
 // Watch sends the state that an entry VM lacks and then every change. Every control VM that is in contact
@@ -81,8 +86,9 @@
 		if u, ok = s.vm.state.UpdateSince(w.version, w.index, w.groups); !ok {
 			u = s.vm.state.FullUpdate(w.groups)
 		}
-		if index := s.vm.state.RegistrationIndex(); w.wantRegistrations && index > w.registrationIndex {
+		if index := s.vm.state.RegistrationIndex(); w.wantRegistrations && index > w.registrationIndex && now.Sub(w.registrationsSent) >= registrationInterval {
 			u.Entries, u.Entered = s.vm.state.Registrations(), index
+			w.registrationsSent = now
 		}
 	})
 	return u, led, err
