Reserve the ports of tests until their servers have ended

Faults of the harness: a test closed a listener on port 0 and gave its port to a server, and another process could take it in between (platform TestEndToEnd failed so once); controlvm's start waited for Ready although Run had ended (TestLeaderKilled hung for 600 s).

Change: package loopback, in place of four copies, gives out ports below those that the kernel hands out, and reserves each by a listener on another loopback address until the test ends. start fails at once with the error of Run.

--- a/cmd/fireflyrudder/control_test.go
+++ b/cmd/fireflyrudder/control_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	main "fireflyrudder.example/fireflyrudder/cmd/fireflyrudder"
+
+	"fireflyrudder.example/fireflyrudder/internal/loopback"
 )
 
 // runAsCommand is the environment variable that makes the test binary run as the command.
@@ -48,13 +49,6 @@
 	return c.ProcessState.ExitCode(), stdout.String(), stderr.String()
 }
 
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 const groupConfiguration = `
 [group main]
 members = 3
@@ -67,8 +61,8 @@
 func controlGroup(t *testing.T) (addresses []string, start func(i int) *exec.Cmd) {
 	var announce, data []string
 	for range 3 {
-		addresses = append(addresses, freeAddress(t))
-		announce = append(announce, freeAddress(t))
+		addresses = append(addresses, loopback.Address(t))
+		announce = append(announce, loopback.Address(t))
 		data = append(data, filepath.Join(t.TempDir(), "data"))
 	}
 	return addresses, func(i int) *exec.Cmd {
--- a/internal/controlvm/vm_test.go
+++ b/internal/controlvm/vm_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"path/filepath"
 	"testing"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"fireflyrudder.example/fireflyrudder/internal/controlvm"
+	"fireflyrudder.example/fireflyrudder/internal/loopback"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -32,21 +32,13 @@
 	s := &testVM{t: t}
 	s.options.Node.Zone = "zone-a"
 	s.options.Control.Data = filepath.Join(t.TempDir(), "data")
-	s.options.Control.Listen = freeAddress(t)
-	s.options.Control.Announce = freeAddress(t)
+	s.options.Control.Listen = loopback.Address(t)
+	s.options.Control.Announce = loopback.Address(t)
 	s.options.Control.Server.User = "fireflyrudder"
 	t.Cleanup(s.stop)
 	return s
 }
 
-// freeAddress returns a loopback address that was free when it was checked.
-func freeAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // newTestVMs returns control VMs that have each other as peers. They are not started.
 func newTestVMs(t *testing.T, count int) []*testVM {
 	vms := make([]*testVM, count)
@@ -68,7 +60,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.vm, s.cancel, s.ended = vm, cancel, make(chan error, 1)
 	go func() { s.ended <- vm.Run(ctx) }()
-	<-vm.Ready()
+	select {
+	case <-vm.Ready():
+	case err := <-s.ended:
+		s.ended <- err // for stop
+		s.t.Fatal("the control VM ended before it was ready:", err)
+	}
 }
 
 func (s *testVM) stop() {
--- a/test/fault_test.go
+++ b/test/fault_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"fireflyrudder.example/fireflyrudder/internal/load"
+	"fireflyrudder.example/fireflyrudder/internal/loopback"
 )
 
 // maxWriteGap is the longest write gap over a failover that the design page allows.
@@ -164,7 +165,7 @@
 func TestSilentControlVMIsReplaced(t *testing.T) {
 	const replacement = 30 * time.Second // time without a response after which a spare replaces a voter
 	s := startSystem(t)
-	spareAddresses := addresses(t, 2)
+	spareAddresses := loopback.Addresses(t, 2)
 	peers := repeatFlag("--peer", append([]string{spareAddresses[0]}, s.controlAddresses...))
 	startProcess(t, "spare", append([]string{"control", "--name", "spare", "--zone", zone(0), "--data", filepath.Join(t.TempDir(), "data"),
 		"--listen", spareAddresses[0], "--announce", spareAddresses[1], "--join"}, peers...)...)
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -116,16 +115,3 @@
 	out, err := exec.CommandContext(t.Context(), binary, args...).CombinedOutput()
 	return string(out), err
 }
-
-// addresses returns free addresses on loopback.
-func addresses(t *testing.T, n int) []string {
-	t.Helper()
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer l.Close()
-		out = append(out, l.Addr().String())
-	}
-	return out
-}
--- a/test/system_test.go
+++ b/test/system_test.go
@@ -16,6 +16,7 @@
 	"github.com/xdg-go/scram"
 
 	"fireflyrudder.example/fireflyrudder/internal/load"
+	"fireflyrudder.example/fireflyrudder/internal/loopback"
 )
 
 // Sizes of the system under test.
@@ -44,20 +45,20 @@
 func startSystem(t *testing.T) *system {
 	t.Helper()
 	s := &system{t: t, servers: map[string]*process{}, serverAddresses: map[string]string{}}
-	s.controlAddresses = addresses(t, controlVMCount)
-	announce := addresses(t, controlVMCount)
+	s.controlAddresses = loopback.Addresses(t, controlVMCount)
+	announce := loopback.Addresses(t, controlVMCount)
 	for i := range controlVMCount {
 		args := []string{"control", "--name", fmt.Sprintf("control-%d", i), "--zone", zone(i), "--data", filepath.Join(t.TempDir(), "data"), "--listen", s.controlAddresses[i], "--announce", announce[i]}
 		s.controlVMs = append(s.controlVMs, startProcess(t, args[2], append(args, repeatFlag("--peer", s.controlAddresses)...)...))
 	}
-	for i, address := range addresses(t, serverCount) {
+	for i, address := range loopback.Addresses(t, serverCount) {
 		name := string(rune('a' + i))
 		args := []string{"standin", "--server-name", name, "--group", "main", "--zone", zone(i), "--listen", address, "--open", "12ms", "--connections", "24", "--slots", "3"}
 		s.servers[name] = startProcess(t, "server "+name, append(args, repeatFlag("--announce", announce)...)...)
 		s.serverAddresses[name] = address
 	}
 	s.configure()
-	s.entryAddresses = addresses(t, entryVMCount)
+	s.entryAddresses = loopback.Addresses(t, entryVMCount)
 	token := filepath.Join(t.TempDir(), "token")
 	require.NoError(t, os.WriteFile(token, []byte("a secret of the test that signs session tokens"), 0o600))
 	for i, address := range s.entryAddresses {
