Check where the write of a planned switchover ran

The last assertion of TestSwitchoverQueuesWrites compared "a" with itself. It now checks that the new primary leads, that its log grew by the write, and that the row is there once.

--- a/internal/entryvm/failure_test.go
+++ b/internal/entryvm/failure_test.go
@@ -13,6 +13,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/stretchr/testify/require"
 
+	"fireflyrudder.example/fireflyrudder/internal/standin"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -173,9 +174,12 @@
 		t.Fatal("the write did not wait", err)
 	case <-time.After(200 * time.Millisecond):
 	}
+	before := cl.servers[1].Status().Offset
 	cl.finishFailover(1, nil)
 	require.NoError(t, <-answers)
-	require.Equal(t, "a", cl.servers[1].Status().Server[:0]+"a")
+	require.Equal(t, standin.RolePrimary, cl.servers[1].Status().Role)
+	require.Greater(t, cl.servers[1].Status().Offset, before, "the new primary has the write")
+	require.Equal(t, 1, queryInt(t, c, "SELECT count(*) FROM claim WHERE owner = 'a'"))
 }
 
 // Guards against answers that reach another caller and against mixed transactions, when callers share few connections
