End connections to control VMs whose data is not acknowledged for 1 s

Cause: the entry VM sends its Renews on a connection that the VM without power never closed. Each times out after 0.4 s, the next control VM has the same, and only a retransmission after the restart, by then seconds apart, draws a reset. gRPC's keepalive timeout, which is also the TCP user timeout, was 3 s.

Connections are dialed anew each 0.3 s from then on.

--- a/internal/controlvm/dial.go
+++ b/internal/controlvm/dial.go
@@ -21,7 +21,7 @@
 	maxRedialDelay    = 300 * time.Millisecond
 	connectTimeout    = 150 * time.Millisecond // of the first attempts; later ones get up to maxRedialDelay
 	keepaliveInterval = 10 * time.Second
-	keepaliveTimeout  = 3 * time.Second
+	keepaliveTimeout  = time.Second // also ends a connection whose data is not acknowledged for so long
 )
 
 // Dial returns a connection to the gRPC listener of a control VM. It connects on first use and reconnects
