--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -1,10 +1,14 @@
 package load_test
 
 import (
+	"bytes"
 	"context"
+	"io"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -200,3 +204,55 @@
 		require.NotEmpty(t, errors.GetAllHints(err), "the error names a remedy")
 	}
 }
+
+// recorder forwards connections to a server and records what clients send.
+type recorder struct {
+	mu   sync.Mutex
+	sent bytes.Buffer
+}
+
+func (r *recorder) Write(b []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent.Write(b)
+}
+
+// start returns the address of the recorder.
+func (r *recorder) start(t *testing.T, server string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			client, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go r.forward(client, server)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func (r *recorder) forward(client net.Conn, server string) {
+	defer client.Close()
+	upstream, err := net.Dial("tcp", server)
+	if err != nil {
+		return
+	}
+	defer upstream.Close()
+	go io.Copy(client, upstream)
+	io.Copy(upstream, io.TeeReader(client, r))
+}
+
+// TestCurrentDataIsRequested guards against reads that the audit holds to current data although the session left the
+// age to its route.
+func TestCurrentDataIsRequested(t *testing.T) {
+	r := &recorder{}
+	w := workload()
+	w.RoamInterval = 0
+	_, err := load.Run(t.Context(), w, []string{r.start(t, primary(t).Address())})
+	require.NoError(t, err)
+	require.Contains(t, r.sent.String(), "SET fireflyrudder.age = '0s'")
+	require.Contains(t, r.sent.String(), "SET fireflyrudder.age = '1s'")
+}
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -149,10 +149,9 @@
 	if err != nil {
 		return err
 	}
-	if s.maxAge > 0 {
-		if _, err := conn.Exec(ctx, fmt.Sprintf("SET %s = '%s'", parameterAge, s.maxAge)); err != nil {
-			return errors.CombineErrors(err, conn.Close(ctx))
-		}
+	// Without a stated age, that of the route would apply.
+	if _, err := conn.Exec(ctx, fmt.Sprintf("SET %s = '%s'", parameterAge, s.maxAge)); err != nil {
+		return errors.CombineErrors(err, conn.Close(ctx))
 	}
 	s.conn = conn
 	return nil
