Mend two faults of TestAnswersAndTransactionsDoNotMix

Traced with a scratch copy that dumps all goroutines and the holder of the write lock when a write waits for more than 2 s, and that prints whether the caller's connection is open after its timeout.

A caller lets a statement time out after 1 ms. If the time has passed before the driver sends anything, the driver ("context already done") keeps the connection and its transaction open. The session now asks for current data.

--- a/internal/entryvm/failure_test.go
+++ b/internal/entryvm/failure_test.go
@@ -200,6 +200,8 @@
 		}()
 	}
 	group.Wait()
+	_, err := setup.Exec(background, "SET fireflyrudder.age = '0s'") // its route accepts data of 10 s
+	require.NoError(t, err)
 	require.Equal(t, 12*15, queryInt(t, setup, "SELECT count(*) FROM claim WHERE owner = 'kept'"))
 	require.Zero(t, queryInt(t, setup, "SELECT count(*) FROM claim WHERE owner = 'undone'"))
 }
@@ -237,6 +239,7 @@
 		ctx, stop := context.WithTimeout(background, time.Millisecond)
 		tx.Exec(ctx, "SELECT pg_sleep(0.05)")
 		stop()
+		tx.Rollback(background) // the driver keeps the connection open if the timeout passed before it sent anything
 	case 2: // fails
 		tx.Exec(background, "SELECT nothing FROM nowhere")
 		tx.Rollback(background)
