--- a/internal/standin/change.go
+++ b/internal/standin/change.go
@@ -173,18 +173,24 @@
 	return nil
 }
 
-func (e *execution) update(q *pg.UpdateStmt) (*result, error) {
-	if q.WithClause != nil || len(q.FromClause) > 0 {
-		return nil, errUnsupported("WITH and UPDATE FROM")
-	}
+// lockRows acquires the write lock and returns a table with the rows that a condition selects.
+func (e *execution) lockRows(relation *pg.RangeVar, where *pg.Node) (*source, []row, error) {
 	if err := e.tx.acquireWriteLock(e.ctx); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	s, err := e.fromTable(q.Relation, q.WhereClause, true)
+	s, err := e.fromTable(relation, where, true)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	rows, err := s.filter(where)
+	return s, rows, err
+}
+
+func (e *execution) update(q *pg.UpdateStmt) (*result, error) {
+	if q.WithClause != nil || len(q.FromClause) > 0 {
+		return nil, errUnsupported("WITH and UPDATE FROM")
 	}
-	rows, err := s.filter(q.WhereClause)
+	s, rows, err := e.lockRows(q.Relation, q.WhereClause)
 	if err != nil {
 		return nil, err
 	}
@@ -242,14 +248,7 @@
 	if q.WithClause != nil || len(q.UsingClause) > 0 {
 		return nil, errUnsupported("WITH and DELETE USING")
 	}
-	if err := e.tx.acquireWriteLock(e.ctx); err != nil {
-		return nil, err
-	}
-	s, err := e.fromTable(q.Relation, q.WhereClause, true)
-	if err != nil {
-		return nil, err
-	}
-	rows, err := s.filter(q.WhereClause)
+	s, rows, err := e.lockRows(q.Relation, q.WhereClause)
 	if err != nil {
 		return nil, err
 	}
