--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -258,7 +258,17 @@
 	}
 	c.SetDeadline(time.Now().Add(connectTimeout))
 	defer c.SetDeadline(time.Time{})
-	if err := c.Send(&pgproto3.Query{String: "DISCARD ALL"}); err != nil {
+	if err := c.execute("DISCARD ALL"); err != nil {
+		return err
+	}
+	c.HasSessionState = false
+	clear(c.prepared)
+	return nil
+}
+
+// execute runs a command that returns no rows. A connection on which it fails is not used again.
+func (c *Conn) execute(command string) error {
+	if err := c.Send(&pgproto3.Query{String: command}); err != nil {
 		return err
 	}
 	if err := c.Flush(); err != nil {
@@ -272,10 +282,8 @@
 		switch m := m.(type) {
 		case *pgproto3.ErrorResponse:
 			c.unusable.Store(true)
-			return errors.Newf("backend: DISCARD ALL on %s: %s", c.Target.Server, m.Message)
+			return errors.Newf("backend: %s on %s: %s", command, c.Target.Server, m.Message)
 		case *pgproto3.ReadyForQuery:
-			c.HasSessionState = false
-			clear(c.prepared)
 			return nil
 		}
 	}
--- a/internal/backend/link.go
+++ b/internal/backend/link.go
@@ -98,24 +98,7 @@
 // listen subscribes to notifications of the server's log position.
 func (l *Link) listen(c *Conn) error {
 	c.SetDeadline(time.Now().Add(linkTimeout))
-	if err := c.Send(&pgproto3.Query{String: "LISTEN group_position"}); err != nil {
-		return err
-	}
-	if err := c.Flush(); err != nil {
-		return err
-	}
-	for {
-		m, err := c.Receive()
-		if err != nil {
-			return err
-		}
-		switch m := m.(type) {
-		case *pgproto3.ErrorResponse:
-			return errors.Newf("backend: LISTEN on %s: %s", l.target.Server, m.Message)
-		case *pgproto3.ReadyForQuery:
-			return nil
-		}
-	}
+	return c.execute("LISTEN group_position")
 }
 
 // write sends the queued requests. It passes the round of each to expected.
