--- a/internal/configuration/file.go
+++ b/internal/configuration/file.go
@@ -36,6 +36,7 @@
 	"github.com/cockroachdb/errors"
 	"gopkg.in/ini.v1"
 
+	"fireflyrudder.example/fireflyrudder/internal/inifile"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -68,13 +69,7 @@
 
 // Read reads a configuration file. The lists of the returned configuration are sorted by name.
 func Read(file string) (*wire.Configuration, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{
-		AllowNonUniqueSections: true,
-		AllowShadows:           true,
-		IgnoreContinuation:     true,
-		IgnoreInlineComment:    true,
-		KeyValueDelimiters:     "=",
-	}, file)
+	f, err := inifile.Load(file)
 	if err != nil {
 		return nil, errors.WithHint(errors.Wrapf(err, "configuration: %s", file), "name a readable INI file with sections such as [account NAME]")
 	}
--- a/internal/questionnaire/read.go
+++ b/internal/questionnaire/read.go
@@ -12,6 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"gopkg.in/ini.v1"
+
+	"fireflyrudder.example/fireflyrudder/internal/inifile"
 )
 
 const (
@@ -41,13 +43,7 @@
 
 // Read reads and validates a questionnaire.
 func Read(file string) (*Questionnaire, error) {
-	f, err := ini.LoadSources(ini.LoadOptions{
-		AllowNonUniqueSections: true,
-		AllowShadows:           true,
-		IgnoreContinuation:     true,
-		IgnoreInlineComment:    true,
-		KeyValueDelimiters:     "=",
-	}, file)
+	f, err := inifile.Load(file)
 	if err != nil {
 		return nil, errors.WithHint(errors.Wrapf(err, "questionnaire: %s", file),
 			"name a readable INI file; see a blank one with: fireflyrudder questionnaire blank")
