--- a/internal/failover/membership.go
+++ b/internal/failover/membership.go
@@ -10,9 +10,8 @@
 
 // membershipChange is the change of members that is under way in a group. There is at most one at a time.
 type membershipChange struct {
-	server           ServerID // empty if there is none
-	dismiss          bool     // the server is removed; otherwise it is admitted
-	started          time.Time
+	server           ServerID          // empty if there is none
+	dismiss          bool              // the server is removed; otherwise it is admitted
 	requiredPosition position.Position // position of the primary after the change began
 	positionKnown    bool              // requiredPosition is set
 	caughtUp         map[ServerID]bool // servers that have reported a log up to requiredPosition
@@ -123,7 +122,7 @@
 			return
 		}
 		if now.Sub(s.retired) >= dismissDelay {
-			g.change = membershipChange{server: s.id, dismiss: true, started: now, caughtUp: map[ServerID]bool{}}
+			g.change = membershipChange{server: s.id, dismiss: true, caughtUp: map[ServerID]bool{}}
 		}
 		return
 	}
@@ -136,7 +135,7 @@
 	for _, id := range g.serverIDs {
 		s := g.servers[id]
 		if !g.member(id) && s.retired.IsZero() && s.recentlyHeard(now) {
-			g.change = membershipChange{server: id, started: now, caughtUp: map[ServerID]bool{}}
+			g.change = membershipChange{server: id, caughtUp: map[ServerID]bool{}}
 			return
 		}
 	}
--- a/internal/local/site.go
+++ b/internal/local/site.go
@@ -50,7 +50,6 @@
 // Options are the listener addresses and the data folder of a site.
 type Options struct {
 	EntryAddresses []string // IP:port of the PostgreSQL listener of each entry VM
-	Console        string   // IP:port of the HTTP console of the first entry VM; empty switches it off
 	DataFolder     string   // data folder of the control VMs; if empty, a temporary folder that is removed at the end
 }
 
