Send proofs and edits so that entry VMs of an earlier build understand them

No caller saw this; found in reading the change: during a rolling upgrade an owner of connections of an earlier build would answer a request for a proof as a probe, and the primary would count as unreachable; an entry VM of an earlier build would refuse edits of published accounts, whose keys have no SCRAM verifier, and still take their version.

Change: the request also carries the Begin that an earlier build runs. A WatchRequest states that edits are applied without a check; without that, published versions are sent in full as before. An empty answer counts as the loss of the entry VM.

Test: TestSharedProofIsDated (the age of a shared proof over the wire). The upgrade itself was not played.

--- a/internal/controlstate/publish.go
+++ b/internal/controlstate/publish.go
@@ -85,6 +85,9 @@
 	return &wire.Decision{Verdict: wire.Verdict_VERDICT_ACCEPTED, Version: s.Version()}
 }
 
+// Published reports whether the current configuration was published as a whole.
+func (s *State) Published() bool { return s.configuration.GetDocument() != nil }
+
 // syncViews adds views for new groups and removes those of groups that no longer exist.
 func (s *State) syncViews() {
 	kept := make([]*wire.View, 0, len(s.configuration.GetGroups()))
--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -25,6 +25,7 @@
 	index             uint64
 	groups            []string
 	wantRegistrations bool   // the stream includes the registrations of entry VMs
+	trustsEdits       bool   // the entry VM applies edits without a check; one of an earlier build refuses published accounts
 	registrationIndex uint64 // registration index of the last update
 	registrationsSent time.Time
 }
@@ -34,7 +35,7 @@
 // clients only at the version that Renew returned.
 func (s *service) Watch(r *wire.WatchRequest, stream wire.Control_WatchServer) error {
 	ctx := stream.Context()
-	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, wantRegistrations: r.Entries, registrationIndex: r.Entered}
+	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, wantRegistrations: r.Entries, trustsEdits: r.Trusts, registrationIndex: r.Entered}
 	stop, err := s.subscribe(ctx, w)
 	if err != nil {
 		return statusError(err)
@@ -83,7 +84,8 @@
 	err = s.vm.inbox.Do(ctx, func(now time.Time) {
 		led = s.vm.voter.LeaderAddress(now) != ""
 		var ok bool
-		if u, ok = s.vm.state.UpdateSince(w.version, w.index, w.groups); !ok {
+		u, ok = s.vm.state.UpdateSince(w.version, w.index, w.groups)
+		if !ok || len(u.Edits) > 0 && s.vm.state.Published() && !w.trustsEdits {
 			u = s.vm.state.FullUpdate(w.groups)
 		}
 		if index := s.vm.state.RegistrationIndex(); w.wantRegistrations && index > w.registrationIndex && now.Sub(w.registrationsSent) >= registrationInterval {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -280,8 +280,10 @@
 	if limit <= 0 {
 		return connpool.Proof{}, connpool.ErrQueueTimeout
 	}
+	// An entry VM of an earlier build ignores the age and begins a transaction.
+	begin := encodeSteps([]operation.Statement{{Kind: operation.Begin}})
 	reply, err := h.exchange(ctx, limit, &wire.ForwardRequest{
-		Server: h.request.Server, Account: h.request.Account, Limit: limit.Microseconds(), ProofAge: max(maxAge.Microseconds(), 1),
+		Server: h.request.Server, Account: h.request.Account, Limit: limit.Microseconds(), Steps: begin, ProofAge: max(maxAge.Microseconds(), 1),
 	})
 	if err != nil {
 		return connpool.Proof{}, err
@@ -291,7 +293,7 @@
 	}
 	answers := decodeAnswers(reply.GetResults())
 	if len(answers) == 0 {
-		return connpool.Proof{}, connpool.ErrUnreachable
+		return connpool.Proof{}, errors.Mark(connpool.ErrConnectionLost, ErrPeerLost)
 	}
 	return connpool.Proof{Sent: now.Add(-time.Duration(reply.GetProofAge()) * time.Microsecond), Answer: answers[0]}, nil
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -13,6 +13,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
 // server is a fake backend server that records the statements it runs.
@@ -48,6 +49,9 @@
 			s.open = false
 		}
 		a := operation.Answer{Rows: []string{st.Argument}, Proof: st.ID}
+		if st.Kind == operation.Begin {
+			a.At = position.Position{Term: 1, Offset: position.Offset(len(s.ran))}
+		}
 		if s.open {
 			a.State = operation.Open
 		}
@@ -149,3 +153,32 @@
 	require.ErrorIs(t, err, connpool.ErrConnectionLost)
 	require.True(t, errors.Is(err, forward.ErrPeerLost), "the error must be attributed to the peer")
 }
+
+// TestSharedProofIsDated guards against a proof that counts as newer than the statement that gave it. Reads would miss
+// commits that were acknowledged in between.
+func TestSharedProofIsDated(t *testing.T) {
+	s, c, address := start(t)
+	prove := func(maxAge time.Duration) connpool.Proof {
+		h, err := c.NewHandle(forward.Request{Address: address, Server: "i", Account: "a"})
+		require.NoError(t, err)
+		defer h.Release()
+		proof, err := h.Prove(t.Context(), limit(5*time.Second), maxAge)
+		require.NoError(t, err)
+		return proof
+	}
+	first := prove(time.Minute)
+	answered := time.Now()
+	time.Sleep(20 * time.Millisecond)
+	shared := prove(time.Minute)
+	require.Equal(t, first.Answer.At, shared.Answer.At)
+	require.True(t, shared.Sent.Before(answered), "it dates from the first request")
+	own := prove(time.Microsecond)
+	require.NotEqual(t, first.Answer.At, own.Answer.At, "the shared proof is too old")
+	begun := 0
+	for _, kind := range s.kinds() {
+		if kind == operation.Begin {
+			begun++
+		}
+	}
+	require.Equal(t, 2, begun)
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -57,7 +57,7 @@
 
 // Run implements wire.ForwardServer.
 func (s *Server) Run(ctx context.Context, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
-	if len(r.GetSteps()) == 0 && r.GetProofAge() == 0 {
+	if len(r.GetSteps()) == 0 {
 		return &wire.ForwardReply{}, nil // a probe
 	}
 	pool := s.pools.Pool(ctx, r.GetServer())
