--- a/internal/lease/disconnected_test.go
+++ b/internal/lease/disconnected_test.go
@@ -39,6 +39,15 @@
 	next        time.Time
 }
 
+// newCluster returns a cluster without an issuer.
+func newCluster(entries int) *cluster {
+	s := &cluster{drained: map[string]bool{}}
+	for i := range entries {
+		s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
+	}
+	return s
+}
+
 func (s *cluster) registrations() []*wire.Registration {
 	var out []*wire.Registration
 	for _, e := range s.entries {
@@ -112,14 +121,11 @@
 	for run := range 50 {
 		t.Run(fmt.Sprint(run), func(t *testing.T) {
 			random := rand.New(rand.NewPCG(*seed, uint64(run)))
-			s := &cluster{drained: map[string]bool{}}
 			entries := 11
 			if run >= 40 {
 				entries = 88
 			}
-			for i := range entries {
-				s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
-			}
+			s := newCluster(entries)
 			now := epoch
 			s.newLeader(now)
 			for range 4000 {
@@ -151,10 +157,7 @@
 
 // TestDisconnectedAdmits guards against an entry VM that refuses everything while no issuer answers.
 func TestDisconnectedAdmits(t *testing.T) {
-	s := &cluster{}
-	for i := range 2 {
-		s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
-	}
+	s := newCluster(2)
 	now := epoch
 	s.newLeader(now)
 	for _, e := range s.entries {
@@ -175,10 +178,7 @@
 func TestDisconnectedSharesAddUpToTheRate(t *testing.T) {
 	const outage = 2 * time.Second
 	for _, entries := range []int{11, 88} {
-		s := &cluster{}
-		for i := range entries {
-			s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
-		}
+		s := newCluster(entries)
 		now := epoch
 		s.newLeader(now)
 		for _, e := range s.entries {
@@ -202,10 +202,7 @@
 // not reported to it.
 func TestNewIssuerServesManyEntryVMs(t *testing.T) {
 	random := rand.New(rand.NewPCG(*seed, 0))
-	s := &cluster{drained: map[string]bool{}}
-	for i := range 88 {
-		s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
-	}
+	s := newCluster(88)
 	now := epoch
 	asked, admitted := 0, 0
 	serve := func(period time.Duration) {
@@ -251,10 +248,7 @@
 func TestFloatsAddUpToTheExcess(t *testing.T) {
 	excess := 0.6 * (tolerance.Overrun*(accountRate*tolerance.Window.Seconds()+accountBurst) + tolerance.Slack)
 	for _, entries := range []int{11, 88} {
-		s := &cluster{drained: map[string]bool{}}
-		for i := range entries {
-			s.entries = append(s.entries, &entryVM{holder: lease.NewHolder(), id: fmt.Sprint("e", i)})
-		}
+		s := newCluster(entries)
 		now := epoch
 		s.newLeader(now)
 		for i := range 1500 {
