--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -333,3 +333,20 @@
 		})
 	}
 }
+
+// Guards against a statement that takes a slot while all connections are in use by transactions, which then get none.
+func TestStatementsNeedAConnection(t *testing.T) {
+	q := admission.NewWith(admission.Settings{Slots: 2, Fixed: true, Connections: 1})
+	push(q, "a", 2, admission.Ticket{})
+	first, result := q.Pop(start)
+	require.Equal(t, admission.Admitted, result)
+	q.Done(start, first, ms(5), false)
+	_, result = q.Pop(start)
+	require.Equal(t, admission.None, result, "the first one still has its connection")
+	push(q, "b", 1, admission.Ticket{InTransaction: true})
+	_, result = q.Pop(start)
+	require.Equal(t, admission.Admitted, result)
+	q.ReleaseConnection()
+	_, result = q.Pop(start)
+	require.Equal(t, admission.Admitted, result)
+}
