--- a/internal/controllog/membership.go
+++ b/internal/controllog/membership.go
@@ -54,7 +54,9 @@
 	for _, m := range v.Membership().Members {
 		out = append(out, m.Address)
 	}
-	out = append(out, v.leaderHints...)
+	if v.leaderHint != "" {
+		out = append(out, v.leaderHint)
+	}
 	sort.Strings(out)
 	out = slices.Compact(out)
 	return slices.DeleteFunc(out, func(a string) bool { return a == v.config.Address })
@@ -105,8 +107,8 @@
 		h := &wire.Hello{Zone: v.config.Zone, Spare: v.config.Spare, Echo: r.Challenge}
 		v.send(m.Address, m.From, &wire.VoterMessage{Body: &wire.VoterMessage_Hello{Hello: h}})
 	}
-	if r.Leader != "" && !slices.Contains(v.leaderHints, r.Leader) {
-		v.leaderHints = []string{r.Leader}
+	if r.Leader != "" {
+		v.leaderHint = r.Leader
 	}
 	if v.InGroup() || v.config.Spare {
 		return
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -76,7 +76,7 @@
 	pendingReply  *pendingReply // follower: reply due when records are durable; nil if none
 	votes         map[Identity]bool
 	helloReplies  map[string]*wire.VoterMessage // process outside a group: latest HelloReply by address
-	leaderHints   []string                      // leader address from the latest HelloReply that named one
+	leaderHint    string                        // leader address from the latest HelloReply that named one
 	snapshotIndex uint64                        // index of the last snapshot that was requested, installed or restored
 	snapshotTail  Synced                        // last record of the log when that snapshot was requested
 
