--- a/internal/failover/group.go
+++ b/internal/failover/group.go
@@ -44,7 +44,8 @@
 	promises         map[ServerID]Report // reports of the members that have promised the term
 	majorityPromised time.Time           // when a majority had promised
 	candidate        ServerID            // the server called to promote for the term
-	start            position.Offset     // start of the term in the log; while draining, last offset of the former primary
+	start            position.Offset     // start of the term in the log
+	drainOffset      position.Offset     // while draining, last offset of the former primary
 
 	change         membershipChange
 	majorityJoined time.Time // when a majority of the first members had been admitted
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -89,8 +89,8 @@
 	}
 	caughtUp := waited >= minDrain && former.reportedAt.After(g.stageStarted) && target.reportedAt.After(g.stageStarted) &&
 		target.report.Term == former.report.Term && target.report.Offset >= former.report.Offset
-	if !caughtUp || former.report.Offset != g.start {
-		g.start, g.catchUpPolls = former.report.Offset, 0
+	if !caughtUp || former.report.Offset != g.drainOffset {
+		g.drainOffset, g.catchUpPolls = former.report.Offset, 0
 	}
 	// Several consecutive checks are needed, since a single one may fall between two writes of the former
 	// primary.
