--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -165,6 +165,25 @@
 	}
 }
 
+// TestTwoLostFoldersAreBorne guards against a control group that cannot lose two data folders at once although five
+// control VMs run. Sites with two VMs with a disk in each of three availability zones tolerate that loss.
+func TestTwoLostFoldersAreBorne(t *testing.T) {
+	c := newCluster(t, 1, 3, 2)
+	c.runUntil(10*time.Second, "forming the group", c.fullyReplicated)
+	c.run(10 * time.Second)
+	c.propose()
+	c.run(20 * tickInterval)
+	for _, m := range c.machines {
+		c.crash(m)
+	}
+	c.wipeDataFolder(c.machines[0])
+	c.wipeDataFolder(c.machines[1])
+	for _, m := range c.machines {
+		c.boot(m)
+	}
+	c.runUntil(15*time.Second, "election after the loss", func() bool { return c.leader() != nil })
+}
+
 // Guards against ending the promise to the leader because of a delayed message from an earlier process at the
 // leader's address.
 func TestDelayedHelloKeepsPromise(t *testing.T) {
