--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -217,6 +217,13 @@
 	return r.sent.Write(b)
 }
 
+// text returns what clients have sent so far.
+func (r *recorder) text() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent.String()
+}
+
 // start returns the address of the recorder.
 func (r *recorder) start(t *testing.T, server string) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -253,6 +260,6 @@
 	w.RoamInterval = 0
 	_, err := load.Run(t.Context(), w, []string{r.start(t, primary(t).Address())})
 	require.NoError(t, err)
-	require.Contains(t, r.sent.String(), "SET fireflyrudder.age = '0s'")
-	require.Contains(t, r.sent.String(), "SET fireflyrudder.age = '1s'")
+	require.Contains(t, r.text(), "SET fireflyrudder.age = '0s'")
+	require.Contains(t, r.text(), "SET fireflyrudder.age = '1s'")
 }
