Let a control group grow to the voters that bear the disks it may lose

TestTwoLostFoldersAreBorne failed: the group had the three voters that formed it, also where five control VMs ran and two data folders may be lost at once. Config.Voters now names the number that the group grows to: a caught-up learner becomes a voter while there are fewer. Among learners the availability zone with the fewest voters is preferred, so the loss of a zone leaves a majority. A lost data folder is recognised by any other identity at the address: after growth the new identity may be a voter already, and the silent one stayed for 30 s (seen by TestTwoReplacedVMsOneAfterTheOther).

--- a/internal/controllog/cluster_test.go
+++ b/internal/controllog/cluster_test.go
@@ -17,7 +17,10 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
-const tickInterval = 10 * time.Millisecond
+const (
+	tickInterval = 10 * time.Millisecond
+	zones        = 3 // availability zones of a cluster
+)
 
 // machine is a VM of the simulated group. The content of its data folder survives a crash.
 type machine struct {
@@ -62,16 +65,24 @@
 }
 
 func newCluster(t require.TestingT, seed uint64, voters, spares int) *cluster {
+	return newGrowingCluster(t, seed, voters, spares, 0)
+}
+
+// newGrowingCluster starts control VMs of which the first ones form a group that grows to a number of voters. Each
+// third one is in the same availability zone.
+func newGrowingCluster(t require.TestingT, seed uint64, forming, spares, voters int) *cluster {
 	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 1)), maxDelay: 10 * time.Millisecond}
 	c.committedDigests, c.committed = map[uint64]string{}, map[uint64]*wire.LogRecord{}
 	c.leaders = map[uint64]controllog.Identity{}
 	var peers []string
-	for i := range voters {
+	for i := range forming {
 		peers = append(peers, fmt.Sprint("vm", i))
 	}
-	for i := range voters + spares {
+	for i := range forming + spares {
 		m := &machine{speed: 0.995 + 0.01*c.random.Float64()}
-		m.config = controllog.Config{Address: fmt.Sprint("vm", i), Peers: peers, Spare: i >= voters, SnapshotEvery: 20}
+		m.config = controllog.Config{
+			Address: fmt.Sprint("vm", i), Zone: fmt.Sprint("zone", i%zones), Peers: peers, Spare: i >= forming, Voters: voters, SnapshotEvery: 20,
+		}
 		c.machines = append(c.machines, m)
 		c.wipeDataFolder(m)
 		c.boot(m)
@@ -340,6 +351,22 @@
 	return voters == int(l.voter.Membership().Voters)
 }
 
+// mostVotersInAZone returns the number of running voters in the availability zone that has most of them.
+func (c *cluster) mostVotersInAZone() int {
+	l := c.leader()
+	perZone := map[string]int{}
+	for _, s := range l.voter.Members(c.now(l)) {
+		if s.Role != "learner" {
+			perZone[s.Zone]++
+		}
+	}
+	most := 0
+	for _, n := range perZone {
+		most = max(most, n)
+	}
+	return most
+}
+
 // String returns the state of all machines for the message of a failed check.
 func (c *cluster) String() string {
 	var out string
--- a/internal/controllog/membership.go
+++ b/internal/controllog/membership.go
@@ -136,7 +136,7 @@
 		m := v.helloReplies[address]
 		g.Members = append(g.Members, &wire.VoterMember{Identity: m.From, Address: address, Zone: m.GetHelloReply().Zone})
 	}
-	g.Voters = uint32(len(g.Members))
+	g.Voters = uint32(max(len(g.Members), v.config.Voters))
 	sortMembers(g)
 	v.saveVote(v.term+1, v.id, "")
 	r := &wire.LogRecord{Index: 1, Term: v.term, Body: &wire.LogRecord_Membership{Membership: g}}
@@ -185,8 +185,9 @@
 	v.appendRecord(now, &wire.LogRecord{Body: &wire.LogRecord_Membership{Membership: g}})
 }
 
-// replaceSilentVoter replaces a silent voter: it is removed, then a caught-up learner becomes a voter.
-func (v *Voter) replaceSilentVoter(now time.Time) {
+// repairMembership makes a caught-up learner a voter while there are fewer voters than intended. Otherwise it
+// removes a silent voter, so that the learner takes its place.
+func (v *Voter) repairMembership(now time.Time) {
 	if !v.mayChangeMembership() {
 		return
 	}
@@ -195,6 +196,7 @@
 		return
 	}
 	g := proto.CloneOf(v.Membership())
+	g.Voters = uint32(max(int(g.Voters), v.config.Voters))
 	if len(v.voters()) < int(g.Voters) {
 		for _, m := range g.Members {
 			if m.Identity == string(learner) {
@@ -222,7 +224,7 @@
 	}
 	wait := v.config.ReplaceAfter
 	for _, other := range v.Membership().Members {
-		if other.Learner && other.Address == m.Address {
+		if other.Identity != m.Identity && other.Address == m.Address {
 			wait = min(wait, SupersededAfter)
 		}
 	}
@@ -230,19 +232,40 @@
 }
 
 // replacementLearner returns a learner that has every committed record and replies, or "". Configured control
-// VMs are preferred to spares.
+// VMs are preferred to spares, and then availability zones with few voters, so that the loss of one zone leaves
+// a majority where the number of zones allows it.
 func (v *Voter) replacementLearner(now time.Time) Identity {
-	var best Identity
+	var best *wire.VoterMember
 	for _, m := range v.Membership().Members {
 		f := v.followers[Identity(m.Identity)]
 		if !m.Learner || f == nil || f.matched < v.commit || now.Sub(f.lastHeard) > LearnerFreshness {
 			continue
 		}
-		if best == "" || slices.Contains(v.config.Peers, m.Address) {
-			best = Identity(m.Identity)
+		if best == nil || v.isPreferred(now, m, best) {
+			best = m
 		}
 	}
-	return best
+	return Identity(best.GetIdentity())
+}
+
+// isPreferred reports whether learner a becomes a voter before learner b.
+func (v *Voter) isPreferred(now time.Time, a, b *wire.VoterMember) bool {
+	first, second := slices.Contains(v.config.Peers, a.Address), slices.Contains(v.config.Peers, b.Address)
+	if first != second {
+		return first
+	}
+	return v.votersIn(now, a.Zone) < v.votersIn(now, b.Zone)
+}
+
+// votersIn returns the number of voters in an availability zone that are not to be replaced.
+func (v *Voter) votersIn(now time.Time, zone string) int {
+	n := 0
+	for _, m := range v.Membership().Members {
+		if !m.Learner && m.Zone == zone && !v.isSilent(now, m) {
+			n++
+		}
+	}
+	return n
 }
 
 // sortMembers sorts the members, so that equal memberships are equal messages.
--- a/internal/controllog/replication.go
+++ b/internal/controllog/replication.go
@@ -35,7 +35,7 @@
 		v.becomeFollower(now, v.term, "")
 		return
 	}
-	v.replaceSilentVoter(now)
+	v.repairMembership(now)
 	if now.Sub(v.heartbeatSent) >= v.scaled(DefaultHeartbeatInterval) {
 		v.heartbeatSent = now
 		for _, m := range v.Membership().Members {
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -36,6 +36,7 @@
 	Zone              string        // availability zone
 	Peers             []string      // addresses of all control VMs, including its own; empty for a group of one
 	Spare             bool          // never forms a group; joins as a learner
+	Voters            int           // voting members that the group grows to; 0 means those that formed it
 	SnapshotEvery     uint64        // committed records between snapshots; 0 means DefaultSnapshotEvery
 	HeartbeatInterval time.Duration // election timeouts and the lease scale with it; 0 means DefaultHeartbeatInterval
 	ReplaceAfter      time.Duration // time without a message after which a voter is replaced; 0 means DefaultReplaceAfter
--- a/internal/controllog/voter_test.go
+++ b/internal/controllog/voter_test.go
@@ -29,7 +29,12 @@
 func TestClusterProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		voters := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "voters")
-		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), voters, rapid.IntRange(0, 2).Draw(t, "spares"))
+		spares := rapid.IntRange(0, 3).Draw(t, "spares")
+		grown := voters
+		if spares >= 2 {
+			grown = rapid.SampledFrom([]int{voters, 5}).Draw(t, "grown")
+		}
+		c := newGrowingCluster(t, rapid.Uint64().Draw(t, "seed"), voters, spares, grown)
 		c.runUntil(10*time.Second, "forming the group", c.fullyReplicated)
 		index := rapid.IntRange(0, len(c.machines)-1)
 		which := func(t *rapid.T) *machine { return c.machines[index.Draw(t, "machine")] }
@@ -61,12 +66,17 @@
 				which(t).frozen = c.elapsed + time.Duration(rapid.IntRange(100, 5000).Draw(t, "span"))*time.Millisecond
 			},
 			"lose folder": func(t *rapid.T) {
-				// Losing a second data folder before the first voter is replaced may lose committed records.
-				m := which(t)
+				// Losing more data folders than a minority of the voters before they are replaced may lose committed records.
+				lost := []*machine{which(t)}
+				if grown == 5 {
+					lost = append(lost, which(t))
+				}
 				c.heal()
 				c.runUntil(3*time.Minute, "repair", c.fullyReplicated)
-				c.crash(m)
-				c.wipeDataFolder(m)
+				for _, m := range lost {
+					c.crash(m)
+					c.wipeDataFolder(m)
+				}
 			},
 			"": func(t *rapid.T) { c.run(time.Duration(rapid.IntRange(0, 100).Draw(t, "steps")) * tickInterval) },
 		}
@@ -168,7 +178,7 @@
 // TestTwoLostFoldersAreBorne guards against a control group that cannot lose two data folders at once although five
 // control VMs run. Sites with two VMs with a disk in each of three availability zones tolerate that loss.
 func TestTwoLostFoldersAreBorne(t *testing.T) {
-	c := newCluster(t, 1, 3, 2)
+	c := newGrowingCluster(t, 1, 3, 2, 5)
 	c.runUntil(10*time.Second, "forming the group", c.fullyReplicated)
 	c.run(10 * time.Second)
 	c.propose()
@@ -184,6 +194,46 @@
 	c.runUntil(15*time.Second, "election after the loss", func() bool { return c.leader() != nil })
 }
 
+// TestVotersBearTheLossOfAZone guards against voters that stand where the loss of one availability zone takes the
+// majority, although there are control VMs in enough zones, and against a repair that leaves them so.
+func TestVotersBearTheLossOfAZone(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newGrowingCluster(t, seed, 3, 3, 5)
+		c.runUntil(10*time.Second, "growing the group", c.fullyReplicated)
+		require.LessOrEqual(t, c.mostVotersInAZone(), 2)
+		c.crash(c.machines[3])
+		c.crash(c.machines[4])
+		c.wipeDataFolder(c.machines[3])
+		c.wipeDataFolder(c.machines[4])
+		c.boot(c.machines[3])
+		c.boot(c.machines[4])
+		c.run(time.Second)
+		c.runUntil(20*time.Second, "repair", c.fullyReplicated)
+		require.LessOrEqual(t, c.mostVotersInAZone(), 2)
+	}
+}
+
+// TestTwoReplacedVMsOneAfterTheOther guards against a repair of two lost data folders that is not finished within the
+// time after which the next two may be lost.
+func TestTwoReplacedVMsOneAfterTheOther(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newGrowingCluster(t, seed, 3, 3, 5)
+		c.runUntil(10*time.Second, "growing the group", c.fullyReplicated)
+		for round := range 4 {
+			c.propose()
+			c.run(20 * tickInterval)
+			for i := range 2 {
+				m := c.machines[(2*round+i)%len(c.machines)]
+				c.crash(m)
+				c.wipeDataFolder(m)
+				c.boot(m)
+			}
+			c.run(controllog.SupersededAfter)
+			c.runUntil(3*time.Second, "repair", c.fullyReplicated)
+		}
+	}
+}
+
 // Guards against ending the promise to the leader because of a delayed message from an earlier process at the
 // leader's address.
 func TestDelayedHelloKeepsPromise(t *testing.T) {
