--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -133,7 +133,7 @@
 	}
 	c := vm.options.Control
 	config := controllog.Config{
-		Address: c.Listen, Zone: vm.options.Node.Zone, Peers: c.Peers, Spare: c.Join, SnapshotEvery: vm.options.SnapshotEvery,
+		Address: c.Listen, Zone: vm.options.Node.Zone, Peers: c.Peers, Spare: c.Join, Voters: c.Voters, SnapshotEvery: vm.options.SnapshotEvery,
 		ReplaceAfter: vm.options.ReplaceAfter, HeartbeatInterval: vm.options.HeartbeatInterval,
 	}
 	state := controllog.PersistentState{
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -88,6 +88,7 @@
 	Announce string            `long:"announce" env:"FIREFLYRUDDER_CONTROL_ANNOUNCE" default:"127.0.0.1:7401" description:"IP:port of the HTTP listener for announcements of backend servers"`
 	Peers    []string          `long:"peer" env:"FIREFLYRUDDER_CONTROL_PEERS" env-delim:"," description:"IP:port of the gRPC listener of each control VM, this one included; repeat"`
 	Join     bool              `long:"join" env:"FIREFLYRUDDER_CONTROL_JOIN" description:"start as a spare that joins the running group as a learner"`
+	Voters   int               `long:"voters" env:"FIREFLYRUDDER_CONTROL_VOTERS" description:"number of voters that the control group grows to with control VMs that join: 2f+1 bear f lost disks; 0 means the peers"`
 	Server   ServerCredentials `group:"server" namespace:"server"`
 }
 
@@ -105,6 +106,9 @@
 		return errors.WithHint(errors.New("settings: [control] peer does not name this control VM's listen address"),
 			"name the same addresses as peer on every control VM, "+c.Listen+" included")
 	}
+	if c.Voters != 0 && (c.Voters < 0 || c.Voters%2 == 0) {
+		return errors.WithHint(errors.Newf("settings: [control] voters is %d", c.Voters), "give an odd number, such as 3 or 5")
+	}
 	return c.Server.Check()
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -66,6 +66,8 @@
 	require.NoError(t, (&settings.Console{}).Check())
 	require.Error(t, (&settings.TLS{Certificate: "a.pem"}).Check())
 	require.Error(t, (&settings.Control{Listen: "127.0.0.1:1", Announce: "127.0.0.1:2"}).Check())
+	require.Error(t, (&settings.Control{Data: "data", Listen: "127.0.0.1:1", Announce: "127.0.0.1:2", Voters: 4}).Check())
+	require.NoError(t, (&settings.Control{Data: "data", Listen: "127.0.0.1:1", Announce: "127.0.0.1:2", Voters: 5}).Check())
 	require.Error(t, (&settings.Entry{Listen: "127.0.0.1:1"}).Check())
 	require.Error(t, (&settings.Standin{Listen: "127.0.0.1:1", Slots: 0, Connections: 1}).Check())
 }
