Keep the proofs of a group at one entry VM of each zone

Cause: each entry VM that used a group in the last 5 s asked the owner of the primary's connections for a proof each 0.4 s, also where it served one statement in 2 s. 300 entry VMs and 20 groups make up to 15,000 calls a second, 750 of them at the owner of one primary, whose link carries 2 Mbit/s. Now one entry VM of each zone queries the primary and keeps the proofs; the others request them from it when a read needs one. An entry VM whose statements show nothing of a primary no longer reports it as reachable.

TestProofsOfAZoneAreShared: 36 queries before, at most 6 now.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -12,6 +12,7 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/forward"
+	"fireflyrudder.example/fireflyrudder/internal/freshness"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
@@ -82,6 +83,16 @@
 	return l.pool
 }
 
+// kept is the proof of the group "g".
+var kept = freshness.Proof{Sent: time.Now().Add(-time.Second), At: position.Position{Term: 2, Offset: 9}}
+
+func (l pools) Proofs(_ context.Context, r forward.ProofsRequest) ([]freshness.Proof, bool) {
+	if !kept.Sent.After(r.Since) {
+		return nil, r.Group == "g"
+	}
+	return []freshness.Proof{kept}, r.Group == "g"
+}
+
 func start(t *testing.T) (*server, *forward.Client, string) {
 	s := &server{}
 	l := connpool.New(connpool.Options{Group: "g", Server: "i", Dial: s.dial, Now: time.Now, Slots: 2, Connections: 4})
@@ -182,3 +193,20 @@
 	}
 	require.Equal(t, 2, begun)
 }
+
+// TestKeptProofsAreDated guards against a kept proof that counts as newer than it is, one that is sent again, and an
+// entry VM that does not serve the group and seems to have no proofs.
+func TestKeptProofsAreDated(t *testing.T) {
+	_, c, address := start(t)
+	proofs, err := c.Proofs(t.Context(), address, forward.ProofsRequest{Group: "g"})
+	require.NoError(t, err)
+	require.Len(t, proofs, 1)
+	require.Equal(t, kept.At, proofs[0].At)
+	require.False(t, proofs[0].Sent.After(kept.Sent))
+	require.WithinDuration(t, kept.Sent, proofs[0].Sent, time.Second)
+	proofs, err = c.Proofs(t.Context(), address, forward.ProofsRequest{Group: "g", Since: time.Now()})
+	require.NoError(t, err)
+	require.Empty(t, proofs)
+	_, err = c.Proofs(t.Context(), address, forward.ProofsRequest{Group: "other"})
+	require.ErrorIs(t, err, forward.ErrNoProofs)
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/keepalive"
 
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
+	"fireflyrudder.example/fireflyrudder/internal/freshness"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
@@ -24,11 +25,14 @@
 	stopGrace = 300 * time.Millisecond
 )
 
-// Pools looks up connection pools by backend server. It is safe for concurrent use.
+// Pools looks up connection pools by backend server, and proofs by database group. It is safe for concurrent use.
 type Pools interface {
 	// Pool returns nil if the VM does not serve the backend server or shuts down. On a VM that has just started
 	// it may wait until ctx ends.
 	Pool(ctx context.Context, server string) *connpool.Pool
+	// Proofs returns the proofs of a database group that this VM keeps for its availability zone. known is false if
+	// it does not serve the group.
+	Proofs(ctx context.Context, r ProofsRequest) (proofs []freshness.Proof, known bool)
 }
 
 // Server runs statements that other entry VMs forward.
--- a/internal/freshness/tracker.go
+++ b/internal/freshness/tracker.go
@@ -6,6 +6,7 @@
 package freshness
 
 import (
+	"slices"
 	"time"
 
 	"fireflyrudder.example/fireflyrudder/pkg/position"
@@ -19,18 +20,18 @@
 	minSpacing = 50 * time.Millisecond
 )
 
-// proof states that the primary's log ended at a position at a given time or later. Every commit acknowledged
+// Proof states that the primary's log ended at a position at a given time or later. Every commit acknowledged
 // before that time is in the log up to the position, or was lost in a failover.
-type proof struct {
-	sent time.Time
-	at   position.Position
+type Proof struct {
+	Sent time.Time
+	At   position.Position
 }
 
 // Tracker stores the proofs of one database group. It is not safe for concurrent use.
 //
 // Invariant: the proofs ascend in time, and within a term in position.
 type Tracker struct {
-	proofs []proof
+	proofs []Proof
 }
 
 // Observe records that the primary of the group answered a request sent at the given time and that its log
@@ -42,36 +43,36 @@
 	}
 	n := len(t.proofs)
 	if n == 0 {
-		t.proofs = append(t.proofs, proof{sent, at})
+		t.proofs = append(t.proofs, Proof{sent, at})
 		return
 	}
 	last := &t.proofs[n-1]
 	switch {
-	case at.Term < last.at.Term:
+	case at.Term < last.At.Term:
 		return
-	case at.Term == last.at.Term && !sent.After(last.sent):
+	case at.Term == last.At.Term && !sent.After(last.Sent):
 		// A position read earlier may be higher, since a slow reply carries a late position. Everything
 		// acknowledged before the last proof is in the log up to the higher one as well.
 		return
-	case at.Term == last.at.Term && at.Less(last.at):
-		at = last.at
+	case at.Term == last.At.Term && at.Less(last.At):
+		at = last.At
 	}
-	if n > 1 && at.Term == last.at.Term && sent.Sub(t.proofs[n-2].sent) < minSpacing {
-		*last = proof{sent, at}
+	if n > 1 && at.Term == last.At.Term && sent.Sub(t.proofs[n-2].Sent) < minSpacing {
+		*last = Proof{sent, at}
 		return
 	}
 	if n == maxProofs {
 		t.proofs = append(t.proofs[:0], t.proofs[1:]...)
 	}
-	t.proofs = append(t.proofs, proof{sent, at})
+	t.proofs = append(t.proofs, Proof{sent, at})
 }
 
 // Floor returns the lowest position that is known to include every commit acknowledged more than age before
 // now. It returns false if no proof is that recent; the primary must be queried first.
 func (t *Tracker) Floor(now time.Time, age time.Duration) (position.Position, bool) {
 	for _, p := range t.proofs {
-		if now.Sub(p.sent) <= age {
-			return p.at, true
+		if now.Sub(p.Sent) <= age {
+			return p.At, true
 		}
 	}
 	return position.Position{}, false
@@ -82,8 +83,8 @@
 // survived.
 func (t *Tracker) EffectiveFloor(floor position.Position) position.Position {
 	for _, p := range t.proofs {
-		if p.at.Term > floor.Term {
-			return p.at
+		if p.At.Term > floor.Term {
+			return p.At
 		}
 	}
 	return floor
@@ -95,7 +96,17 @@
 		return time.Time{}, position.Position{}, false
 	}
 	last := t.proofs[len(t.proofs)-1]
-	return last.sent, last.at, true
+	return last.Sent, last.At, true
+}
+
+// Since returns the proofs that are newer than a time, in ascending order.
+func (t *Tracker) Since(after time.Time) []Proof {
+	for i, p := range t.proofs {
+		if p.Sent.After(after) {
+			return slices.Clone(t.proofs[i:])
+		}
+	}
+	return nil
 }
 
 // Max returns the later of two positions.
--- a/internal/placement/stats.go
+++ b/internal/placement/stats.go
@@ -122,6 +122,12 @@
 	return now.Sub(first)
 }
 
+// Observed reports whether it is known if the instance answers: it answered within the period, has left a statement
+// unanswered since then, or statements are in progress.
+func (s *InstanceStats) Observed(now time.Time, period time.Duration) bool {
+	return s.inFlight > 0 || !s.firstFailure.IsZero() || now.Sub(s.lastAnswer) < period
+}
+
 // Failing reports whether the instance did not answer the latest statement.
 func (s *InstanceStats) Failing() bool { return !s.firstFailure.IsZero() }
 
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -12,25 +11,17 @@
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/freshness"
-	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
 const (
-	// proofRefreshAge is the age of the newest proof at which another one is fetched while the group is in use.
-	// It is well below the smallest maximum staleness that the first users configured, 1.5 s.
-	proofRefreshAge = 400 * time.Millisecond
-	// sharedProofAge is the age up to which the entry VMs share the proof of the one that owns the connections
-	// to the primary. Otherwise the statements for proofs would grow with the number of entry VMs.
-	sharedProofAge = 100 * time.Millisecond
 	// activePeriod is how long a group counts as in use after its last statement.
 	activePeriod = 5 * time.Second
-	// proofTimeout bounds one attempt to fetch a proof. The attempt needs no slot.
-	proofTimeout = 400 * time.Millisecond
-	// requestMargin is subtracted from the maximum staleness for the transit of the caller's request to this VM.
-	requestMargin = 20 * time.Millisecond
+	// sightPeriod is the age up to which the last answer of a primary shows that this VM reaches it. It is below the
+	// time for which the control group counts a report.
+	sightPeriod = 500 * time.Millisecond
 	// silenceThreshold is the time without an answer after which a primary is reported as unreachable, and after
 	// which the connections of a former primary are closed at once.
 	silenceThreshold = 250 * time.Millisecond
@@ -47,17 +38,28 @@
 	zone       string
 	slots      int
 	leaving    bool
-	owners     []placement.EntryVM  // that may own the connections, preferred first; guarded by group.mu
-	ownersFrom *[]placement.EntryVM // list of entry VMs from which owners was computed; guarded by group.mu
+	owners     candidateList // entry VMs that may own the connections, preferred first; guarded by group.mu
 }
 
 // candidates returns the entry VMs that may own the connections to the instance, preferred first. The caller
 // holds the lock of the group.
 func (m *member) candidates(entries *[]placement.EntryVM) []placement.EntryVM {
-	if m.ownersFrom != entries {
-		m.owners, m.ownersFrom = placement.Owners(string(m.id), m.zone, *entries), entries
+	return m.owners.of(string(m.id), m.zone, entries)
+}
+
+// candidateList is the order of the entry VMs of an availability zone for one key, computed once for each list of
+// entry VMs.
+type candidateList struct {
+	ordered []placement.EntryVM
+	from    *[]placement.EntryVM // list from which ordered was computed
+}
+
+// of returns the entry VMs of the zone, preferred first.
+func (c *candidateList) of(key, zone string, entries *[]placement.EntryVM) []placement.EntryVM {
+	if c.from != entries {
+		c.ordered, c.from = placement.Owners(key, zone, *entries), entries
 	}
-	return m.owners
+	return c.ordered
 }
 
 // group is the state of a database group on this VM. It is safe for concurrent use.
@@ -67,6 +69,7 @@
 	zoneRTT        func(zone string) time.Duration
 	usableOwner    func(m *member, now time.Time) string // see Proxy.usableOwner
 	preferredOwner func(m *member) string                // see Proxy.preferredOwner
+	proofKeeper    func(g *group, now time.Time) string  // see Proxy.proofKeeper
 	forward        *forward.Client
 	proofFlight    singleflight.Group
 
@@ -79,6 +82,8 @@
 	finder        *placement.Finder
 	reader        *placement.ReadBalancer
 	proofs        freshness.Tracker
+	keepers       candidateList        // entry VMs of this availability zone that may keep the proofs of the group, preferred first
+	avoidKeeper   map[string]time.Time // end of peerAvoidPeriod, by address of an entry VM that gave no proofs
 	lastUsed      time.Time
 	recentAccount string        // client account served last
 	viewChanged   chan struct{} // closed and replaced when the view changes
@@ -88,8 +93,8 @@
 
 func newGroup(name string, p *Proxy) *group {
 	return &group{
-		name: name, now: p.options.Now, zoneRTT: p.zoneRTT, usableOwner: p.usableOwner, preferredOwner: p.preferredOwner, forward: p.forward,
-		finder: placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
+		name: name, now: p.options.Now, zoneRTT: p.zoneRTT, usableOwner: p.usableOwner, preferredOwner: p.preferredOwner, proofKeeper: p.proofKeeper, forward: p.forward,
+		avoidKeeper: map[string]time.Time{}, finder: placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
 	}
 }
 
@@ -222,105 +227,6 @@
 	g.finder.MarkUnreachable(g.now(), placement.ServerID(server))
 }
 
-// floor returns the minimum log position that a read of a session must see. It queries the primary if no
-// proof is recent enough. It returns false if ctx ended before a proof arrived.
-func (g *group) floor(ctx context.Context, account string, age time.Duration, session position.Position) (position.Position, bool) {
-	for {
-		g.mu.Lock()
-		g.lastUsed = g.now()
-		if g.recentAccount == "" {
-			g.recentAccount = account
-		}
-		at, ok := g.proofs.Floor(g.lastUsed, age-requestMargin)
-		if ok && !session.IsZero() {
-			at = freshness.Max(at, g.proofs.EffectiveFloor(session))
-		}
-		g.mu.Unlock()
-		if ok {
-			return at, true
-		}
-		if !g.awaitProof(ctx) {
-			return position.Position{}, false
-		}
-	}
-}
-
-// awaitProof fetches a proof; concurrent callers share one attempt. It returns false if ctx ended before.
-func (g *group) awaitProof(ctx context.Context) bool {
-	select {
-	case <-g.fetchProof():
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// fetchProof starts an attempt to fetch a proof unless one is in progress. The channel receives when the
-// attempt has ended.
-func (g *group) fetchProof() <-chan singleflight.Result {
-	return g.proofFlight.DoChan("", func() (any, error) {
-		g.queryProof()
-		return nil, nil
-	})
-}
-
-// queryProof queries the end of the primary's log with a statement that succeeds only on an instance that leads.
-func (g *group) queryProof() {
-	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
-	defer cancel()
-	m, wait, changed := g.primaryTarget(g.now(), false)
-	if m == nil {
-		select {
-		case <-changed:
-		case <-time.After(min(wait, proofTimeout)):
-		}
-		return
-	}
-	h := g.newConn(m, connRequest{account: g.proofAccount(), weight: 1, read: true})
-	defer h.Release()
-	sent := g.now()
-	proof, err := h.Prove(ctx, connpool.Limit{Until: sent.Add(proofTimeout)}, sharedProofAge)
-	switch {
-	case err != nil:
-		g.recordPrimaryAnswer(m, sent, nil, err)
-	case proof.Answer.Code == operation.Done && proof.Sent.Before(sent):
-		g.recordPosition(proof.Sent, proof.Answer.At)
-	default:
-		g.recordPrimaryAnswer(m, sent, []operation.Answer{proof.Answer}, nil)
-	}
-}
-
-// recordPosition records a proof from before the request for it. It does not show which instance leads now.
-func (g *group) recordPosition(sent time.Time, at position.Position) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.proofs.Observe(sent, at)
-}
-
-// recordPrimaryAnswer records whether an instance leads, according to its answer to the beginning of a
-// read-write transaction or to a write.
-func (g *group) recordPrimaryAnswer(m *member, sent time.Time, answers []operation.Answer, err error) {
-	switch {
-	case len(answers) > 0 && answers[0].Code == operation.Done:
-		g.recordPrimary(sent, string(m.id), answers[0].At)
-	case len(answers) > 0 && answers[0].Code == operation.ReadOnly:
-		g.recordNotPrimary(string(m.id))
-	case isUnreachable(err):
-		g.recordUnreachable(string(m.id))
-	}
-}
-
-// refreshProof fetches a proof before the newest one becomes too old, while the group is in use.
-func (g *group) refreshProof(now time.Time) {
-	g.mu.Lock()
-	sent, _, ok := g.proofs.Newest()
-	due := now.Sub(g.lastUsed) < activePeriod && (!ok || now.Sub(sent) >= proofRefreshAge)
-	g.mu.Unlock()
-	if due {
-		g.fetchProof()
-	}
-}
-
 // readTarget returns the instance to use for a read, or nil if there is none left to try.
 func (g *group) readTarget(now time.Time, floor position.Position, tried []string) *member {
 	g.mu.Lock()
@@ -346,13 +252,14 @@
 	return nil
 }
 
-// sight returns the report to the control group on whether this VM reaches the primary. It is nil without
-// traffic.
+// sight returns the report to the control group on whether this VM reaches the primary. It is nil if the primary has
+// answered nothing of late and no statement waits for it, since a VM without evidence must not count as one that
+// reaches the primary.
 func (g *group) sight(now time.Time) *wire.Sight {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.find(placement.ServerID(g.primary))
-	if m == nil || now.Sub(g.lastUsed) >= activePeriod {
+	if m == nil || !m.stats.Observed(now, sightPeriod) {
 		return nil
 	}
 	silent := m.stats.Silence(now)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -105,6 +106,7 @@
 	config        atomic.Pointer[configSnapshot]
 	entries       atomic.Pointer[[]placement.EntryVM]
 	pools         atomic.Pointer[map[string]*connpool.Pool] // by instance
+	served        atomic.Pointer[map[string]*group]         // by name
 	viewsReady    chan struct{}                             // closed when the pools of the first views are published
 	leases        renewal.ConfigLeases                      // modified only by the event loop
 	draining      atomic.Bool
@@ -128,6 +130,7 @@
 	p.forward = forward.NewClient(o.Now)
 	p.entries.Store(&[]placement.EntryVM{})
 	p.pools.Store(&map[string]*connpool.Pool{})
+	p.served.Store(&map[string]*group{})
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	p.inbox = eventloop.New(eventQueueSize, p.ctx.Done(), errStopped)
 	p.config.Store(newConfigSnapshot(p.state.Configuration(), nil))
@@ -316,15 +319,17 @@
 	p.publishPools()
 }
 
-// publishPools makes the connection pools available to other entry VMs.
+// publishPools makes the connection pools and the groups available to other entry VMs.
 func (p *Proxy) publishPools() {
 	pools := map[string]*connpool.Pool{}
+	served := maps.Clone(p.groups)
 	for _, g := range p.groups {
 		for _, pool := range g.pools() {
 			pools[pool.Server()] = pool
 		}
 	}
 	p.pools.Store(&pools)
+	p.served.Store(&served)
 	select {
 	case <-p.viewsReady:
 	default:
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -59,3 +60,62 @@
 	require.LessOrEqual(t, p.opened.Load(), int32(1))
 	require.LessOrEqual(t, p.begun.Load(), int32(2))
 }
+
+// TestProofsOfAZoneAreShared guards against statements for proofs that grow with the number of entry VMs: at 300 entry
+// VMs they filled the link of the one that owns the connections to a primary.
+func TestProofsOfAZoneAreShared(t *testing.T) {
+	p := &primary{}
+	vms := startZone(t, p, 12)
+	for _, vm := range vms {
+		vm.AwaitKeeper()
+	}
+	for range 3 {
+		for _, vm := range vms {
+			at, ok := vm.Floor(t.Context(), 1500*time.Millisecond)
+			require.True(t, ok)
+			require.Equal(t, position.Position{Term: 1, Offset: 1}, at)
+			vm.Refresh(time.Now())
+		}
+		time.Sleep(450 * time.Millisecond)
+	}
+	require.LessOrEqual(t, p.begun.Load(), int32(6), "one entry VM queries the primary for all")
+}
+
+// TestReadsDoNotNeedTheKeeper guards against reads that fail while the entry VM that keeps the proofs is not connected.
+func TestReadsDoNotNeedTheKeeper(t *testing.T) {
+	p := &primary{}
+	vms := startZone(t, p, 3)
+	for _, vm := range vms {
+		_, ok := vm.Floor(t.Context(), time.Second)
+		require.True(t, ok, "without a connection to the keeper the primary is queried")
+	}
+}
+
+// TestOnlyObserversReport guards against entry VMs that report a primary as reachable although no statement of theirs
+// has shown that: with proofs kept by few, they would outvote those that miss it.
+func TestOnlyObserversReport(t *testing.T) {
+	vms := startZone(t, &primary{}, 2)
+	require.False(t, vms[0].ReportsPrimary(time.Now()))
+	require.False(t, vms[1].ReportsPrimary(time.Now()))
+	for _, vm := range vms {
+		vm.AwaitKeeper()
+		_, ok := vm.Floor(t.Context(), time.Second)
+		require.True(t, ok)
+	}
+	now := time.Now()
+	require.NotEqual(t, vms[0].ReportsPrimary(now), vms[1].ReportsPrimary(now), "the keeper has queried the primary, the other has not")
+	require.False(t, vms[0].ReportsPrimary(now.Add(time.Minute)))
+	require.False(t, vms[1].ReportsPrimary(now.Add(time.Minute)))
+}
+
+func startZone(t *testing.T, p *primary, count int) []*proxy.ZoneVM {
+	ctx, stop := context.WithCancel(context.Background())
+	t.Cleanup(stop)
+	var listeners []net.Listener
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners = append(listeners, listener)
+	}
+	return proxy.StartZone(ctx, listeners, p.dial)
+}
