Send statements to one successor while the owner of connections does not answer

The successor that was then used had two connections until the list of entry VMs changed. Now the first three candidates are tried in order, with the wait for a connection that only the first one had, and the second may open half of the owner's share.

TestStatementsMeetAtTheSuccessor: 11 connections of 11 entry VMs before, at most 2 now; TestSuccessorMayOpenConnections.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -116,6 +116,12 @@
 	return p.responsive(c.now)
 }
 
+// AwaitUsable waits like AwaitConnection and reports whether the entry VM is usable then.
+func (c *Client) AwaitUsable(address string) bool {
+	c.AwaitConnection(address)
+	return c.Usable(address)
+}
+
 // AwaitConnection waits until the entry VM at an address is connected or the attempt fails. It returns at once
 // if the connection has been missing for longer than maxConnectWait.
 func (c *Client) AwaitConnection(address string) {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -10,12 +10,17 @@
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
 // firstViewTimeout bounds the wait of forwarded statements for the first views of this VM.
 const firstViewTimeout = 400 * time.Millisecond
 
+// maxOwners is the number of entry VMs that are tried as the owner of the connections to an instance. All VMs try the
+// same ones, so their statements meet there.
+const maxOwners = 3
+
 // peerAvoidPeriod is how long an entry VM that cannot reach an instance is not used for that instance.
 const peerAvoidPeriod = 2 * time.Second
 
@@ -45,10 +50,9 @@
 // newConn returns a serverConn for an instance. It uses the entry VM that owns the connections to the
 // instance, or the pool of this VM if it is the owner or cannot use the owner.
 func (g *group) newConn(m *member, a connRequest) *serverConn {
-	g.awaitOwner(m)
+	via := g.owner(g, m)
 	g.mu.Lock()
 	g.recentAccount = a.account
-	via := g.usableOwner(m, g.now())
 	m.lastPeer = via
 	g.mu.Unlock()
 	c := &serverConn{group: g, member: m, peerAddress: via}
@@ -66,18 +70,6 @@
 	return c
 }
 
-// awaitOwner waits briefly while the connection to the preferred owner of an instance is being opened.
-// Without this wait, every VM would open its own connections after a restart, for which the instance has
-// neither room in its connection limit nor time.
-func (g *group) awaitOwner(m *member) {
-	g.mu.Lock()
-	address := g.preferredOwner(m)
-	g.mu.Unlock()
-	if address != "" {
-		g.forward.AwaitConnection(address)
-	}
-}
-
 // Server returns the name of the instance.
 func (c *serverConn) Server() string { return string(c.member.id) }
 
@@ -191,33 +183,38 @@
 	return errors.Is(err, connpool.ErrConnectionLost) || errors.Is(err, connpool.ErrAnswerTimeout)
 }
 
-// preferredOwner returns the address of the entry VM that should own the connections to an instance, or "" if
-// that is this VM or there is none. The caller holds the lock of the group.
-func (p *Proxy) preferredOwner(m *member) string {
-	all := m.candidates(p.entries.Load())
-	if len(all) == 0 || all[0].ID == p.options.Process {
-		return ""
-	}
-	return all[0].Address
-}
-
-// usableOwner returns the address of the first candidate that can be used as the owner of the connections to an
-// instance, or "" for this VM. The caller holds the lock of the group.
-func (p *Proxy) usableOwner(m *member, now time.Time) string {
-	for _, e := range m.candidates(p.entries.Load()) {
+// owner returns the address of the entry VM that is used as the owner of the connections to an instance, or "" for
+// this VM. It waits briefly while the connection to a candidate is being opened: otherwise, after a restart or when an
+// owner does not answer, every VM would open connections of its own, for which the instance has neither room in its
+// connection limit nor time.
+func (p *Proxy) owner(g *group, m *member) string {
+	for _, e := range g.ownerCandidates(m, p.entries.Load()) {
 		if e.ID == p.options.Process {
 			return ""
 		}
-		if now.Before(m.avoidUntil[e.Address]) {
-			continue
-		}
-		if p.forward.Usable(e.Address) {
+		if p.forward.AwaitUsable(e.Address) {
 			return e.Address
 		}
 	}
 	return ""
 }
 
+// ownerCandidates returns the first entry VMs that may own the connections to an instance, preferred first, without
+// those that could not reach it within peerAvoidPeriod.
+func (g *group) ownerCandidates(m *member, entries *[]placement.EntryVM) []placement.EntryVM {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	all := m.candidates(entries)
+	out := make([]placement.EntryVM, 0, maxOwners)
+	for _, e := range all[:min(len(all), maxOwners)] {
+		if !now.Before(m.avoidUntil[e.Address]) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 // Pool implements forward.Pools. A VM that has just started waits briefly for its first views; otherwise the
 // others would conclude that the instance has left and use other entry VMs.
 func (p *Proxy) Pool(ctx context.Context, server string) *connpool.Pool {
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/forward"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
@@ -18,11 +20,10 @@
 	id := placement.ServerID(pool.Server())
 	g := &group{
 		now: now, finder: placement.NewFinder(), forward: forward.NewClient(now), primary: pool.Server(), viewChanged: make(chan struct{}),
-		preferredOwner: func(*member) string { return "" },
-		usableOwner:    func(*member, time.Time) string { return "" },
-		proofKeeper:    func(*group, time.Time) string { return "" },
-		members:        []*member{{id: id, pool: pool, stats: placement.NewInstanceStats(initialLatency)}},
-		ids:            []placement.ServerID{id},
+		owner:       func(*group, *member) string { return "" },
+		proofKeeper: func(*group, time.Time) string { return "" },
+		members:     []*member{{id: id, pool: pool, stats: placement.NewInstanceStats(initialLatency)}},
+		ids:         []placement.ServerID{id},
 	}
 	g.finder.SetView(now(), id)
 	for _, account := range accounts {
@@ -33,12 +34,16 @@
 
 // ZoneVM is an entry VM of a test that uses one group.
 type ZoneVM struct {
-	proxy *Proxy
-	group *group
+	proxy    *Proxy
+	group    *group
+	listener net.Listener
 }
 
-// StartZone starts the entry VMs of one availability zone, one for each listener, until ctx ends. Each has connections
-// of its own to the instance of a group.
+// Silence ends the VM's server for other entry VMs.
+func (z *ZoneVM) Silence() { z.listener.Close() }
+
+// StartZone starts the entry VMs of one availability zone, one for each listener, until ctx ends. The instance of their
+// group is in another zone, so that each has connections of its own to it; see UseOwner.
 func StartZone(ctx context.Context, listeners []net.Listener, dial connpool.Dialer) []*ZoneVM {
 	var vms []*ZoneVM
 	var entries []placement.EntryVM
@@ -47,14 +52,14 @@
 		entries = append(entries, placement.EntryVM{ID: address, Address: address, Zone: "zone"})
 		p := New(Options{Node: settings.Node{Zone: "zone"}, Process: address, Forward: address, Now: time.Now, Controls: func() []string { return nil }})
 		g := newGroup("group", p)
-		g.usableOwner = func(*member, time.Time) string { return "" }
-		g.preferredOwner = func(*member) string { return "" }
 		pool := connpool.New(connpool.Options{Server: "i", Dial: dial, Now: time.Now, Slots: 2, Connections: 2})
 		g.members = []*member{{id: "i", pool: pool, stats: placement.NewInstanceStats(initialLatency)}}
 		g.ids, g.primary = []placement.ServerID{"i"}, "i"
 		g.finder.SetView(time.Now(), "i")
+		p.pools.Store(&map[string]*connpool.Pool{"i": pool})
+		close(p.viewsReady)
 		p.served.Store(&map[string]*group{"group": g})
-		vms = append(vms, &ZoneVM{p, g})
+		vms = append(vms, &ZoneVM{p, g, l})
 		go forward.NewServer(p, time.Now).Serve(ctx, l) //nolint:errcheck // ends with ctx
 	}
 	for _, vm := range vms {
@@ -82,3 +87,32 @@
 
 // ReportsPrimary reports whether the VM reports to the control group on the primary.
 func (z *ZoneVM) ReportsPrimary(now time.Time) bool { return z.group.sight(now) != nil }
+
+// UseOwner moves the instance to the zone of the VM, so that one entry VM of the zone owns the connections to it.
+func (z *ZoneVM) UseOwner() { z.group.members[0].zone = "zone" }
+
+// OwnerRank returns the place of the VM among those that may own the connections to the instance.
+func (z *ZoneVM) OwnerRank() int {
+	return slices.IndexFunc(z.group.members[0].candidates(z.proxy.entries.Load()), func(e placement.EntryVM) bool { return e.ID == z.proxy.options.Process })
+}
+
+// Write runs a write at the instance.
+func (z *ZoneVM) Write(ctx context.Context) error {
+	h := z.group.newConn(z.group.members[0], connRequest{account: "account", weight: 1})
+	defer h.Release()
+	_, err := h.Run(ctx, connpool.Limit{Until: time.Now().Add(time.Second)}, nil, operation.Statement{ID: "1", Kind: operation.Write})
+	return err
+}
+
+// ConnectionLimit returns how many connections the VM opens to the instance if the owner may open max.
+func (z *ZoneVM) ConnectionLimit(ctx context.Context, max int) int {
+	z.group.setConnectionLimits(time.Now(), z.proxy.options.Process, z.proxy.entries.Load(), max)
+	opened := 0
+	for range max + 1 {
+		h := z.group.members[0].pool.NewHandle("account", 1, false)
+		if _, err := h.Run(ctx, connpool.Limit{Until: time.Now().Add(50 * time.Millisecond)}, nil, operation.Statement{Kind: operation.Begin}, operation.Statement{ID: "1", Kind: operation.Write}); err == nil {
+			opened++
+		}
+	}
+	return opened
+}
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -64,14 +64,13 @@
 
 // group is the state of a database group on this VM. It is safe for concurrent use.
 type group struct {
-	name           string
-	now            func() time.Time
-	zoneRTT        func(zone string) time.Duration
-	usableOwner    func(m *member, now time.Time) string // see Proxy.usableOwner
-	preferredOwner func(m *member) string                // see Proxy.preferredOwner
-	proofKeeper    func(g *group, now time.Time) string  // see Proxy.proofKeeper
-	forward        *forward.Client
-	proofFlight    singleflight.Group
+	name        string
+	now         func() time.Time
+	zoneRTT     func(zone string) time.Duration
+	owner       func(g *group, m *member) string     // see Proxy.owner
+	proofKeeper func(g *group, now time.Time) string // see Proxy.proofKeeper
+	forward     *forward.Client
+	proofFlight singleflight.Group
 
 	mu            sync.Mutex
 	members       []*member            // in the order of the view
@@ -93,7 +92,7 @@
 
 func newGroup(name string, p *Proxy) *group {
 	return &group{
-		name: name, now: p.options.Now, zoneRTT: p.zoneRTT, usableOwner: p.usableOwner, preferredOwner: p.preferredOwner, proofKeeper: p.proofKeeper, forward: p.forward,
+		name: name, now: p.options.Now, zoneRTT: p.zoneRTT, owner: p.owner, proofKeeper: p.proofKeeper, forward: p.forward,
 		avoidKeeper: map[string]time.Time{}, finder: placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
 	}
 }
@@ -164,14 +163,18 @@
 }
 
 // setConnectionLimits sets how many connections this VM may open to each instance: maxConnections if it owns
-// the connections to the instance, else fallbackConnections.
+// the connections to the instance, a part of that if it is the next to own them, else fallbackConnections. The others
+// use the next one as soon as the owner does not answer them, before it leaves the list of entry VMs.
 func (g *group) setConnectionLimits(now time.Time, ownID string, entries *[]placement.EntryVM, maxConnections int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.members {
 		limit, idle := fallbackConnections, fallbackIdleTimeout
-		if owners := m.candidates(entries); len(owners) > 0 && owners[0].ID == ownID {
+		switch owners := m.candidates(entries); {
+		case len(owners) > 0 && owners[0].ID == ownID:
 			limit, idle = max(maxConnections, limit), ownerIdleTimeout
+		case len(owners) > 1 && owners[1].ID == ownID:
+			limit = max(maxConnections/successorShareDivisor, limit)
 		}
 		m.pool.SetLimit(limit)
 		m.pool.CloseIdle(now, idle)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -55,6 +55,9 @@
 	// owns its connections. The other half is left for its successor, because an instance keeps counting the
 	// connections of a VM that lost power for some seconds.
 	connectionShareDivisor = 2
+	// successorShareDivisor divides that share to give the one of the entry VM that the others use while the owner does
+	// not answer.
+	successorShareDivisor = 2
 	// fallbackConnections is the limit of an entry VM that does not own the connections to an instance. It uses
 	// them while it cannot reach the owner.
 	fallbackConnections = 2
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -108,6 +108,45 @@
 	require.False(t, vms[1].ReportsPrimary(now.Add(time.Minute)))
 }
 
+// TestStatementsMeetAtTheSuccessor guards against entry VMs that each open connections of their own while the owner of
+// the connections to an instance does not answer: those of 300 entry VMs exceed its connection limit.
+func TestStatementsMeetAtTheSuccessor(t *testing.T) {
+	p := &primary{}
+	vms := startZone(t, p, 12)
+	for _, vm := range vms {
+		vm.UseOwner()
+	}
+	silenceOwner(t, vms)
+	for range 3 {
+		for _, vm := range vms {
+			if vm.OwnerRank() > 0 {
+				require.NoError(t, vm.Write(t.Context()))
+			}
+		}
+	}
+	require.LessOrEqual(t, p.opened.Load(), int32(2))
+}
+
+// TestSuccessorMayOpenConnections guards against a successor that serves an instance on the two connections of a VM
+// that only passes by, until the list of entry VMs no longer has the owner.
+func TestSuccessorMayOpenConnections(t *testing.T) {
+	vms := startZone(t, &primary{}, 4)
+	want := map[int]int{0: 8, 1: 4, 2: 2, 3: 2}
+	for _, vm := range vms {
+		vm.UseOwner()
+		require.Equal(t, want[vm.OwnerRank()], vm.ConnectionLimit(t.Context(), 8))
+	}
+}
+
+// silenceOwner ends the server of the owner of the connections.
+func silenceOwner(t *testing.T, vms []*proxy.ZoneVM) {
+	for _, vm := range vms {
+		if vm.OwnerRank() == 0 {
+			vm.Silence()
+		}
+	}
+}
+
 func startZone(t *testing.T, p *primary, count int) []*proxy.ZoneVM {
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
