Count the bytes between processes by method

The price of bytes between zones is the largest of the large site, and links of entry VMs carry 2 Mbit/s, but nothing said which messages fill them.

--- a/internal/controlvm/dial.go
+++ b/internal/controlvm/dial.go
@@ -26,12 +26,12 @@
 
 // Dial returns a connection to the gRPC listener of a control VM. It connects on first use and reconnects
 // after a loss with a backoff of at most 300 ms. A nil pair means no TLS.
-func Dial(address string, pair *certificate.Reloader) (*grpc.ClientConn, error) {
+func Dial(address string, pair *certificate.Reloader, options ...grpc.DialOption) (*grpc.ClientConn, error) {
 	transport := insecure.NewCredentials()
 	if pair != nil {
 		transport = credentials.NewTLS(pair.ClientConfig(address))
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	options = append(options,
 		grpc.WithTransportCredentials(transport),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithConnectParams(grpc.ConnectParams{
@@ -40,13 +40,14 @@
 		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 	)
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	return conn, errors.Wrap(err, "controlvm: dial")
 }
 
 // Dialer returns a function that dials control VMs for package renewal. A nil pair means no TLS.
-func Dialer(pair *certificate.Reloader) func(address string) (wire.ControlClient, io.Closer, error) {
+func Dialer(pair *certificate.Reloader, options ...grpc.DialOption) func(address string) (wire.ControlClient, io.Closer, error) {
 	return func(address string) (wire.ControlClient, io.Closer, error) {
-		c, err := Dial(address, pair)
+		c, err := Dial(address, pair, options...)
 		if err != nil {
 			return nil, nil, err
 		}
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,7 +45,8 @@
 
 // Client forwards statements to other entry VMs. It is safe for concurrent use.
 type Client struct {
-	now func() time.Time
+	now     func() time.Time
+	options []grpc.DialOption
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
@@ -64,8 +66,8 @@
 }
 
 // NewClient returns a Client that opens connections on demand.
-func NewClient(now func() time.Time) *Client {
-	return &Client{now: now, peers: map[string]*peer{}}
+func NewClient(now func() time.Time, options ...grpc.DialOption) *Client {
+	return &Client{now: now, options: options, peers: map[string]*peer{}}
 }
 
 // Close closes all connections.
@@ -85,7 +87,7 @@
 	if p := c.peers[address]; p != nil {
 		return p, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address,
+	options := append(slices.Clone(c.options),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxRedialDelay},
@@ -93,6 +95,7 @@
 		}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: keepaliveTimeout}),
 	)
+	conn, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		return nil, errors.Wrap(err, "forward: dial")
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,6 +25,7 @@
 
 	"github.com/apex/log"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
 
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/controlstate"
@@ -33,6 +34,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
+	"fireflyrudder.example/fireflyrudder/internal/traffic"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -83,6 +85,8 @@
 	// off from the control group refuses operations as soon as the lease expires.
 	LeaseGrace time.Duration
 	Drain      Drain
+	// Traffic counts what this VM exchanges with other VMs; nil for a Meter of its own.
+	Traffic *traffic.Meter
 }
 
 // Drain sets the phases of a planned stop, as times since its start.
@@ -130,7 +134,11 @@
 		eventLoopDone: make(chan struct{}), viewsReady: make(chan struct{}), metrics: newMetrics(),
 		sessions: map[*Session]struct{}{}, state: controlstate.New(), groups: map[string]*group{},
 	}
-	p.forward = forward.NewClient(o.Now)
+	if p.options.Traffic == nil {
+		p.options.Traffic = traffic.NewMeter()
+	}
+	p.options.Traffic.Publish(p.metrics.all)
+	p.forward = forward.NewClient(o.Now, grpc.WithStatsHandler(p.options.Traffic))
 	p.entries.Store(&[]placement.EntryVM{})
 	p.pools.Store(&map[string]*connpool.Pool{})
 	p.served.Store(&map[string]*group{})
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -58,6 +58,7 @@
 		"event": "summary", "sessions": m.sessions.Value(), "credit": m.waits.Summary(), "proof": m.proofs.Summary(),
 		"read": m.reads.Summary(), "change": m.changes.Summary(), "retries": m.retries.Value(), "refusals": m.reasons.String(),
 	}
+	fields["sent"], fields["received"] = p.options.Traffic.Summary()
 	for stage, name := range stageNames {
 		fields[name] = m.stages[stage].Summary()
 	}
