Send only what changed to entry VMs, and what is new to the leader

Cause: each change of one registration sent all registrations to each entry VM on two streams, which grows as the square of their number; each Renew, up to ten a second and entry VM, carried the whole registration and each reply the addresses of all control VMs. Processes of an earlier build get and send what they did.

--- a/internal/controlstate/delta.go
+++ b/internal/controlstate/delta.go
@@ -116,8 +116,6 @@
 			s.views = putNamed(s.views, v, (*wire.View).GetGroup)
 		}
 	}
-	if u.GetEntered() > s.registrationIndex {
-		s.registrations, s.registrationIndex = u.GetEntries(), u.GetEntered()
-	}
+	s.applyRegistrations(u)
 	s.index = max(s.index, u.GetIndex())
 }
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -27,9 +27,11 @@
 	configuration     *wire.Configuration // accounts, routes, groups and retired servers are sorted by name
 	views             []*wire.View        // sorted by group, one per group; a revision is the log index of the latest change
 	registrations     []*wire.Registration
-	registrationIndex uint64           // log index of the latest change of the registrations
-	drained           []string         // accounts whose bucket may be below its reserve, sorted
-	decisions         []*wire.Decision // oldest first, at most maxDecisions
+	registrationIndex uint64             // log index of the latest change of the registrations
+	registrationEdits []registrationEdit // oldest first, at most maxRegistrationEdits, contiguous up to registrationIndex
+	registrationBase  uint64             // index of the registrations that the first of registrationEdits changes
+	drained           []string           // accounts whose bucket may be below its reserve, sorted
+	decisions         []*wire.Decision   // oldest first, at most maxDecisions
 	outcomes          map[string]*wire.Decision
 	edits             []acceptedEdit // oldest first, at most maxEdits, contiguous up to the current version
 	baseVersion       uint64         // version that the first of edits follows
@@ -72,6 +74,7 @@
 	}
 	s.views = snapshot.GetViews()
 	s.registrations, s.registrationIndex = snapshot.GetRegistrations(), snapshot.GetEntered()
+	s.registrationBase = s.registrationIndex
 	s.drained = snapshot.GetDrained()
 	s.decisions = snapshot.GetDecisions()
 	for _, d := range s.decisions {
@@ -134,8 +137,7 @@
 	case *wire.Entry_Drain:
 		s.setDrained(e.Drain)
 	case *wire.Entry_Forget:
-		s.registrations = removeNamed(s.registrations, e.Forget, (*wire.Registration).GetEntry)
-		s.registrationIndex = s.index
+		s.dropRegistration(e.Forget)
 	}
 	return nil
 }
@@ -155,12 +157,6 @@
 // DrainedAccounts returns the accounts whose token bucket may be below its reserve, sorted; read-only.
 func (s *State) DrainedAccounts() []string { return s.drained }
 
-// RegistrationIndex returns the log index of the latest change to the registrations.
-func (s *State) RegistrationIndex() uint64 { return s.registrationIndex }
-
-// Registrations returns the registered entry VMs, sorted by identity; read-only.
-func (s *State) Registrations() []*wire.Registration { return s.registrations }
-
 // Account returns the client account with that name.
 func (s *State) Account(name string) (*wire.Account, bool) {
 	return getNamed(s.configuration.GetAccounts(), name, (*wire.Account).GetName)
--- a/internal/controlstate/view.go
+++ b/internal/controlstate/view.go
@@ -102,19 +102,6 @@
 	return ""
 }
 
-// markLapsed records that everything an entry VM held has expired. The entry VM must register again before it
-// is granted anything.
-func (s *State) markLapsed(entryVM string) {
-	r, ok := getNamed(s.registrations, entryVM, (*wire.Registration).GetEntry)
-	if !ok || r.GetLapsed() {
-		return
-	}
-	r = proto.CloneOf(r)
-	r.Lapsed = true
-	s.registrations = putNamed(s.registrations, r, (*wire.Registration).GetEntry)
-	s.registrationIndex = s.index
-}
-
 // setDrained records whether the token bucket of an account may be below its reserve.
 func (s *State) setDrained(d *wire.Drain) {
 	s.drained = removeNamed(s.drained, d.GetAccount(), identity)
@@ -123,21 +110,6 @@
 	}
 }
 
-// register adds an entry VM. It replaces an entry VM registered under the same process name, since only one
-// process at a time can have that name.
-func (s *State) register(r *wire.Registration) {
-	if r.GetEntry() == "" {
-		return
-	}
-	if r.GetProcess() != "" {
-		s.registrations = slices.DeleteFunc(slices.Clone(s.registrations), func(o *wire.Registration) bool {
-			return o.GetProcess() == r.GetProcess() && o.GetEntry() != r.GetEntry()
-		})
-	}
-	s.registrations = putNamed(s.registrations, r, (*wire.Registration).GetEntry)
-	s.registrationIndex = s.index
-}
-
 // setRetired sets whether a member is retired.
 func (s *State) setRetired(server string, retired bool) {
 	v, ok := s.View(s.groupOfMember(server))
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -12,6 +12,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/controlstate"
 	"fireflyrudder.example/fireflyrudder/internal/failover"
 	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/spread"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -174,13 +175,17 @@
 	return ""
 }
 
-// registered reports whether the log contains exactly this registration.
-func (vm *VM) registered(r *wire.Registration) bool {
+// registered reports whether the log contains exactly the registration of a request, or a current one of its identity if
+// the request has only that.
+func (vm *VM) registered(r *wire.RenewRequest) bool {
 	all := vm.state.Registrations()
-	i, ok := slices.BinarySearchFunc(all, r.Entry, func(known *wire.Registration, entry string) int {
+	i, ok := slices.BinarySearchFunc(all, r.Registration.Entry, func(known *wire.Registration, entry string) int {
 		return strings.Compare(known.Entry, entry)
 	})
-	return ok && proto.Equal(all[i], r)
+	if r.Brief {
+		return ok && !all[i].Lapsed
+	}
+	return ok && proto.Equal(all[i], r.Registration)
 }
 
 // renew answers a renewal under the leader lease. A request that names another term was sent before the
@@ -194,7 +199,12 @@
 		return reply, true
 	}
 	reply.Term = d.term
-	if !vm.registered(r.Registration) {
+	known := vm.registered(r)
+	if !known && r.Brief && !r.Leaving {
+		reply.Unknown, reply.Redirect = true, ""
+		return reply, true
+	}
+	if !known {
 		reply.Leader = r.Leaving // its registration is removed already
 		return reply, r.Leaving
 	}
@@ -210,8 +220,17 @@
 	reply.Expiry = lease.Duration.Milliseconds()
 	reply.Credits, reply.Budgets = d.issuer.Renew(now, r)
 	reply.Settling = d.issuer.Recovering()
+	vm.fillControls(r, reply)
+	return reply, true
+}
+
+// fillControls sets the control VMs of the group unless the entry VM has them from an earlier reply.
+func (vm *VM) fillControls(r *wire.RenewRequest, reply *wire.RenewReply) {
+	var addresses []string
 	for _, m := range vm.voter.Membership().Members {
-		reply.Controls = append(reply.Controls, m.Address)
+		addresses = append(addresses, m.Address)
+	}
+	if reply.Members = spread.Hash(addresses...); r.Members != reply.Members {
+		reply.Controls = addresses
 	}
-	return reply, true
 }
--- a/internal/controlvm/renew_test.go
+++ b/internal/controlvm/renew_test.go
@@ -53,3 +53,37 @@
 	require.Eventually(t, func() bool { return registered() == 1 }, wait, 20*time.Millisecond)
 	require.Eventually(t, func() bool { return registered() == 0 }, wait, 20*time.Millisecond)
 }
+
+// Guards against requests and replies that repeat what the other side has, at ten a second and entry VM, and against an
+// entry VM that is registered without the addresses that others need, because its request has its identity only.
+func TestBriefRenew(t *testing.T) {
+	s := newTestVM(t)
+	s.start()
+	c, ctx := client(t, s)
+	accept(t, ctx, c, "one", 0)
+	conn, err := controlvm.Dial(s.options.Control.Listen, nil)
+	require.NoError(t, err)
+	defer conn.Close()
+	renew := func(sequence uint64, brief bool, members uint64) *wire.RenewReply {
+		r := &wire.RenewRequest{Registration: &wire.Registration{Entry: "e"}, Brief: brief, Members: members, Sequence: sequence}
+		if !brief {
+			r.Registration = &wire.Registration{Entry: "e", Forward: "host:1", Zone: "z"}
+		}
+		reply, err := wire.NewControlClient(conn).Renew(ctx, r)
+		require.NoError(t, err)
+		return reply
+	}
+	unknown := renew(1, true, 0)
+	require.True(t, unknown.Unknown)
+	require.False(t, unknown.Leader)
+	first := renew(2, false, 0)
+	require.True(t, first.Leader)
+	require.Equal(t, []string{s.options.Control.Listen}, first.Controls)
+	second := renew(3, true, first.Members)
+	require.True(t, second.Leader)
+	require.Empty(t, second.Controls)
+	reply, err := c.Status(ctx)
+	require.NoError(t, err)
+	require.Len(t, reply.Registrations, 1)
+	require.Equal(t, "host:1", reply.Registrations[0].Forward)
+}
--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -14,9 +14,12 @@
 // entry VMs, so that they watch another control VM before their configuration lease ends.
 const leaderContactInterval = time.Second
 
-// registrationInterval is the least time between two lists of the entry VMs on a stream. Each list names all of them,
-// so without it a roll of all entry VMs would send as many lists as there are entry VMs to each one.
-const registrationInterval = time.Second
+// registrationInterval is the least time between two messages with changes of the registrations on a stream. A
+// receiver of an earlier build gets all registrations each time, at most once per fullRegistrationInterval.
+const (
+	registrationInterval     = 200 * time.Millisecond
+	fullRegistrationInterval = time.Second
+)
 
 // watcher is the state of one stream of updates to an entry VM.
 type watcher struct {
@@ -26,16 +29,25 @@
 	groups            []string
 	wantRegistrations bool   // the stream includes the registrations of entry VMs
 	trustsEdits       bool   // the entry VM applies edits without a check; one of an earlier build refuses published accounts
+	appliesParts      bool   // changes of the registrations may be sent
 	registrationIndex uint64 // registration index of the last update
 	registrationsSent time.Time
 }
 
+// registrationInterval returns the least time between two messages with registrations.
+func (w *watcher) registrationInterval() time.Duration {
+	if w.appliesParts {
+		return registrationInterval
+	}
+	return fullRegistrationInterval
+}
+
 // Watch sends the state that an entry VM lacks and then every change. Every control VM that is in contact
 // with the leader serves it. This is safe because all state it sends is committed, and an entry VM serves
 // clients only at the version that Renew returned.
 func (s *service) Watch(r *wire.WatchRequest, stream wire.Control_WatchServer) error {
 	ctx := stream.Context()
-	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, wantRegistrations: r.Entries, trustsEdits: r.Trusts, registrationIndex: r.Entered}
+	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, wantRegistrations: r.Entries, trustsEdits: r.Trusts, appliesParts: r.Parts, registrationIndex: r.Entered}
 	stop, err := s.subscribe(ctx, w)
 	if err != nil {
 		return statusError(err)
@@ -88,8 +100,8 @@
 		if !ok || len(u.Edits) > 0 && s.vm.state.Published() && !w.trustsEdits {
 			u = s.vm.state.FullUpdate(w.groups)
 		}
-		if index := s.vm.state.RegistrationIndex(); w.wantRegistrations && index > w.registrationIndex && now.Sub(w.registrationsSent) >= registrationInterval {
-			u.Entries, u.Entered = s.vm.state.Registrations(), index
+		if index := s.vm.state.RegistrationIndex(); w.wantRegistrations && index > w.registrationIndex && now.Sub(w.registrationsSent) >= w.registrationInterval() {
+			s.vm.state.FillRegistrations(u, w.registrationIndex, w.appliesParts)
 			w.registrationsSent = now
 		}
 	})
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -38,7 +38,7 @@
 	var request *wire.WatchRequest
 	err := h.proxy.inbox.Do(ctx, func(time.Time) {
 		b := h.proxy.state
-		request = &wire.WatchRequest{Version: b.Version(), Index: b.Index(), Entries: true, Entered: b.RegistrationIndex(), Trusts: true}
+		request = &wire.WatchRequest{Version: b.Version(), Index: b.Index(), Entries: true, Entered: b.RegistrationIndex(), Trusts: true, Parts: true}
 	})
 	return request, err == nil
 }
--- a/internal/renewal/client.go
+++ b/internal/renewal/client.go
@@ -96,6 +96,8 @@
 	tokensUpdated time.Time // when quickTokens was last refilled
 	sequence      uint64
 	term          uint64 // control log term of the latest reply; a leader grants leases only to requests with its own term
+	registered    bool   // the latest reply was that of a leader, which has the registration
+	members       uint64 // hash of learnedControls, as stated by the leader
 	clients       map[string]wire.ControlClient
 	closers       []io.Closer
 	ended         chan struct{}
@@ -258,7 +260,10 @@
 		// Until a leader has answered, this process has admitted nothing since its start.
 		c.options.Registration.Age = c.options.Now().Sub(c.started).Milliseconds()
 	}
-	request := &wire.RenewRequest{Registration: c.options.Registration, Leaving: leaving, Term: c.term}
+	request := &wire.RenewRequest{Registration: c.options.Registration, Leaving: leaving, Term: c.term, Members: c.members}
+	if c.registered {
+		request.Registration, request.Brief = &wire.Registration{Entry: c.options.Registration.GetEntry()}, true
+	}
 	usages := c.host.FillRequest(ctx, request)
 	c.sequence++
 	request.Sequence = c.sequence
@@ -271,17 +276,25 @@
 	ctx, stop := context.WithTimeout(ctx, limit)
 	defer stop()
 	reply, err := client.Renew(ctx, request)
+	// A leader of an earlier build needs the whole registration each time; it states no members.
+	c.registered = reply.GetLeader() && reply.GetMembers() != 0
 	if err != nil {
 		return nil, errors.Wrap(err, "renewal: renew")
 	}
 	if reply.GetTerm() != 0 {
 		c.term = reply.GetTerm()
 	}
+	if reply.GetUnknown() {
+		return c.renew(ctx, address, leaving)
+	}
 	if !reply.GetLeader() || reply.GetSequence() != request.Sequence || leaving {
 		return reply, nil
 	}
 	c.host.Renewed(true)
-	c.setLearnedControls(reply.GetControls())
+	if len(reply.GetControls()) > 0 {
+		c.members = reply.GetMembers()
+		c.setLearnedControls(reply.GetControls())
+	}
 	c.credits.applyReply(sent, c.options.Now(), reply)
 	until := sent.Add(time.Duration(reply.GetLease()) * time.Millisecond)
 	c.host.LeaseGranted(ConfigLease{Version: reply.GetVersion(), Until: until})
--- a/internal/traffic/meter_test.go
+++ b/internal/traffic/meter_test.go
@@ -15,7 +15,9 @@
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
-type server struct{ wire.UnimplementedForwardServer }
+type server struct {
+	wire.UnimplementedForwardServer
+}
 
 func (server) Proofs(context.Context, *wire.ProofsRequest) (*wire.ProofsReply, error) {
 	return &wire.ProofsReply{Known: true}, nil
