Give the owner of an instance's connections three quarters of them

Cause: each connection belongs to one client account. With half of an instance's limit the owner kept 108 connections for 190 accounts, and half of the statements opened a new one: 12 ms of one of 4 slots, and a round trip. The owner may now open three quarters, the next one to own them an eighth, for the time in which the instance still counts those of a VM that lost power.

TestConnectionsServeManyAccounts: 162 of 216 connections, 108 before.

--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -104,15 +104,16 @@
 	return err
 }
 
-// ConnectionLimit returns how many connections the VM opens to the instance if the owner may open max.
-func (z *ZoneVM) ConnectionLimit(ctx context.Context, max int) int {
-	z.group.setConnectionLimits(time.Now(), z.proxy.options.Process, z.proxy.entries.Load(), max)
+// ConnectionLimit returns how many connections the VM opens to an instance that accepts a number of them.
+func (z *ZoneVM) ConnectionLimit(ctx context.Context, accepted int) int {
+	z.group.setConnectionLimits(time.Now(), z.proxy.options.Process, z.proxy.entries.Load(), accepted)
 	opened := 0
-	for range max + 1 {
+	for range accepted {
 		h := z.group.members[0].pool.NewHandle("account", 1, false)
-		if _, err := h.Run(ctx, connpool.Limit{Until: time.Now().Add(50 * time.Millisecond)}, nil, operation.Statement{Kind: operation.Begin}, operation.Statement{ID: "1", Kind: operation.Write}); err == nil {
-			opened++
+		if _, err := h.Run(ctx, connpool.Limit{Until: time.Now().Add(50 * time.Millisecond)}, nil, operation.Statement{Kind: operation.Begin}, operation.Statement{ID: "1", Kind: operation.Write}); err != nil {
+			return opened
 		}
+		opened++
 	}
 	return opened
 }
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -162,25 +162,31 @@
 	g.members, g.ids = nil, nil
 }
 
-// setConnectionLimits sets how many connections this VM may open to each instance: maxConnections if it owns
-// the connections to the instance, a part of that if it is the next to own them, else fallbackConnections. The others
-// use the next one as soon as the owner does not answer them, before it leaves the list of entry VMs.
-func (g *group) setConnectionLimits(now time.Time, ownID string, entries *[]placement.EntryVM, maxConnections int) {
+// setConnectionLimits sets how many connections this VM may open to each instance, which accepts a number of them from
+// all: ownerShare of them if this VM owns the connections to the instance, successorShare if it is the next to own them,
+// else fallbackConnections. The others use the next one as soon as the owner does not answer them, before it leaves the
+// list of entry VMs.
+func (g *group) setConnectionLimits(now time.Time, ownID string, entries *[]placement.EntryVM, accepted int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.members {
 		limit, idle := fallbackConnections, fallbackIdleTimeout
 		switch owners := m.candidates(entries); {
 		case len(owners) > 0 && owners[0].ID == ownID:
-			limit, idle = max(maxConnections, limit), ownerIdleTimeout
+			limit, idle = share(accepted, ownerShare), ownerIdleTimeout
 		case len(owners) > 1 && owners[1].ID == ownID:
-			limit = max(maxConnections/successorShareDivisor, limit)
+			limit = share(accepted, successorShare)
 		}
 		m.pool.SetLimit(limit)
 		m.pool.CloseIdle(now, idle)
 	}
 }
 
+// share returns a part of the connections that an instance accepts, at least fallbackConnections.
+func share(accepted int, part float64) int {
+	return max(int(float64(accepted)*part), fallbackConnections)
+}
+
 // pools returns the connection pools of all members.
 func (g *group) pools() []*connpool.Pool {
 	g.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -53,13 +53,13 @@
 	initialLatency = 20 * time.Millisecond
 	// summaryInterval is the time between two log lines that summarize the latencies.
 	summaryInterval = 10 * time.Second
-	// connectionShareDivisor divides the connection limit of an instance to give the share of the entry VM that
-	// owns its connections. The other half is left for its successor, because an instance keeps counting the
-	// connections of a VM that lost power for some seconds.
-	connectionShareDivisor = 2
-	// successorShareDivisor divides that share to give the one of the entry VM that the others use while the owner does
-	// not answer.
-	successorShareDivisor = 2
+	// ownerShare is the share of an instance's connections that the entry VM which owns them may open. With fewer, more
+	// statements of many client accounts wait for a new connection, because each belongs to one account. The rest is
+	// for the other entry VMs while the owner does not answer: an instance keeps counting the connections of a VM that
+	// lost power for some seconds.
+	ownerShare = 0.75
+	// successorShare is the share for the entry VM that the others use while the owner does not answer.
+	successorShare = 0.125
 	// fallbackConnections is the limit of an entry VM that does not own the connections to an instance. It uses
 	// them while it cannot reach the owner.
 	fallbackConnections = 2
@@ -228,7 +228,7 @@
 	entries := p.entries.Load()
 	for _, g := range p.groups {
 		w, _ := p.state.Group(g.name)
-		g.setConnectionLimits(now, p.options.Process, entries, int(w.GetConnections())/connectionShareDivisor)
+		g.setConnectionLimits(now, p.options.Process, entries, int(w.GetConnections()))
 	}
 }
 
