Spread the connections to instances evenly; let only their owners vote on a primary

Ownership now gives no entry VM more instances than their number divided by that of the zone's entry VMs, rounded up. Now an entry VM reports a primary only by exchanges on its own connections; such votes decide with that of the control VM, or without it after 1 s. The owner's connections are one for each client account now, from half to three quarters of the limit: with a few accounts the room that TestConnectionsLeaveRoom demands after a loss of power stays.

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -137,8 +137,11 @@
 	if limit <= 0 {
 		return nil, ErrQueueTimeout
 	}
+	h.pool.observeSent(sent)
 	answers, err := h.pooled.conn.Exchange(limit+AnswerGrace, statements...)
-	elapsed := h.pool.options.Now().Sub(sent)
+	ended := h.pool.options.Now()
+	h.pool.observeEnd(ended, sent, len(answers) > 0)
+	elapsed := ended.Sub(sent)
 	h.pool.options.Observe(StageExchange, elapsed)
 	h.pool.recordProof(sent, statements, answers)
 	if n := len(answers); n > 0 {
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -10,7 +10,9 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/admission"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/internal/slots"
+	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
 // Errors of Handle.Run. After ErrConnectionLost and ErrAnswerTimeout it is unknown whether the statement
@@ -98,7 +100,8 @@
 	inUse            map[*Handle]struct{}
 	waiting          []chan struct{} // one for each Handle that waits for a connection, first come first served
 	closed           bool
-	proof            Proof // latest one, with the log position only
+	proof            Proof                   // latest one, with the log position only
+	stats            placement.InstanceStats // of the exchanges on connections of this VM, and of failed attempts to open one
 
 	proofFlight singleflight.Group
 }
@@ -150,6 +153,39 @@
 	return Load{Open: p.open, Running: running, Waiting: waiting}
 }
 
+// Silence returns for how long the instance has left statements on the connections of this VM unanswered; 0 if it
+// answers.
+func (p *Pool) Silence(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stats.Silence(now)
+}
+
+// Observed reports whether the connections of this VM show if the instance answers, as of the period before now.
+func (p *Pool) Observed(now time.Time, period time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stats.Observed(now, period)
+}
+
+// observeSent records that statements are sent to the instance, or a connection is opened.
+func (p *Pool) observeSent(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Sent(now)
+}
+
+// observeEnd records whether the instance answered.
+func (p *Pool) observeEnd(now, sent time.Time, answered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if answered {
+		p.stats.Answered(now, sent, position.Position{}, false)
+		return
+	}
+	p.stats.Failed(now)
+}
+
 // CloseConnections closes every connection, so that statements in progress fail at once instead of waiting for
 // an answer.
 func (p *Pool) CloseConnections() {
@@ -337,8 +373,11 @@
 	defer cancel()
 	o := p.options
 	started := o.Now()
+	p.observeSent(started)
 	conn, err := o.Dial(ctx, Target{Group: o.Group, Server: o.Server, Address: o.Address, Account: h.account})
 	o.Observe(StageDial, o.Now().Sub(started))
+	var refused *RefusedError
+	p.observeEnd(o.Now(), started, err == nil || errors.As(err, &refused))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
@@ -348,8 +387,7 @@
 	}
 	p.open--
 	p.wake()
-	var refused *RefusedError
-	if errors.As(err, &refused) {
+	if refused != nil {
 		if refused.Code == operation.ConnectionLimit {
 			p.serverLimit, p.serverLimitUntil = max(p.open, 1), o.Now().Add(serverLimitPeriod)
 		}
--- a/internal/failover/platform.go
+++ b/internal/failover/platform.go
@@ -31,6 +31,10 @@
 	minVoteSilence = 450 * time.Millisecond
 	// voteTTL is how long the report of an entry VM counts: two Renew requests.
 	voteTTL = 1200 * time.Millisecond
+	// loneVoteSilence is how long most of the voting entry VMs must have had no answer before they decide although the
+	// control VM reaches the primary. It is above the time in which another entry VM takes over from one whose own
+	// connections are cut off.
+	loneVoteSilence = time.Second
 	// noVotesTimeout is how long probes must stay unanswered before a primary that no entry VM reports on is
 	// replaced.
 	noVotesTimeout = 3 * time.Second
@@ -98,6 +102,7 @@
 	at     time.Time
 	server ServerID
 	down   bool
+	silent time.Duration // for which the primary has answered it nothing
 }
 
 // attempt is the state of a failover or switchover under one raised term.
@@ -192,7 +197,7 @@
 	for _, w := range e.Sights {
 		if g, ok := c.groups[GroupID(w.GetGroup())]; ok {
 			silent := time.Duration(w.GetSilent()) * time.Millisecond
-			g.votes[e.Entry] = vote{at: now, server: ServerID(w.GetServer()), down: !w.GetReachable() && silent >= minVoteSilence}
+			g.votes[e.Entry] = vote{at: now, server: ServerID(w.GetServer()), down: !w.GetReachable() && silent >= minVoteSilence, silent: silent}
 		}
 	}
 }
--- a/internal/failover/platform_promotion.go
+++ b/internal/failover/platform_promotion.go
@@ -108,14 +108,13 @@
 	}
 }
 
-// primaryLost reports whether most of the voters do not reach the primary. The voters are the entry VMs and
-// the control VM, which has one vote, so that neither side decides alone.
+// primaryLost reports whether most of the voters do not reach the primary. The voters are the entry VMs that use it on
+// connections of their own and the control VM, which has one vote, so that neither side decides alone at first. A
+// primary may answer the status calls of the control VM and no statement, so after loneVoteSilence the entry VMs decide
+// without it.
 func (g *platformGroup) primaryLost(now time.Time, s *instance) bool {
 	unanswered := !s.unansweredSince.IsZero() && now.Sub(s.unansweredSince) >= minVoteSilence
-	total, down := 1, 0
-	if unanswered {
-		down++
-	}
+	total, down, silent := 0, 0, 0
 	for _, v := range g.votes {
 		if string(v.server) != g.view.GetPrimary() || now.Sub(v.at) >= voteTTL {
 			continue
@@ -124,11 +123,19 @@
 		if v.down {
 			down++
 		}
+		if v.down && v.silent >= loneVoteSilence {
+			silent++
+		}
 	}
-	if total == 1 {
+	switch {
+	case total == 0:
 		return unanswered && now.Sub(s.unansweredSince) >= noVotesTimeout
+	case 2*silent > total:
+		return true
+	case unanswered:
+		return 2*(down+1) > total+1
 	}
-	return 2*down > total
+	return 2*down > total+1
 }
 
 // advanceAttempt continues the failover or switchover under a raised term.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -96,6 +97,52 @@
 	require.Empty(t, placement.Owners("i", "elsewhere", entries))
 }
 
+// TestOwnershipIsBalanced guards against entry VMs that own the connections to several instances while others own none:
+// the statements for two primaries exceed the link of a small entry VM.
+func TestOwnershipIsBalanced(t *testing.T) {
+	for _, size := range []struct{ vms, instances int }{{4, 3}, {29, 8}, {60, 12}, {60, 150}, {2, 3}} {
+		entries, instances := zoneOf(size.vms, size.instances)
+		o := placement.NewOwnership(instances, entries)
+		owned := map[string]int{}
+		for _, i := range instances {
+			owners := o.Of(i.Server)
+			require.Len(t, owners, size.vms)
+			owned[owners[0].ID]++
+		}
+		for _, n := range owned {
+			require.LessOrEqual(t, n, (size.instances+size.vms-1)/size.vms)
+		}
+	}
+}
+
+// TestOwnershipIsStable guards against connections that move to other entry VMs when one comes or goes.
+func TestOwnershipIsStable(t *testing.T) {
+	entries, instances := zoneOf(60, 12)
+	before := placement.NewOwnership(instances, entries)
+	moved := 0
+	for gone := range entries {
+		after := placement.NewOwnership(instances, slices.Delete(slices.Clone(entries), gone, gone+1))
+		for _, i := range instances {
+			if before.Of(i.Server)[0].ID != entries[gone].ID && after.Of(i.Server)[0].ID != before.Of(i.Server)[0].ID {
+				moved++
+			}
+		}
+	}
+	require.LessOrEqual(t, moved, 12, "of 720 connections")
+	require.Empty(t, before.Of("unknown"))
+}
+
+// zoneOf returns the entry VMs and the instances of one availability zone.
+func zoneOf(vms, count int) (entries []placement.EntryVM, instances []placement.Instance) {
+	for i := range vms {
+		entries = append(entries, placement.EntryVM{ID: fmt.Sprint("vm", i), Address: fmt.Sprint(i), Zone: "zone"})
+	}
+	for i := range count {
+		instances = append(instances, placement.Instance{Server: fmt.Sprint("i-", i), Zone: "zone"})
+	}
+	return entries, instances
+}
+
 // TestSilence guards against counting an instance as silent while it answers, or as answering while
 // statements wait for it.
 func TestSilence(t *testing.T) {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -53,7 +53,6 @@
 	via := g.owner(g, m)
 	g.mu.Lock()
 	g.recentAccount = a.account
-	m.lastPeer = via
 	g.mu.Unlock()
 	c := &serverConn{group: g, member: m, peerAddress: via}
 	if via != "" {
@@ -188,7 +187,7 @@
 // owner does not answer, every VM would open connections of its own, for which the instance has neither room in its
 // connection limit nor time.
 func (p *Proxy) owner(g *group, m *member) string {
-	for _, e := range g.ownerCandidates(m, p.entries.Load()) {
+	for _, e := range g.ownerCandidates(m, p.ownership.Load()) {
 		if e.ID == p.options.Process {
 			return ""
 		}
@@ -201,11 +200,11 @@
 
 // ownerCandidates returns the first entry VMs that may own the connections to an instance, preferred first, without
 // those that could not reach it within peerAvoidPeriod.
-func (g *group) ownerCandidates(m *member, entries *[]placement.EntryVM) []placement.EntryVM {
+func (g *group) ownerCandidates(m *member, ownership *placement.Ownership) []placement.EntryVM {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	all := m.candidates(entries)
+	all := ownership.Of(string(m.id))
 	out := make([]placement.EntryVM, 0, maxOwners)
 	for _, e := range all[:min(len(all), maxOwners)] {
 		if !now.Before(m.avoidUntil[e.Address]) {
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -33,18 +33,10 @@
 	pool       *connpool.Pool
 	stats      *placement.InstanceStats // guarded by group.mu
 	avoidUntil map[string]time.Time     // end of peerAvoidPeriod, by address of an entry VM that cannot reach the instance; guarded by group.mu
-	lastPeer   string                   // entry VM used last for the instance; guarded by group.mu
 	born       uint64
 	zone       string
 	slots      int
 	leaving    bool
-	owners     candidateList // entry VMs that may own the connections, preferred first; guarded by group.mu
-}
-
-// candidates returns the entry VMs that may own the connections to the instance, preferred first. The caller
-// holds the lock of the group.
-func (m *member) candidates(entries *[]placement.EntryVM) []placement.EntryVM {
-	return m.owners.of(string(m.id), m.zone, entries)
 }
 
 // candidateList is the order of the entry VMs of an availability zone for one key, computed once for each list of
@@ -130,7 +122,7 @@
 		}
 		ids = append(ids, id)
 		members = append(members, &member{
-			id: id, pool: m.pool, stats: m.stats, avoidUntil: m.avoidUntil, lastPeer: m.lastPeer, born: m.born, zone: w.GetZone(), slots: int(w.GetSlots()),
+			id: id, pool: m.pool, stats: m.stats, avoidUntil: m.avoidUntil, born: m.born, zone: w.GetZone(), slots: int(w.GetSlots()),
 			leaving: w.GetLeaving() || w.GetRetired() || retired[w.GetServer()],
 		})
 	}
@@ -162,29 +154,46 @@
 	g.members, g.ids = nil, nil
 }
 
-// setConnectionLimits sets how many connections this VM may open to each instance, which accepts a number of them from
-// all: ownerShare of them if this VM owns the connections to the instance, successorShare if it is the next to own them,
-// else fallbackConnections. The others use the next one as soon as the owner does not answer them, before it leaves the
-// list of entry VMs.
-func (g *group) setConnectionLimits(now time.Time, ownID string, entries *[]placement.EntryVM, accepted int) {
+// limits are the numbers of connections that entry VMs may open to an instance.
+type limits struct {
+	owner     int
+	successor int // of the entry VM that the others use while the owner does not answer
+}
+
+// connectionLimits divides the connections that an instance accepts, for a number of client accounts.
+func connectionLimits(accepted, accounts int) limits {
+	least, most := int(float64(accepted)*minOwnerShare), int(float64(accepted)*maxOwnerShare)
+	owner := min(max(accounts, least), most)
+	return limits{max(owner, fallbackConnections), max((accepted-owner)/2, fallbackConnections)}
+}
+
+// setConnectionLimits sets how many connections this VM may open to each instance. The others use the successor of an
+// owner as soon as that does not answer them, before it leaves the list of entry VMs.
+func (g *group) setConnectionLimits(now time.Time, ownID string, ownership *placement.Ownership, l limits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, m := range g.members {
 		limit, idle := fallbackConnections, fallbackIdleTimeout
-		switch owners := m.candidates(entries); {
+		switch owners := ownership.Of(string(m.id)); {
 		case len(owners) > 0 && owners[0].ID == ownID:
-			limit, idle = share(accepted, ownerShare), ownerIdleTimeout
+			limit, idle = l.owner, ownerIdleTimeout
 		case len(owners) > 1 && owners[1].ID == ownID:
-			limit = share(accepted, successorShare)
+			limit = l.successor
 		}
 		m.pool.SetLimit(limit)
 		m.pool.CloseIdle(now, idle)
 	}
 }
 
-// share returns a part of the connections that an instance accepts, at least fallbackConnections.
-func share(accepted int, part float64) int {
-	return max(int(float64(accepted)*part), fallbackConnections)
+// instances returns the members as instances whose connections an entry VM owns.
+func (g *group) instances() []placement.Instance {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]placement.Instance, 0, len(g.members))
+	for _, m := range g.members {
+		out = append(out, placement.Instance{Server: string(m.id), Zone: m.zone})
+	}
+	return out
 }
 
 // pools returns the connection pools of all members.
@@ -261,20 +270,17 @@
 	return nil
 }
 
-// sight returns the report to the control group on whether this VM reaches the primary. It is nil if the primary has
-// answered nothing of late and no statement waits for it, since a VM without evidence must not count as one that
-// reaches the primary.
+// sight returns the report to the control group on whether this VM reaches the primary on connections of its own. It is
+// nil if the primary has answered nothing there of late and no statement waits for it: statements that go through
+// another entry VM show nothing of the primary, since that VM or its link may be the slow one.
 func (g *group) sight(now time.Time) *wire.Sight {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.find(placement.ServerID(g.primary))
-	if m == nil || !m.stats.Observed(now, sightPeriod) {
+	if m == nil || !m.pool.Observed(now, sightPeriod) {
 		return nil
 	}
-	silent := m.stats.Silence(now)
-	if via := m.lastPeer; via != "" && silent >= silenceThreshold && !g.forward.Usable(via) {
-		silent = 0 // the entry VM that forwards to the primary does not answer, not the primary
-	}
+	silent := m.pool.Silence(now)
 	return &wire.Sight{
 		Group: g.name, Term: g.term, Server: g.primary, Reachable: silent < silenceThreshold, Silent: silent.Milliseconds(),
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -53,13 +53,11 @@
 	initialLatency = 20 * time.Millisecond
 	// summaryInterval is the time between two log lines that summarize the latencies.
 	summaryInterval = 10 * time.Second
-	// ownerShare is the share of an instance's connections that the entry VM which owns them may open. With fewer, more
-	// statements of many client accounts wait for a new connection, because each belongs to one account. The rest is
-	// for the other entry VMs while the owner does not answer: an instance keeps counting the connections of a VM that
-	// lost power for some seconds.
-	ownerShare = 0.75
-	// successorShare is the share for the entry VM that the others use while the owner does not answer.
-	successorShare = 0.125
+	// minOwnerShare and maxOwnerShare bound the share of an instance's connections that the entry VM which owns them may
+	// open, as parts. Between them it is one for each client account: a connection belongs to one account, so with
+	// fewer, many statements wait for a new one. The rest is for the other entry VMs while the owner does not answer: an
+	// instance keeps counting the connections of a VM that lost power for some seconds.
+	minOwnerShare, maxOwnerShare = 0.5, 0.75
 	// fallbackConnections is the limit of an entry VM that does not own the connections to an instance. It uses
 	// them while it cannot reach the owner.
 	fallbackConnections = 2
@@ -113,9 +111,10 @@
 	config        atomic.Pointer[configSnapshot]
 	entries       atomic.Pointer[[]placement.EntryVM]
 	pools         atomic.Pointer[map[string]*connpool.Pool] // by instance
-	served        atomic.Pointer[map[string]*group]         // by name
-	viewsReady    chan struct{}                             // closed when the pools of the first views are published
-	leases        renewal.ConfigLeases                      // modified only by the event loop
+	ownership     atomic.Pointer[placement.Ownership]
+	served        atomic.Pointer[map[string]*group] // by name
+	viewsReady    chan struct{}                     // closed when the pools of the first views are published
+	leases        renewal.ConfigLeases              // modified only by the event loop
 	draining      atomic.Bool
 	closing       atomic.Bool // new sessions are refused
 
@@ -140,6 +139,7 @@
 	p.options.Traffic.Publish(p.metrics.all)
 	p.forward = forward.NewClient(o.Now, grpc.WithStatsHandler(p.options.Traffic))
 	p.entries.Store(&[]placement.EntryVM{})
+	p.ownership.Store(placement.NewOwnership(nil, nil))
 	p.pools.Store(&map[string]*connpool.Pool{})
 	p.served.Store(&map[string]*group{})
 	p.ctx, p.stop = context.WithCancel(context.Background())
@@ -225,10 +225,11 @@
 
 // updateConnectionLimits sets how many connections to each instance this VM may open.
 func (p *Proxy) updateConnectionLimits(now time.Time) {
-	entries := p.entries.Load()
+	ownership := p.ownership.Load()
+	accounts := len(p.config.Load().accounts)
 	for _, g := range p.groups {
 		w, _ := p.state.Group(g.name)
-		g.setConnectionLimits(now, p.options.Process, entries, int(w.GetConnections()))
+		g.setConnectionLimits(now, p.options.Process, ownership, connectionLimits(int(w.GetConnections()), accounts))
 	}
 }
 
@@ -305,9 +306,19 @@
 		entries = append(entries, placement.EntryVM{ID: e.GetProcess(), Address: e.GetForward(), Zone: e.GetZone()})
 	}
 	p.entries.Store(&entries)
+	p.updateOwnership()
 	log.WithFields(log.Fields{"event": "entries", "count": len(entries), "index": p.state.RegistrationIndex()}).Info("entry VMs changed")
 }
 
+// updateOwnership assigns the connections to the known instances to the known entry VMs.
+func (p *Proxy) updateOwnership() {
+	var instances []placement.Instance
+	for _, g := range p.groups {
+		instances = append(instances, g.instances()...)
+	}
+	p.ownership.Store(placement.NewOwnership(instances, *p.entries.Load()))
+}
+
 // applyViews applies the changed views to their groups.
 func (p *Proxy) applyViews(now time.Time, c *wire.Configuration) {
 	retired := map[string]bool{}
@@ -341,6 +352,7 @@
 	}
 	p.pools.Store(&pools)
 	p.served.Store(&served)
+	p.updateOwnership()
 	select {
 	case <-p.viewsReady:
 	default:
