Do not begin statements of callers who have left

Cause: an entry VM that wakes from a suspension finds in its sockets both the requests that callers sent meanwhile and the ends of their connections.

Change: before a statement runs, the receiving side of the caller's connection is looked at without consuming data; a closed one drops the statement (reason 'gone'). The look itself was in internal/backend for idle connections and is now internal/socket, used by both.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -8,13 +8,13 @@
 	"net"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"fireflyrudder.example/fireflyrudder/internal/socket"
 	"fireflyrudder.example/fireflyrudder/internal/watermark"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
@@ -219,22 +219,7 @@
 // Without this check, a connection that the server has closed would be noticed only after a request was
 // sent on it.
 func (c *Conn) openAndSilent() bool {
-	t, ok := c.net.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := t.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && silent
+	return socket.Peek(c.net) == socket.Silent
 }
 
 // Close closes the network connection at once.
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -22,6 +22,7 @@
 	reasonLeft    = "left"    // the pool is closed: the instance left, or the owner of its connections shuts down
 	reasonLate    = "late"    // the statement did not run or was not answered in time
 	reasonStop    = "stop"    // the entry VM shuts down
+	reasonGone    = "gone"    // the caller left before the statement began
 	reasonSyntax  = "syntax"  // the statement cannot be parsed
 )
 
@@ -45,6 +46,12 @@
 	return operation.Answer{Code: code, Detail: detail}
 }
 
+// CountAbandoned counts and logs a statement that does not run because its caller has left.
+func (p *Proxy) CountAbandoned(id string) {
+	p.metrics.reasons.Add(reasonGone, 1)
+	log.WithFields(log.Fields{"event": "refusal", "request": id, "reason": reasonGone}).Info("statement of a caller who left dropped")
+}
+
 // logFailure logs an unsuccessful answer of an instance and returns it.
 func (p *Proxy) logFailure(id string, a operation.Answer) operation.Answer {
 	log.WithFields(log.Fields{"event": "answer", "request": id, "code": a.Code.String(), "detail": a.Detail}).Info("statement failed at the backend server")
