Survive malformed calls between VMs

A panic in any handler of a gRPC call ended the process.

Change: messages between voters that lack what their receiver relies on are dropped like lost ones; an empty configuration is invalid; a panic in the handler of a call is answered and logged (internal/recovery, with the interceptors of go-grpc-middleware). The goroutines that own control state do not recover: their state may be incomplete.

--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -251,6 +251,9 @@
 
 // receive handles a message. Messages of another group are dropped, so that the logs of two groups never mix.
 func (v *Voter) receive(now time.Time, m *wire.VoterMessage) {
+	if !wellFormed(m) {
+		return
+	}
 	own := v.Membership().Group
 	foreign := m.Group != "" && own != "" && m.Group != own
 	if foreign || (m.To != "" && m.To != string(v.id)) || m.From == string(v.id) {
--- a/internal/controlstate/publish.go
+++ b/internal/controlstate/publish.go
@@ -13,6 +13,9 @@
 // Normalize returns a copy of a configuration with accounts, routes, groups and retired servers sorted by
 // name, as State requires. It returns an *InvalidError if the configuration is invalid.
 func Normalize(c *wire.Configuration) (*wire.Configuration, error) {
+	if c == nil {
+		return nil, &InvalidError{Reason: "it is empty; send the complete one"}
+	}
 	c = proto.CloneOf(c)
 	slices.SortFunc(c.Accounts, byName[*wire.Account])
 	slices.SortFunc(c.Routes, byName[*wire.Route])
--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"fireflyrudder.example/fireflyrudder/internal/controllog"
+	"fireflyrudder.example/fireflyrudder/internal/recovery"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -41,12 +42,12 @@
 			return errors.WithHint(errors.Wrap(err, "controlvm"), "choose another address for --listen, or stop the process that uses it")
 		}
 	}
-	options := []grpc.ServerOption{
+	options := append(recovery.ServerOptions(),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
-	}
+	)
 	if vm.pair != nil {
 		options = append(options, grpc.Creds(credentials.NewTLS(vm.pair.ServerConfig())))
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -13,6 +13,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/freshness"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/recovery"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
@@ -49,7 +50,8 @@
 
 // Serve accepts requests on l until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	server := grpc.NewServer(grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
+	options := append(recovery.ServerOptions(), grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
+	server := grpc.NewServer(options...)
 	wire.RegisterForwardServer(server, s)
 	defer context.AfterFunc(ctx, func() {
 		timer := time.AfterFunc(stopGrace, server.Stop)
