Give the connections between VMs small buffers

Cause: each gRPC connection keeps a read buffer and a write buffer of 32 KiB at both ends. An entry VM that owns the connections to an instance has one from each of 300 others, a control leader two.

--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -42,7 +42,8 @@
 			return errors.WithHint(errors.Wrap(err, "controlvm"), "choose another address for --listen, or stop the process that uses it")
 		}
 	}
-	options := append(recovery.ServerOptions(),
+	options := append(recovery.ServerOptions(), wire.ServerBuffers()...)
+	options = append(options,
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: time.Second, PermitWithoutStream: true}),
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -87,7 +87,8 @@
 	if p := c.peers[address]; p != nil {
 		return p, nil
 	}
-	options := append(slices.Clone(c.options),
+	options := append(slices.Clone(c.options), wire.ClientBuffers()...)
+	options = append(options,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxRedialDelay},
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -50,7 +50,8 @@
 
 // Serve accepts requests on l until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	options := append(recovery.ServerOptions(), grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
+	options := append(recovery.ServerOptions(), wire.ServerBuffers()...)
+	options = append(options, grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
 	server := grpc.NewServer(options...)
 	wire.RegisterForwardServer(server, s)
 	defer context.AfterFunc(ctx, func() {
