Start the bucket of a new client account full

Cause: the level of a new bucket was cut to its limits before those were set, so that it began at 0, below the reserve; the first operations waited until it had earned more than a third of the burst.

Change: the limits are set first. TestAddedAccountStartsFull failed before and passes.

--- a/internal/lease/disconnected_test.go
+++ b/internal/lease/disconnected_test.go
@@ -297,3 +297,21 @@
 		require.GreaterOrEqual(t, admitted, asked*9/10, "%d entry VMs: of %d operations", entries, asked)
 	}
 }
+
+// TestAddedAccountStartsFull guards against the first operations of a new client account waiting until its bucket has
+// earned more than the reserve.
+func TestAddedAccountStartsFull(t *testing.T) {
+	s := newCluster(3)
+	s.newLeader(epoch)
+	for _, e := range s.entries {
+		s.renew(epoch, e)
+	}
+	c := s.configuration()
+	c.Accounts = append(c.Accounts, &wire.Account{Name: "b", Rate: accountRate, Burst: accountBurst})
+	s.issuer.Configure(epoch, c, nil)
+	e := s.entries[0]
+	require.Equal(t, lease.Wait, e.holder.Take(epoch, "b", 1).Verdict)
+	now := epoch.Add(50 * time.Millisecond)
+	s.renew(now, e)
+	require.Equal(t, lease.Admitted, e.holder.Take(now, "b", 1).Verdict)
+}
--- a/internal/lease/issuer.go
+++ b/internal/lease/issuer.go
@@ -119,11 +119,14 @@
 	for _, a := range c.GetAccounts() {
 		b, ok := i.accounts[AccountID(a.GetName())]
 		if !ok {
-			b = &bucket{issuer: i, level: a.GetBurst() + i.tolerance.excess(a.GetRate(), a.GetBurst()), refilledAt: now}
+			b = &bucket{issuer: i, refilledAt: now}
 			i.accounts[AccountID(a.GetName())] = b
 		}
 		b.refill(now, i.unreported)
 		i.setLimits(b, a)
+		if !ok {
+			b.level = b.burst
+		}
 		b.refill(now, i.unreported)
 	}
 	i.updateServers(c, views)
