Keep the credits of a client account at one entry VM of each zone

Cause: the sessions of an account are spread over all entry VMs.

Change: one entry VM of each availability zone, of an eighth of them, keeps the credits of an account; the others take one from it (Forward.Spend) and ask the issuer only if it does not answer. What may be outstanding is unchanged: the keeper spends its own credits. The choice of a keeper is shared with proofs (zoneKeeper).

TestCreditsOfAZoneAreShared (12 VMs; one requests credits) and TestCreditsDoNotNeedTheKeeper.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -13,6 +13,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/freshness"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
@@ -86,6 +87,16 @@
 // kept is the proof of the group "g".
 var kept = freshness.Proof{Sent: time.Now().Add(-time.Second), At: position.Position{Term: 2, Offset: 9}}
 
+func (l pools) Spend(_ context.Context, r forward.SpendRequest) (lease.Result, bool) {
+	switch r.Account {
+	case "scarce":
+		return lease.Result{Verdict: lease.Refused, Retry: time.Second}, true
+	case "unknown":
+		return lease.Result{}, false
+	}
+	return lease.Result{Verdict: lease.Admitted}, true
+}
+
 func (l pools) Proofs(_ context.Context, r forward.ProofsRequest) ([]freshness.Proof, bool) {
 	if !kept.Sent.After(r.Since) {
 		return nil, r.Group == "g"
@@ -210,3 +221,21 @@
 	_, err = c.Proofs(t.Context(), address, forward.ProofsRequest{Group: "other"})
 	require.ErrorIs(t, err, forward.ErrNoProofs)
 }
+
+// TestSpendTellsTheOutcome guards against a refused or unknown credit being taken for a spent one.
+func TestSpendTellsTheOutcome(t *testing.T) {
+	_, c, address := start(t)
+	spend := func(account lease.AccountID) (lease.Result, error) {
+		return c.Spend(t.Context(), address, forward.SpendRequest{Account: account, Limit: time.Second})
+	}
+	result, err := spend("a")
+	require.NoError(t, err)
+	require.Equal(t, lease.Admitted, result.Verdict)
+	result, err = spend("scarce")
+	require.NoError(t, err)
+	require.Equal(t, lease.Result{Verdict: lease.Refused, Retry: time.Second}, result)
+	_, err = spend("unknown")
+	require.True(t, errors.Is(err, forward.ErrNoCredits))
+	_, err = c.Spend(t.Context(), "127.0.0.1:1", forward.SpendRequest{Account: "a"})
+	require.True(t, errors.Is(err, forward.ErrPeerLost))
+}
--- a/internal/forward/proofs.go
+++ b/internal/forward/proofs.go
@@ -51,7 +51,7 @@
 // Proofs implements wire.ForwardServer.
 func (s *Server) Proofs(ctx context.Context, r *wire.ProofsRequest) (*wire.ProofsReply, error) {
 	now := s.now()
-	proofs, known := s.pools.Proofs(ctx, ProofsRequest{
+	proofs, known := s.host.Proofs(ctx, ProofsRequest{
 		Group: r.GetGroup(), Account: r.GetAccount(), Age: time.Duration(r.GetAge()) * time.Microsecond,
 		Since: now.Add(-time.Duration(r.GetSince()) * time.Microsecond),
 	})
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -12,6 +12,7 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/freshness"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/internal/recovery"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
@@ -26,26 +27,29 @@
 	stopGrace = 300 * time.Millisecond
 )
 
-// Pools looks up connection pools by backend server, and proofs by database group. It is safe for concurrent use.
-type Pools interface {
+// Host is the entry VM behind a Server: its connections, and what it keeps for its availability zone. It is safe for
+// concurrent use.
+type Host interface {
 	// Pool returns nil if the VM does not serve the backend server or shuts down. On a VM that has just started
 	// it may wait until ctx ends.
 	Pool(ctx context.Context, server string) *connpool.Pool
 	// Proofs returns the proofs of a database group that this VM keeps for its availability zone. known is false if
 	// it does not serve the group.
 	Proofs(ctx context.Context, r ProofsRequest) (proofs []freshness.Proof, known bool)
+	// Spend spends a credit of a client account. known is false if this VM cannot tell whether there is one.
+	Spend(ctx context.Context, r SpendRequest) (result lease.Result, known bool)
 }
 
 // Server runs statements that other entry VMs forward.
 type Server struct {
 	wire.UnimplementedForwardServer
-	pools Pools
-	now   func() time.Time
+	host Host
+	now  func() time.Time
 }
 
-// NewServer returns a Server that runs statements on the connections of pools.
-func NewServer(pools Pools, now func() time.Time) *Server {
-	return &Server{pools: pools, now: now}
+// NewServer returns a Server that runs statements on the connections of a host.
+func NewServer(host Host, now func() time.Time) *Server {
+	return &Server{host: host, now: now}
 }
 
 // Serve accepts requests on l until ctx ends.
@@ -67,7 +71,7 @@
 	if len(r.GetSteps()) == 0 {
 		return &wire.ForwardReply{}, nil // a probe
 	}
-	pool := s.pools.Pool(ctx, r.GetServer())
+	pool := s.host.Pool(ctx, r.GetServer())
 	if pool == nil {
 		return &wire.ForwardReply{Failure: wire.Failure_FAILURE_LEFT}, nil
 	}
@@ -110,7 +114,7 @@
 			return err
 		}
 		if h == nil {
-			if pool = s.pools.Pool(stream.Context(), r.GetServer()); pool == nil {
+			if pool = s.host.Pool(stream.Context(), r.GetServer()); pool == nil {
 				return stream.Send(&wire.ForwardReply{Failure: wire.Failure_FAILURE_LEFT})
 			}
 			h = pool.NewHandle(r.GetAccount(), r.GetWeight(), r.GetRead())
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -78,15 +78,7 @@
 	if !ok {
 		p = h.addAccount(account)
 	}
-	if !now.Before(h.expires) {
-		p.held = 0
-	}
-	if p.held+epsilon >= cost {
-		p.held = max(0, p.held-cost)
-		p.spent += cost
-		if p.held < p.lowMark {
-			h.schedule(later(now, p.reportAt))
-		}
+	if h.spend(now, p, cost) {
 		return Result{Verdict: Admitted}
 	}
 	if now.Before(p.refuseUntil) {
@@ -102,6 +94,28 @@
 	return Result{Verdict: Wait}
 }
 
+// TakeHeld spends the cost of a request if the credits held suffice. Otherwise it requests none from the issuer.
+func (h *Holder) TakeHeld(now time.Time, account AccountID, cost float64) bool {
+	p, ok := h.accounts[account]
+	return ok && h.spend(now, p, cost)
+}
+
+// spend spends the cost of a request from the credits held.
+func (h *Holder) spend(now time.Time, p *balance, cost float64) bool {
+	if !now.Before(h.expires) {
+		p.held = 0
+	}
+	if p.held+epsilon < cost {
+		return false
+	}
+	p.held = max(0, p.held-cost)
+	p.spent += cost
+	if p.held < p.lowMark {
+		h.schedule(later(now, p.reportAt))
+	}
+	return true
+}
+
 // TakeDisconnected spends the cost of a request from this entry VM's own share of the account's rate, if it
 // is disconnected from the issuer.
 func (h *Holder) TakeDisconnected(now time.Time, account AccountID, s DisconnectedShare, cost float64) bool {
@@ -132,6 +146,11 @@
 	return !h.lastAnswered.IsZero() && now.Sub(h.lastAnswered) >= disconnectTimeout
 }
 
+// Answered reports whether an issuer has answered and this entry VM is not disconnected.
+func (h *Holder) Answered(now time.Time) bool {
+	return !h.lastAnswered.IsZero() && !h.Disconnected(now)
+}
+
 func (h *Holder) addAccount(account AccountID) *balance {
 	p := &balance{account: account}
 	h.accounts[account] = p
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -214,7 +214,7 @@
 	return out
 }
 
-// Pool implements forward.Pools. A VM that has just started waits briefly for its first views; otherwise the
+// Pool implements forward.Host. A VM that has just started waits briefly for its first views; otherwise the
 // others would conclude that the instance has left and use other entry VMs.
 func (p *Proxy) Pool(ctx context.Context, server string) *connpool.Pool {
 	ctx, cancel := context.WithTimeout(ctx, firstViewTimeout)
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"slices"
 	"time"
 
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/forward"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/internal/settings"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
@@ -21,7 +24,7 @@
 	g := &group{
 		now: now, finder: placement.NewFinder(), forward: forward.NewClient(now), primary: pool.Server(), viewChanged: make(chan struct{}),
 		owner:       func(*group, *member) string { return "" },
-		proofKeeper: func(*group, time.Time) string { return "" },
+		proofKeeper: func(time.Time) string { return "" },
 		members:     []*member{{id: id, pool: pool, stats: placement.NewInstanceStats(initialLatency)}},
 		ids:         []placement.ServerID{id},
 	}
@@ -43,14 +46,18 @@
 func (z *ZoneVM) Silence() { z.listener.Close() }
 
 // StartZone starts the entry VMs of one availability zone, one for each listener, until ctx ends. The instance of their
-// group is in another zone, so that each has connections of its own to it; see UseOwner.
-func StartZone(ctx context.Context, listeners []net.Listener, dial connpool.Dialer) []*ZoneVM {
+// group is in another zone, so that each has connections of its own to it; see UseOwner. control is the control group.
+func StartZone(ctx context.Context, listeners []net.Listener, dial connpool.Dialer, control wire.ControlClient) []*ZoneVM {
 	var vms []*ZoneVM
 	var entries []placement.EntryVM
 	for _, l := range listeners {
 		address := l.Addr().String()
 		entries = append(entries, placement.EntryVM{ID: address, Address: address, Zone: "zone"})
-		p := New(Options{Node: settings.Node{Zone: "zone"}, Process: address, Forward: address, Now: time.Now, Controls: func() []string { return nil }})
+		p := New(Options{
+			Node: settings.Node{Zone: "zone"}, Process: address, Forward: address, Now: time.Now, MinRenewInterval: 10 * time.Millisecond,
+			Controls: func() []string { return []string{"control"} },
+			Dial:     func(string) (wire.ControlClient, io.Closer, error) { return control, io.NopCloser(nil), nil },
+		})
 		g := newGroup("group", p)
 		pool := connpool.New(connpool.Options{Server: "i", Dial: dial, Now: time.Now, Slots: 2, Connections: 2})
 		g.members = []*member{{id: "i", pool: pool, stats: placement.NewInstanceStats(initialLatency)}}
@@ -69,9 +76,42 @@
 	return vms
 }
 
+// Renew makes the VM renew its credits of client accounts until ctx ends.
+func (z *ZoneVM) Renew(ctx context.Context, accounts ...*wire.Account) {
+	z.proxy.config.Store(newConfigSnapshot(&wire.Configuration{Accounts: accounts}, nil))
+	go z.proxy.runEventLoop()
+	go z.proxy.control.Run(ctx)
+	context.AfterFunc(ctx, z.proxy.stop)
+}
+
+// AwaitCreditKeepers waits until the VM has credits answered and is connected to those that may keep the credits of an
+// account.
+func (z *ZoneVM) AwaitCreditKeepers(account string) {
+	for !z.proxy.credits.Answered(time.Now()) {
+		time.Sleep(time.Millisecond)
+	}
+	for _, e := range z.proxy.creditKeeper(lease.AccountID(account)).candidates("zone", z.proxy.entries.Load()) {
+		if e.ID != z.proxy.options.Process {
+			z.proxy.forward.AwaitConnection(e.Address)
+		}
+	}
+}
+
+// KeepsCredits reports whether the VM is the keeper of the credits of an account.
+func (z *ZoneVM) KeepsCredits(account string) bool {
+	first := z.proxy.creditKeeper(lease.AccountID(account)).candidates("zone", z.proxy.entries.Load())[0]
+	return first.ID == z.proxy.options.Process
+}
+
+// Admit takes a credit of an account for an operation.
+func (z *ZoneVM) Admit(ctx context.Context, name string) bool {
+	a := z.proxy.config.Load().accounts[name]
+	return z.proxy.takeCredit(ctx, time.Now(), a, time.Time{}).Verdict == lease.Admitted
+}
+
 // AwaitKeeper waits until the VM is connected to the entry VM that keeps the proofs, if that is another one.
 func (z *ZoneVM) AwaitKeeper() {
-	first := z.group.keeperCandidates("zone", z.proxy.entries.Load())[0]
+	first := z.group.keeper.candidates("zone", z.proxy.entries.Load())[0]
 	if first.ID != z.proxy.options.Process {
 		z.proxy.forward.AwaitConnection(first.Address)
 	}
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -39,28 +39,14 @@
 	leaving    bool
 }
 
-// candidateList is the order of the entry VMs of an availability zone for one key, computed once for each list of
-// entry VMs.
-type candidateList struct {
-	ordered []placement.EntryVM
-	from    *[]placement.EntryVM // list from which ordered was computed
-}
-
-// of returns the entry VMs of the zone, preferred first.
-func (c *candidateList) of(key, zone string, entries *[]placement.EntryVM) []placement.EntryVM {
-	if c.from != entries {
-		c.ordered, c.from = placement.Owners(key, zone, *entries), entries
-	}
-	return c.ordered
-}
-
 // group is the state of a database group on this VM. It is safe for concurrent use.
 type group struct {
 	name        string
 	now         func() time.Time
 	zoneRTT     func(zone string) time.Duration
-	owner       func(g *group, m *member) string     // see Proxy.owner
-	proofKeeper func(g *group, now time.Time) string // see Proxy.proofKeeper
+	owner       func(g *group, m *member) string // see Proxy.owner
+	keeper      *zoneKeeper                      // of the proofs
+	proofKeeper func(now time.Time) string       // address of the keeper, or "" if that is this VM
 	forward     *forward.Client
 	proofFlight singleflight.Group
 
@@ -73,8 +59,6 @@
 	finder        *placement.Finder
 	reader        *placement.ReadBalancer
 	proofs        freshness.Tracker
-	keepers       candidateList        // entry VMs of this availability zone that may keep the proofs of the group, preferred first
-	avoidKeeper   map[string]time.Time // end of peerAvoidPeriod, by address of an entry VM that gave no proofs
 	lastUsed      time.Time
 	recentAccount string        // client account served last
 	viewChanged   chan struct{} // closed and replaced when the view changes
@@ -83,9 +67,11 @@
 }
 
 func newGroup(name string, p *Proxy) *group {
+	keeper := newZoneKeeper("proofs of "+name, "proofs", 1)
 	return &group{
-		name: name, now: p.options.Now, zoneRTT: p.zoneRTT, owner: p.owner, proofKeeper: p.proofKeeper, forward: p.forward,
-		avoidKeeper: map[string]time.Time{}, finder: placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
+		name: name, now: p.options.Now, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward,
+		proofKeeper: func(now time.Time) string { return keeper.address(now, p) },
+		finder:      placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/keeper.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/placement"
+)
+
+// maxKeepers is the number of entry VMs that are tried as the keeper.
+const maxKeepers = 2
+
+// zoneKeeper chooses the entry VM that keeps something for all entry VMs of an availability zone. All of them choose the
+// same one. It is safe for concurrent use.
+type zoneKeeper struct {
+	key   string // what is kept
+	kind  string // of what is kept; keepers of one kind are a part of the entry VMs
+	share int    // entry VMs of the zone for each one that keeps something of the kind
+
+	mu         sync.Mutex
+	ordered    []placement.EntryVM  // that may be the keeper, preferred first
+	from       *[]placement.EntryVM // list from which ordered was computed
+	avoidUntil map[string]time.Time // end of peerAvoidPeriod, by address of a keeper that did not answer
+}
+
+// newZoneKeeper returns a zoneKeeper without a choice.
+func newZoneKeeper(key, kind string, share int) *zoneKeeper {
+	return &zoneKeeper{key: key, kind: kind, share: share, avoidUntil: map[string]time.Time{}}
+}
+
+// candidates returns the entry VMs of the zone that may be the keeper, preferred first.
+func (k *zoneKeeper) candidates(zone string, entries *[]placement.EntryVM) []placement.EntryVM {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.from != entries {
+		keepers := placement.Owners(k.kind, zone, *entries)
+		keepers = keepers[:(len(keepers)+k.share-1)/k.share]
+		k.ordered, k.from = placement.Owners(k.key, zone, keepers), entries
+	}
+	return k.ordered[:min(len(k.ordered), maxKeepers)]
+}
+
+// address returns the address of the keeper, or "" if that is this VM or none can be used.
+func (k *zoneKeeper) address(now time.Time, p *Proxy) string {
+	for _, e := range k.candidates(p.options.Node.Zone, p.entries.Load()) {
+		if e.ID == p.options.Process {
+			return ""
+		}
+		if !k.avoids(now, e.Address) && p.forward.Usable(e.Address) {
+			return e.Address
+		}
+	}
+	return ""
+}
+
+// avoid keeps the keeper at an address from being chosen for peerAvoidPeriod.
+func (k *zoneKeeper) avoid(now time.Time, address string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.avoidUntil[address] = now.Add(peerAvoidPeriod)
+}
+
+func (k *zoneKeeper) avoids(now time.Time, address string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Before(k.avoidUntil[address])
+}
--- a/internal/proxy/proofs.go
+++ b/internal/proxy/proofs.go
@@ -12,7 +12,6 @@
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/freshness"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
-	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
@@ -36,8 +35,6 @@
 	keeperWait = 100 * time.Millisecond
 	// emptyPause is the pause after the keeper had no newer proof.
 	emptyPause = 20 * time.Millisecond
-	// maxKeepers is the number of entry VMs that are tried as the keeper.
-	maxKeepers = 2
 	// requestMargin is subtracted from the maximum staleness for the transit of the caller's request to this VM.
 	requestMargin = 20 * time.Millisecond
 	// keeperMargin is the time for which a proof of the keeper can be used at least.
@@ -92,7 +89,7 @@
 // answer.
 func (g *group) requestProofs(age time.Duration) bool {
 	sent := g.now()
-	keeper := g.proofKeeper(g, sent)
+	keeper := g.proofKeeper(sent)
 	if keeper == "" {
 		return false
 	}
@@ -106,13 +103,13 @@
 	if err == nil && len(proofs) == 0 {
 		time.Sleep(emptyPause)
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if err != nil {
-		g.avoidKeeper[keeper] = g.now().Add(peerAvoidPeriod)
+		g.keeper.avoid(g.now(), keeper)
 		log.WithError(err).WithFields(log.Fields{"event": "dependency", "dependency": "proofs", "group": g.name, "via": keeper, "reached": false}).Warn("proofs")
 		return false
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	for _, p := range proofs {
 		g.proofs.Observe(p.Sent, p.At)
 	}
@@ -202,40 +199,12 @@
 	sent, _, ok := g.proofs.Newest()
 	due := now.Sub(g.lastUsed) < activePeriod && (!ok || now.Sub(sent) >= proofRefreshAge)
 	g.mu.Unlock()
-	if due && g.proofKeeper(g, now) == "" {
+	if due && g.proofKeeper(now) == "" {
 		g.fetchProof()
 	}
 }
 
-// proofKeeper returns the address of the entry VM that keeps the proofs of a group for this availability zone, or ""
-// if that is this VM or none can be used.
-func (p *Proxy) proofKeeper(g *group, now time.Time) string {
-	for _, e := range g.keeperCandidates(p.options.Node.Zone, p.entries.Load()) {
-		if e.ID == p.options.Process {
-			return ""
-		}
-		if !g.avoidsKeeper(now, e.Address) && p.forward.Usable(e.Address) {
-			return e.Address
-		}
-	}
-	return ""
-}
-
-// keeperCandidates returns the entry VMs of a zone that may keep the proofs of the group, preferred first.
-func (g *group) keeperCandidates(zone string, entries *[]placement.EntryVM) []placement.EntryVM {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	ordered := g.keepers.of("proofs of "+g.name, zone, entries)
-	return ordered[:min(len(ordered), maxKeepers)]
-}
-
-func (g *group) avoidsKeeper(now time.Time, address string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return now.Before(g.avoidKeeper[address])
-}
-
-// Proofs implements forward.Pools.
+// Proofs implements forward.Host.
 func (p *Proxy) Proofs(ctx context.Context, r forward.ProofsRequest) ([]freshness.Proof, bool) {
 	g := (*p.served.Load())[r.Group]
 	if g == nil || p.closing.Load() {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -114,6 +114,7 @@
 	ownership     atomic.Pointer[placement.Ownership]
 	served        atomic.Pointer[map[string]*group] // by name
 	viewsReady    chan struct{}                     // closed when the pools of the first views are published
+	creditKeepers sync.Map                          // choices of the credit keeper (*zoneKeeper) by lease.AccountID
 	leases        renewal.ConfigLeases              // modified only by the event loop
 	draining      atomic.Bool
 	closing       atomic.Bool // new sessions are refused
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -13,6 +13,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/internal/proxy"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
@@ -159,6 +160,10 @@
 }
 
 func startZone(t *testing.T, p *primary, count int) []*proxy.ZoneVM {
+	return startZoneWith(t, p, count, nil)
+}
+
+func startZoneWith(t *testing.T, p *primary, count int, control wire.ControlClient) []*proxy.ZoneVM {
 	ctx, stop := context.WithCancel(context.Background())
 	t.Cleanup(stop)
 	var listeners []net.Listener
@@ -167,5 +172,5 @@
 		require.NoError(t, err)
 		listeners = append(listeners, listener)
 	}
-	return proxy.StartZone(ctx, listeners, p.dial)
+	return proxy.StartZone(ctx, listeners, p.dial, control)
 }
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -4,20 +4,15 @@
 	"cmp"
 	"context"
 	"crypto/sha256"
-	"slices"
 	"sync"
 	"time"
 
 	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
-	"fireflyrudder.example/fireflyrudder/internal/placement"
-	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
 const (
-	// creditTimeout bounds the wait for rate credits, which may currently be leased to another VM.
-	creditTimeout = 250 * time.Millisecond
 	// firstLeaseTimeout is how long a new session waits for a configuration lease, and firstLeasePoll how often it
 	// checks for one.
 	firstLeaseTimeout = 1500 * time.Millisecond
@@ -262,14 +257,7 @@
 	if refusal != nil || p.account.name == publicAccount {
 		return p, refusal
 	}
-	result, waiter := s.proxy.credits.TakeOrQueue(arrived, lease.AccountID(p.account.name), 1, p.targetDeadline(arrived))
-	switch {
-	case result.Verdict == lease.Wait && s.proxy.admitDisconnected(arrived, p.account):
-		s.proxy.credits.Cancel(waiter)
-		result.Verdict = lease.Admitted
-	case result.Verdict == lease.Wait:
-		result = s.awaitCredit(ctx, waiter)
-	}
+	result := s.proxy.takeCredit(ctx, arrived, p.account, p.targetDeadline(arrived))
 	if result.Verdict != lease.Admitted {
 		return nil, s.rateRefusal(p, id, cmp.Or(result.Retry, creditTimeout))
 	}
@@ -279,54 +267,6 @@
 	return s.reauthorize(now, arrived, p, id)
 }
 
-// awaitCredit waits for the result of an operation in the credit queue.
-func (s *Session) awaitCredit(ctx context.Context, waiter *renewal.Waiter) lease.Result {
-	timer := time.NewTimer(creditTimeout)
-	defer timer.Stop()
-	select {
-	case result := <-waiter.Result:
-		return result
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return s.proxy.credits.Cancel(waiter)
-}
-
-// admitDisconnected admits an operation while no control group is reachable, within this VM's share of the
-// rate.
-func (p *Proxy) admitDisconnected(now time.Time, a *account) bool {
-	if p.options.LeaseGrace == 0 {
-		return false
-	}
-	if !p.credits.TakeDisconnected(now, lease.AccountID(a.name), p.disconnectedShare(a), 1) {
-		return false
-	}
-	p.metrics.disconnected.Add(1)
-	return true
-}
-
-// disconnectedShare returns the share of a client account's rate that this VM may use while no control group is
-// reachable.
-func (p *Proxy) disconnectedShare(a *account) lease.DisconnectedShare {
-	entries := *p.entries.Load()
-	index := slices.IndexFunc(entries, func(e placement.EntryVM) bool { return e.ID == p.options.Process })
-	return lease.NewDisconnectedShare(lease.AccountID(a.name), a.rate, index, len(entries))
-}
-
-// serveDisconnected admits waiting operations within this VM's shares of the rates.
-func (p *Proxy) serveDisconnected(now time.Time) {
-	if p.options.LeaseGrace == 0 {
-		return
-	}
-	t := p.config.Load()
-	p.credits.ServeDisconnected(now, func(name lease.AccountID) lease.DisconnectedShare {
-		if a := t.accounts[string(name)]; a != nil {
-			return p.disconnectedShare(a)
-		}
-		return lease.DisconnectedShare{}
-	})
-}
-
 // reauthorize checks the configuration again after a wait, because it may have changed.
 func (s *Session) reauthorize(now, arrived time.Time, p *permit, id string) (*permit, *operation.Answer) {
 	if now.Sub(arrived) < tickInterval {
--- a/internal/renewal/credits.go
+++ b/internal/renewal/credits.go
@@ -51,6 +51,25 @@
 	return result
 }
 
+// TakeHeld spends credits that this VM holds. It requests none.
+func (c *Credits) TakeHeld(now time.Time, account lease.AccountID, cost float64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.holder.Next()
+	taken := c.holder.TakeHeld(now, account, cost)
+	if c.holder.Next().Before(before) {
+		c.recheckNextRenew()
+	}
+	return taken
+}
+
+// Answered reports whether an issuer has answered of late.
+func (c *Credits) Answered(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder.Answered(now)
+}
+
 // TakeOrQueue spends credits like Take. An operation that must wait is added to the queue until it receives a
 // result or calls Cancel. late is the time after which its answer is late for its caller; zero for never.
 func (c *Credits) TakeOrQueue(now time.Time, account lease.AccountID, cost float64, late time.Time) (lease.Result, *Waiter) {
