Open connections to owners and keepers before statements need them

Change: when the owners have not changed for 0.5 s, an entry VM connects to them and to the keepers of credits of its zone, one each 50 ms, at most 96. Also: the keepers are a quarter of a zone's VMs; an operation waits for a credit of the keeper as long as for one of the issuer; a credit that arrives after a suspension is given up.

TestOwnersAreConnectedInAdvance.

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -106,6 +106,19 @@
 	return p, nil
 }
 
+// Connect opens the connection to the entry VM at an address in the background, if there is none.
+func (c *Client) Connect(address string) {
+	_, _ = c.peer(address) // an address that cannot be dialed fails when it is needed
+}
+
+// Connected reports whether there is a connection to the entry VM at an address. It opens none.
+func (c *Client) Connected(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.peers[address]
+	return p != nil && p.conn.GetState() == connectivity.Ready
+}
+
 // Usable reports whether statements may be forwarded to the entry VM at an address: it is connected,
 // responsive, and was not unavailable within failureBackoff.
 func (c *Client) Usable(address string) bool {
--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -60,6 +60,20 @@
 	return o.owners[server]
 }
 
+// First returns the entry VMs that own the connections to an instance, each once, in no particular order.
+func (o *Ownership) First() []EntryVM {
+	o.compute.Do(o.assign)
+	seen := map[string]bool{}
+	var first []EntryVM
+	for _, owners := range o.owners {
+		if len(owners) > 0 && !seen[owners[0].ID] {
+			seen[owners[0].ID] = true
+			first = append(first, owners[0])
+		}
+	}
+	return first
+}
+
 // assign gives each instance, in an order by hash, the first of its entry VMs that may own another one.
 func (o *Ownership) assign() {
 	o.owners = make(map[string][]EntryVM, len(o.instances))
--- a/internal/proxy/credit.go
+++ b/internal/proxy/credit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/cockroachdb/errors"
 
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/lease"
@@ -20,15 +21,19 @@
 const (
 	// creditTimeout bounds the wait for rate credits, which may currently be leased to another VM.
 	creditTimeout = 250 * time.Millisecond
-	// keptCreditTimeout bounds the wait of the keeper for a credit that another entry VM requests, and spendTimeout
-	// that of the other one for its answer. After it the issuer is asked.
-	keptCreditTimeout = 150 * time.Millisecond
-	spendTimeout      = 200 * time.Millisecond
+	// spendTimeout bounds the wait for the answer of the keeper, which itself waits up to creditTimeout. After it the
+	// issuer is asked, for what is left of creditTimeout, at least minCreditTimeout.
+	spendTimeout     = creditTimeout + 50*time.Millisecond
+	minCreditTimeout = 50 * time.Millisecond
 	// keeperShare is the number of entry VMs of a zone for each one that keeps credits. Each entry VM is connected to
 	// all keepers of its zone.
-	keeperShare = 8
+	keeperShare = 4
 )
 
+// errSuspended reports that this VM was suspended while it waited for the keeper. The credit counts in a window that may
+// be over.
+var errSuspended = errors.New("relay: the entry VM was suspended; the credit is given up")
+
 // takeCredit takes a credit for an operation: of this VM, of its part of the rate while no issuer answers, of the keeper,
 // or of the issuer. target is the time after which the answer is late for the caller; zero for none.
 func (p *Proxy) takeCredit(ctx context.Context, arrived time.Time, a *account, target time.Time) lease.Result {
@@ -39,7 +44,8 @@
 	if result, known := p.spendAtKeeper(ctx, arrived, id, target); known {
 		return result
 	}
-	return p.awaitCredit(ctx, p.options.Now(), id, target, creditTimeout)
+	now := p.options.Now()
+	return p.awaitCredit(ctx, now, id, target, max(creditTimeout-now.Sub(arrived), minCreditTimeout))
 }
 
 // spendAtKeeper takes a credit of the keeper. known is false if this VM is the keeper, or if none answers.
@@ -50,7 +56,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, spendTimeout)
 	defer cancel()
-	result, err := p.forward.Spend(ctx, address, forward.SpendRequest{Account: id, Limit: keptCreditTimeout, Target: target})
+	result, err := p.forward.Spend(ctx, address, forward.SpendRequest{Account: id, Limit: creditTimeout, Target: target})
+	if err == nil && p.options.Now().Sub(now) > 2*spendTimeout {
+		err = errSuspended
+	}
 	if err != nil {
 		p.creditKeeper(id).avoid(p.options.Now(), address)
 		log.WithError(err).WithFields(log.Fields{"event": "dependency", "dependency": "credits", "account": id, "via": address, "reached": false}).Warn("credits")
@@ -68,12 +77,18 @@
 	return p.awaitCredit(ctx, now, r.Account, r.Target, min(r.Limit, creditTimeout)), true
 }
 
+// creditKeeperVMs returns the entry VMs of a zone that keep credits.
+func creditKeeperVMs(zone string, entries []placement.EntryVM) []placement.EntryVM {
+	all := placement.Owners("credits", zone, entries)
+	return all[:(len(all)+keeperShare-1)/keeperShare]
+}
+
 // creditKeeper returns the choice of the keeper for an account.
 func (p *Proxy) creditKeeper(id lease.AccountID) *zoneKeeper {
 	if k, ok := p.creditKeepers.Load(id); ok {
 		return k.(*zoneKeeper)
 	}
-	k, _ := p.creditKeepers.LoadOrStore(id, newZoneKeeper("credits of "+string(id), "credits", keeperShare))
+	k, _ := p.creditKeepers.LoadOrStore(id, newZoneKeeper("credits of "+string(id), creditKeeperVMs))
 	return k.(*zoneKeeper)
 }
 
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -109,6 +109,18 @@
 	return z.proxy.takeCredit(ctx, time.Now(), a, time.Time{}).Verdict == lease.Admitted
 }
 
+// WarmUp runs the periodic work for connections to other entry VMs.
+func (z *ZoneVM) WarmUp(now time.Time) {
+	if address := z.proxy.warm.next(now, z.proxy.ownership.Load(), z.proxy.neededPeers); address != "" {
+		z.proxy.forward.Connect(address)
+	}
+}
+
+// ConnectedTo reports whether the VM is connected to another one.
+func (z *ZoneVM) ConnectedTo(other *ZoneVM) bool {
+	return z.proxy.forward.Connected(other.proxy.options.Process)
+}
+
 // AwaitKeeper waits until the VM is connected to the entry VM that keeps the proofs, if that is another one.
 func (z *ZoneVM) AwaitKeeper() {
 	first := z.group.keeper.candidates("zone", z.proxy.entries.Load())[0]
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -67,7 +67,7 @@
 }
 
 func newGroup(name string, p *Proxy) *group {
-	keeper := newZoneKeeper("proofs of "+name, "proofs", 1)
+	keeper := newZoneKeeper("proofs of "+name, proofKeeperVMs)
 	return &group{
 		name: name, now: p.options.Now, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward,
 		proofKeeper: func(now time.Time) string { return keeper.address(now, p) },
--- a/internal/proxy/keeper.go
+++ b/internal/proxy/keeper.go
@@ -13,9 +13,8 @@
 // zoneKeeper chooses the entry VM that keeps something for all entry VMs of an availability zone. All of them choose the
 // same one. It is safe for concurrent use.
 type zoneKeeper struct {
-	key   string // what is kept
-	kind  string // of what is kept; keepers of one kind are a part of the entry VMs
-	share int    // entry VMs of the zone for each one that keeps something of the kind
+	key string                                                             // what is kept
+	vms func(zone string, entries []placement.EntryVM) []placement.EntryVM // entry VMs of a zone that keep such things
 
 	mu         sync.Mutex
 	ordered    []placement.EntryVM  // that may be the keeper, preferred first
@@ -24,8 +23,8 @@
 }
 
 // newZoneKeeper returns a zoneKeeper without a choice.
-func newZoneKeeper(key, kind string, share int) *zoneKeeper {
-	return &zoneKeeper{key: key, kind: kind, share: share, avoidUntil: map[string]time.Time{}}
+func newZoneKeeper(key string, vms func(zone string, entries []placement.EntryVM) []placement.EntryVM) *zoneKeeper {
+	return &zoneKeeper{key: key, vms: vms, avoidUntil: map[string]time.Time{}}
 }
 
 // candidates returns the entry VMs of the zone that may be the keeper, preferred first.
@@ -33,9 +32,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.from != entries {
-		keepers := placement.Owners(k.kind, zone, *entries)
-		keepers = keepers[:(len(keepers)+k.share-1)/k.share]
-		k.ordered, k.from = placement.Owners(k.key, zone, keepers), entries
+		k.ordered, k.from = placement.Owners(k.key, zone, k.vms(zone, *entries)), entries
 	}
 	return k.ordered[:min(len(k.ordered), maxKeepers)]
 }
--- a/internal/proxy/proofs.go
+++ b/internal/proxy/proofs.go
@@ -12,6 +12,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/freshness"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
@@ -204,6 +205,11 @@
 	}
 }
 
+// proofKeeperVMs returns the entry VMs of a zone that keep proofs.
+func proofKeeperVMs(zone string, entries []placement.EntryVM) []placement.EntryVM {
+	return placement.Owners("proofs", zone, entries)
+}
+
 // Proofs implements forward.Host.
 func (p *Proxy) Proofs(ctx context.Context, r forward.ProofsRequest) ([]freshness.Proof, bool) {
 	g := (*p.served.Load())[r.Group]
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -125,6 +125,7 @@
 	// accessed only by the event loop
 	state  *controlstate.State
 	groups map[string]*group
+	warm   warmUp
 }
 
 // New returns a Proxy. Run starts it.
@@ -244,6 +245,9 @@
 			p.control.RenewNow() // the control group detects a failed primary by the reports of entry VMs
 		}
 	}
+	if address := p.warm.next(now, p.ownership.Load(), p.neededPeers); address != "" {
+		p.forward.Connect(address)
+	}
 	idle := p.config.Load().idle
 	for _, s := range p.openSessions() {
 		s.expireIdle(now, idle)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -150,6 +150,33 @@
 	}
 }
 
+// TestOwnersAreConnectedInAdvance guards against statements that wait for a connection to the owner, which is new for most
+// of them where there are hundreds of owners. Connections wait until the owners have not changed for a while.
+func TestOwnersAreConnectedInAdvance(t *testing.T) {
+	vms := startZone(t, &primary{}, 12)
+	var owner *proxy.ZoneVM
+	for _, vm := range vms {
+		vm.UseOwner()
+		if vm.OwnerRank() == 0 {
+			owner = vm
+		}
+	}
+	now := time.Now()
+	for _, vm := range vms {
+		vm.WarmUp(now)
+		vm.WarmUp(now.Add(100 * time.Millisecond))
+		require.False(t, vm.ConnectedTo(owner), "the owners may still change")
+		for i := range 12 {
+			vm.WarmUp(now.Add(time.Second + time.Duration(i)*50*time.Millisecond))
+		}
+	}
+	for _, vm := range vms {
+		if vm != owner {
+			require.Eventually(t, func() bool { return vm.ConnectedTo(owner) }, 5*time.Second, time.Millisecond)
+		}
+	}
+}
+
 // silenceOwner ends the server of the owner of the connections.
 func silenceOwner(t *testing.T, vms []*proxy.ZoneVM) {
 	for _, vm := range vms {
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -14,8 +14,7 @@
 	go func() {
 		defer close(ended)
 		defer recovery.Contain("test")
-		var values []int
-		_ = values[len(values)]
+		panic("unexpected")
 	}()
 	<-ended
 	require.NotPanics(t, func() { recovery.Contain("test") })
