--- a/internal/proxy/credit.go
+++ b/internal/proxy/credit.go
@@ -25,6 +25,8 @@
 	// issuer is asked, for what is left of creditTimeout, at least minCreditTimeout.
 	spendTimeout     = creditTimeout + 50*time.Millisecond
 	minCreditTimeout = 50 * time.Millisecond
+	// emptyKeeperPeriod is how long a keeper without credits is not asked. One that has just started has some soon.
+	emptyKeeperPeriod = 200 * time.Millisecond
 	// keeperShare is the number of entry VMs of a zone for each one that keeps credits. Each entry VM is connected to
 	// all keepers of its zone.
 	keeperShare = 4
@@ -61,7 +63,11 @@
 		err = errSuspended
 	}
 	if err != nil {
-		p.creditKeeper(id).avoid(p.options.Now(), address)
+		period := peerAvoidPeriod
+		if errors.Is(err, forward.ErrNoCredits) {
+			period = emptyKeeperPeriod
+		}
+		p.creditKeeper(id).avoid(p.options.Now(), address, period)
 		log.WithError(err).WithFields(log.Fields{"event": "dependency", "dependency": "credits", "account": id, "via": address, "reached": false}).Warn("credits")
 		return lease.Result{}, false
 	}
--- a/internal/proxy/keeper.go
+++ b/internal/proxy/keeper.go
@@ -19,7 +19,7 @@
 	mu         sync.Mutex
 	ordered    []placement.EntryVM  // that may be the keeper, preferred first
 	from       *[]placement.EntryVM // list from which ordered was computed
-	avoidUntil map[string]time.Time // end of peerAvoidPeriod, by address of a keeper that did not answer
+	avoidUntil map[string]time.Time // by address of a keeper that did not answer, or keeps nothing
 }
 
 // newZoneKeeper returns a zoneKeeper without a choice.
@@ -50,11 +50,11 @@
 	return ""
 }
 
-// avoid keeps the keeper at an address from being chosen for peerAvoidPeriod.
-func (k *zoneKeeper) avoid(now time.Time, address string) {
+// avoid keeps the keeper at an address from being chosen for a period.
+func (k *zoneKeeper) avoid(now time.Time, address string, period time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.avoidUntil[address] = now.Add(peerAvoidPeriod)
+	k.avoidUntil[address] = now.Add(period)
 }
 
 func (k *zoneKeeper) avoids(now time.Time, address string) bool {
--- a/internal/proxy/proofs.go
+++ b/internal/proxy/proofs.go
@@ -105,7 +105,7 @@
 		time.Sleep(emptyPause)
 	}
 	if err != nil {
-		g.keeper.avoid(g.now(), keeper)
+		g.keeper.avoid(g.now(), keeper, peerAvoidPeriod)
 		log.WithError(err).WithFields(log.Fields{"event": "dependency", "dependency": "proofs", "group": g.name, "via": keeper, "reached": false}).Warn("proofs")
 		return false
 	}
