--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -46,7 +46,6 @@
 	floor       position.Position // of the session's last commit; its reads must see it
 	tx          *transaction      // nil while none is open
 	failed      bool              // the transaction failed and was rolled back at the instance
-	openedIn    time.Duration     // wait of the caller for the session, part of the latency of its first operation; then 0
 	abortReason string            // why the transaction failed
 }
 
@@ -74,11 +73,10 @@
 
 // Open opens a session for a caller. If it is refused, the session is nil and the answer is the refusal.
 func (p *Proxy) Open(ctx context.Context, c Caller) (*Session, operation.Answer) {
-	arrived := p.options.Now()
 	p.awaitLease(ctx)
 	s := &Session{
 		proxy: p, route: c.Route, key: sha256.Sum256([]byte(c.Key)), close: c.Close, interrupt: c.Interrupt,
-		values: map[string]string{}, prepared: map[string]preparedStatement{}, openedIn: p.options.Now().Sub(arrived),
+		values: map[string]string{}, prepared: map[string]preparedStatement{},
 	}
 	if p.closing.Load() {
 		return nil, p.refuse("", operation.Busy, reasonStop, "the entry VM shuts down; connect to another one")
@@ -166,7 +164,7 @@
 		return s.localAnswer()
 	}
 	a := s.runSingle(ctx, arrived, p, st)
-	p.trace.total += s.proxy.options.Now().Sub(arrived)
+	p.trace.total = s.proxy.options.Now().Sub(arrived)
 	s.proxy.observe(&st, a, p.trace.total)
 	s.proxy.logSlow(p, &st, "single")
 	return a
@@ -256,12 +254,8 @@
 // be leased to another VM.
 func (s *Session) admit(ctx context.Context, arrived time.Time, id string) (*permit, *operation.Answer) {
 	p, refusal := s.authorize(arrived, id)
-	if refusal != nil {
-		return nil, refusal
-	}
-	p.trace.total, s.openedIn = s.openedIn, 0
-	if p.account.name == publicAccount {
-		return p, nil
+	if refusal != nil || p.account.name == publicAccount {
+		return p, refusal
 	}
 	result := s.proxy.takeCredit(ctx, arrived, p.account, p.targetDeadline(arrived))
 	if result.Verdict != lease.Admitted {
--- a/internal/proxy/trace.go
+++ b/internal/proxy/trace.go
@@ -13,7 +13,7 @@
 	credit     time.Duration // wait for a rate credit
 	proof      time.Duration // wait for a proof of the position that a read must see
 	run        time.Duration // at instances, including the wait for a slot and a connection
-	total      time.Duration // all statements, and the wait for the session before the first operation; without pauses of the caller
+	total      time.Duration // all statements, without pauses of the caller
 	statements int
 	attempts   int
 	lastServer string // instance used last
