Confine an unexpected failure to the connection of its caller

Cause: a panic in the goroutine of one caller's connection ended the entry VM, with the sessions of all others.

Change: the goroutine ends, logs event=panic and closes its connection, on the platform and with PostgreSQL; statements outside transactions release their connection in any case (one function in place of three copies).

TestFailureEndsOneConnection ended the test process before ('panic: unexpected') and passes.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -23,6 +23,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/caller"
 	"fireflyrudder.example/fireflyrudder/internal/controlstate"
 	"fireflyrudder.example/fireflyrudder/internal/eventloop"
+	"fireflyrudder.example/fireflyrudder/internal/recovery"
 	"fireflyrudder.example/fireflyrudder/internal/renewal"
 	"fireflyrudder.example/fireflyrudder/internal/retry"
 	"fireflyrudder.example/fireflyrudder/internal/session"
@@ -177,8 +178,11 @@
 	}
 }
 
-// serveConn authenticates one connection of a caller and serves its session.
+// serveConn authenticates one connection of a caller and serves its session. An unexpected failure ends that connection
+// only.
 func (vm *VM) serveConn(a *caller.Acceptor, n net.Conn) {
+	defer recovery.Contain("caller")
+	defer n.Close()
 	vm.metrics.connections.Add(1)
 	c, err := a.Accept(n)
 	if err != nil {
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -104,10 +104,7 @@
 		if !ok {
 			return e.giveUp()
 		}
-		h := e.permit.route.group.newConn(m, e.connRequest(false))
-		sent := e.now()
-		answers, err := e.run(ctx, h, e.st)
-		h.Release()
+		answers, sent, err := e.runAt(ctx, m, e.st)
 		if len(answers) > 0 && !answers[0].Code.NotRun() {
 			e.recordCommit(m, sent, answers[0])
 			return answers[0]
@@ -150,6 +147,15 @@
 	return answers, err
 }
 
+// runAt runs statements on a connection to an instance, which is released afterwards. sent is not later than they were sent.
+func (e *execution) runAt(ctx context.Context, m *member, statements ...operation.Statement) (answers []operation.Answer, sent time.Time, err error) {
+	h := e.permit.route.group.newConn(m, e.connRequest(false))
+	defer h.Release()
+	sent = e.now()
+	answers, err = e.run(ctx, h, statements...)
+	return answers, sent, err
+}
+
 // prepareRetry records why an attempt did not run and waits before the next one. It returns false if another
 // attempt is pointless.
 func (e *execution) prepareRetry(ctx context.Context, m *member, answers []operation.Answer, err error) bool {
@@ -217,10 +223,7 @@
 		if !ok {
 			return e.giveUp()
 		}
-		h := g.newConn(m, e.connRequest(false))
-		sent := e.now()
-		answers, err := e.run(ctx, h, operation.Statement{Kind: operation.Begin}, e.st)
-		h.Release()
+		answers, sent, err := e.runAt(ctx, m, operation.Statement{Kind: operation.Begin}, e.st)
 		g.recordPrimaryAnswer(m, sent, answers, err)
 		if len(answers) == 2 && !answers[1].Code.NotRun() {
 			e.session.proxy.metrics.primary.Add(1)
@@ -244,9 +247,7 @@
 		}
 		st := e.st
 		st.After = floor
-		h := g.newConn(m, e.connRequest(false))
-		answers, err := e.run(ctx, h, st)
-		h.Release()
+		answers, _, err := e.runAt(ctx, m, st)
 		if len(answers) > 0 && !answers[0].Code.NotRun() {
 			e.session.proxy.countRead(g, string(m.id))
 			return answers[0]
