--- a/internal/wire/buffers.go
+++ b/internal/wire/buffers.go
@@ -8,10 +8,10 @@
 
 // ClientBuffers sets small buffers for a client.
 func ClientBuffers() []grpc.DialOption {
-	return []grpc.DialOption{grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize), grpc.WithSharedWriteBuffer(true)}
+	return []grpc.DialOption{grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize)}
 }
 
 // ServerBuffers sets small buffers for a server.
 func ServerBuffers() []grpc.ServerOption {
-	return []grpc.ServerOption{grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize), grpc.SharedWriteBuffer(true)}
+	return []grpc.ServerOption{grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize)}
 }
