Open connections to instances before statements of their client accounts need them

Cause: each connection belongs to one client account, and opening one takes 12 ms of one of the few slots and a round trip.

Change: when the owners have not changed for 0.5 s, the owner of an instance's connections opens one for each account, the highest rates first, on at most half of the slots and not while a statement waits. Unused ones are the first to make room. An idle connection of the owner is kept for 50 s (20 s), since an account uses one of 60 instances seldom.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -76,10 +76,10 @@
 	StageExchange                // runs at the instance
 )
 
-// Load is the number of open connections and of running and waiting statements of a Pool. Its fields are
+// Load is the number of open and of idle connections and of running and waiting statements of a Pool. Its fields are
 // written to the /dump page under their names.
 type Load struct {
-	Open, Running, Waiting int
+	Open, Idle, Running, Waiting int
 }
 
 // Pool holds the connections to one instance. It is safe for concurrent use.
@@ -88,8 +88,9 @@
 // one Handle at a time. At most the slots of the instance plus inFlightMargin statements of this VM are in
 // progress there.
 type Pool struct {
-	options Options
-	slots   *slots.Slots
+	options    Options
+	slots      *slots.Slots
+	knownSlots int // of the instance, or slotsDefault
 
 	mu               sync.Mutex
 	limit            int
@@ -100,6 +101,7 @@
 	inUse            map[*Handle]struct{}
 	waiting          []chan struct{} // one for each Handle that waits for a connection, first come first served
 	closed           bool
+	ahead            ahead
 	proof            Proof                   // latest one, with the log position only
 	stats            placement.InstanceStats // of the exchanges on connections of this VM, and of failed attempts to open one
 
@@ -123,7 +125,7 @@
 	}
 	return &Pool{
 		options: o, slots: slots.New(admission.Settings{Slots: n + inFlightMargin, Fixed: true, Connections: max(o.Connections, 1)}),
-		inUse: map[*Handle]struct{}{}, limit: max(o.Connections, 1),
+		knownSlots: n, inUse: map[*Handle]struct{}{}, limit: max(o.Connections, 1), ahead: ahead{served: map[string]bool{}},
 	}
 }
 
@@ -140,6 +142,7 @@
 	p.limit = max(n, 1)
 	for p.open > p.limit && len(p.idle) > 0 {
 		p.closeIdleAt(0)
+		clear(p.ahead.served)
 	}
 	p.wake()
 	p.slots.SetConnections(p.options.Now(), p.maxOpen())
@@ -150,7 +153,7 @@
 	running, waiting := p.slots.Load()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Load{Open: p.open, Running: running, Waiting: waiting}
+	return Load{Open: p.open, Idle: len(p.idle), Running: running, Waiting: waiting}
 }
 
 // Silence returns for how long the instance has left statements on the connections of this VM unanswered; 0 if it
@@ -195,6 +198,7 @@
 		h.pooled.conn.Close()
 	}
 	p.closeAllIdle()
+	clear(p.ahead.served)
 }
 
 // Close closes the pool. Idle connections close at once, others when they are released.
@@ -371,29 +375,46 @@
 func (p *Pool) connect(ctx context.Context, h *Handle) error {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	o := p.options
-	started := o.Now()
-	p.observeSent(started)
-	conn, err := o.Dial(ctx, Target{Group: o.Group, Server: o.Server, Address: o.Address, Account: h.account})
-	o.Observe(StageDial, o.Now().Sub(started))
-	var refused *RefusedError
-	p.observeEnd(o.Now(), started, err == nil || errors.As(err, &refused))
+	started := p.options.Now()
+	conn, err := p.dial(ctx, h.account)
+	p.options.Observe(StageDial, p.options.Now().Sub(started))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err == nil {
 		h.pooled = newPooledConn(conn, h.account)
 		p.inUse[h] = struct{}{}
+		p.ahead.served[h.account] = true
 		return nil
 	}
 	p.open--
 	p.wake()
-	if refused != nil {
-		if refused.Code == operation.ConnectionLimit {
-			p.serverLimit, p.serverLimitUntil = max(p.open, 1), o.Now().Add(serverLimitPeriod)
-		}
-		return err
+	return err
+}
+
+// dial opens a connection for a client account and records whether the instance answered.
+func (p *Pool) dial(ctx context.Context, account string) (Conn, error) {
+	o := p.options
+	started := o.Now()
+	p.observeSent(started)
+	conn, err := o.Dial(ctx, Target{Group: o.Group, Server: o.Server, Address: o.Address, Account: account})
+	var refused *RefusedError
+	p.observeEnd(o.Now(), started, err == nil || errors.As(err, &refused))
+	switch {
+	case err == nil:
+		return conn, nil
+	case refused == nil:
+		return nil, errors.CombineErrors(ErrUnreachable, err)
+	case refused.Code == operation.ConnectionLimit:
+		p.refuseMore(o.Now())
 	}
-	return errors.CombineErrors(ErrUnreachable, err)
+	return nil, err
+}
+
+// refuseMore keeps further connections from being opened for a while, after the instance refused one because of its limit.
+func (p *Pool) refuseMore(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.serverLimit, p.serverLimitUntil = max(p.open-1, 1), now.Add(serverLimitPeriod)
 }
 
 // put returns the connection of h to the idle list, or closes it if it is unhealthy, above the limit, or the
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -116,6 +116,18 @@
 	}
 }
 
+// OpenAhead runs the periodic work for connections to instances.
+func (z *ZoneVM) OpenAhead(now time.Time) { z.proxy.openAhead(now) }
+
+// SetAccounts sets the client accounts and uses the group.
+func (z *ZoneVM) SetAccounts(accounts ...*wire.Account) {
+	z.proxy.config.Store(newConfigSnapshot(&wire.Configuration{Accounts: accounts}, nil))
+	z.proxy.groups["group"] = z.group
+}
+
+// Open returns the number of open connections to the instance.
+func (z *ZoneVM) Open() int { return z.group.members[0].pool.Load().Open }
+
 // ConnectedTo reports whether the VM is connected to another one.
 func (z *ZoneVM) ConnectedTo(other *ZoneVM) bool {
 	return z.proxy.forward.Connected(other.proxy.options.Process)
@@ -175,10 +187,16 @@
 	return err
 }
 
+// LimitConnections sets how many connections the VM may open to an instance that accepts a number of them, for a number
+// of client accounts.
+func (z *ZoneVM) LimitConnections(accepted, accounts int) {
+	z.group.setConnectionLimits(time.Now(), z.proxy.options.Process, z.proxy.ownership.Load(), connectionLimits(accepted, accounts))
+}
+
 // ConnectionLimit returns how many connections the VM opens to an instance that accepts a number of them, for a number
 // of client accounts.
 func (z *ZoneVM) ConnectionLimit(ctx context.Context, accepted, accounts int) int {
-	z.group.setConnectionLimits(time.Now(), z.proxy.options.Process, z.proxy.ownership.Load(), connectionLimits(accepted, accounts))
+	z.LimitConnections(accepted, accounts)
 	opened := 0
 	for range accepted {
 		h := z.group.members[0].pool.NewHandle("account", 1, false)
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -171,6 +171,19 @@
 	}
 }
 
+// ownedPools returns the pools of the members whose connections the VM with an identity owns.
+func (g *group) ownedPools(ownID string, ownership *placement.Ownership) []*connpool.Pool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var owned []*connpool.Pool
+	for _, m := range g.members {
+		if owners := ownership.Of(string(m.id)); !m.leaving && len(owners) > 0 && owners[0].ID == ownID {
+			owned = append(owned, m.pool)
+		}
+	}
+	return owned
+}
+
 // instances returns the members as instances whose connections an entry VM owns.
 func (g *group) instances() []placement.Instance {
 	g.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,7 +65,7 @@
 	fallbackConnections = 2
 	// ownerIdleTimeout and fallbackIdleTimeout are the times after which an idle connection is closed, at the
 	// owner and at other entry VMs.
-	ownerIdleTimeout    = 20 * time.Second
+	ownerIdleTimeout    = 50 * time.Second
 	fallbackIdleTimeout = 500 * time.Millisecond
 	// switchoverRetry is the pause before a write is retried during a planned switchover.
 	switchoverRetry = 100 * time.Millisecond
@@ -247,6 +247,7 @@
 			p.control.RenewNow() // the control group detects a failed primary by the reports of entry VMs
 		}
 	}
+	p.openAhead(now)
 	if address := p.warm.next(now, p.ownership.Load(), p.neededPeers); address != "" {
 		p.forward.Connect(address)
 	}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -177,6 +177,37 @@
 	}
 }
 
+// TestOwnerOpensConnectionsInAdvance guards against statements that wait for a new connection because their client account
+// has had none to the instance. Only the owner opens them, and only when the owners have not changed for a while.
+func TestOwnerOpensConnectionsInAdvance(t *testing.T) {
+	const accepted, accounts = 24, 8
+	i := &primary{}
+	var list []*wire.Account
+	for n := range accounts {
+		list = append(list, &wire.Account{Name: fmt.Sprint("account-", n), Rate: float64(n)})
+	}
+	vms := startZone(t, i, 12)
+	now := time.Now()
+	for _, vm := range vms {
+		vm.UseOwner()
+		vm.LimitConnections(accepted, accounts)
+		vm.SetAccounts(list...)
+		vm.OpenAhead(now)
+		require.Zero(t, vm.Open(), "the owner may still change")
+	}
+	for _, vm := range vms {
+		want := 0
+		if vm.OwnerRank() == 0 {
+			want = accounts
+		}
+		for range 2 * accounts {
+			vm.OpenAhead(now.Add(time.Second))
+			time.Sleep(time.Millisecond)
+		}
+		require.Eventually(t, func() bool { return vm.Open() == want }, 5*time.Second, time.Millisecond)
+	}
+}
+
 // TestOwnershipIsComputedForChanges guards against an assignment of connections that is computed again for each view of a
 // group: with hundreds of entry VMs that takes a small VM longer than a statement.
 func TestOwnershipIsComputedForChanges(t *testing.T) {
--- a/internal/proxy/snapshot.go
+++ b/internal/proxy/snapshot.go
@@ -1,7 +1,10 @@
 package proxy
 
 import (
+	"cmp"
 	"crypto/sha256"
+	"maps"
+	"slices"
 	"time"
 
 	"fireflyrudder.example/fireflyrudder/internal/wire"
@@ -12,6 +15,7 @@
 	version  uint64
 	routes   map[string]*route
 	accounts map[string]*account          // by name
+	byRate   []string                     // names of the accounts, the one with the highest rate first
 	keys     map[[sha256.Size]byte]string // name of the account, by digest of the key
 	idle     time.Duration
 }
@@ -51,6 +55,9 @@
 			t.keys[[sha256.Size]byte(k.GetDigest())] = a.GetName()
 		}
 	}
+	t.byRate = slices.SortedFunc(maps.Keys(t.accounts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(t.accounts[b].rate, t.accounts[a].rate), cmp.Compare(a, b))
+	})
 	return t
 }
 
--- a/internal/proxy/warm.go
+++ b/internal/proxy/warm.go
@@ -26,12 +26,17 @@
 	listed  bool                 // pending has been computed
 }
 
-// next returns the address of the next entry VM to connect to, or "" for none.
-func (w *warmUp) next(now time.Time, o *placement.Ownership, list func() []string) string {
+// settled reports whether the owners have not changed for ownershipSettle.
+func (w *warmUp) settled(now time.Time, o *placement.Ownership) bool {
 	if w.from != o {
 		*w = warmUp{from: o, since: now}
 	}
-	if now.Sub(w.since) < ownershipSettle {
+	return now.Sub(w.since) >= ownershipSettle
+}
+
+// next returns the address of the next entry VM to connect to, or "" for none.
+func (w *warmUp) next(now time.Time, o *placement.Ownership, list func() []string) string {
+	if !w.settled(now, o) {
 		return ""
 	}
 	if !w.listed {
@@ -62,3 +67,18 @@
 	}
 	return addresses[:min(len(addresses), maxWarmPeers)]
 }
+
+// openAhead opens connections to the instances whose connections this VM owns, before statements of their client accounts
+// wait for them: those of the accounts with the highest rates first.
+func (p *Proxy) openAhead(now time.Time) {
+	ownership := p.ownership.Load()
+	if p.draining.Load() || !p.warm.settled(now, ownership) {
+		return
+	}
+	accounts := p.config.Load().byRate
+	for _, g := range p.groups {
+		for _, pool := range g.ownedPools(p.options.Process, ownership) {
+			pool.OpenAhead(now, accounts)
+		}
+	}
+}
