Send updates on one stream of an entry VM, and only their versions on the other

Change: one stream carries the updates. The other gets marks: version and log index of the latest change (below 30 bytes). A control VM of an earlier build sends updates on both, as before.

--- a/internal/controlstate/delta.go
+++ b/internal/controlstate/delta.go
@@ -71,6 +71,18 @@
 	return u, true
 }
 
+// Mark returns the version and the log index of the latest change of a view, for a receiver of the views of some groups;
+// none means all of them.
+func (s *State) Mark(groups []string) *wire.Update {
+	u := &wire.Update{Mark: true, Version: s.Version()}
+	for _, v := range s.views {
+		if len(groups) == 0 || slices.Contains(groups, v.GetGroup()) {
+			u.Index = max(u.Index, v.GetRevision())
+		}
+	}
+	return u
+}
+
 // visibleTo returns the edit as sent to an entry VM that serves the groups, or nil if the edit does not
 // concern it. A route that moved to a group that the entry VM does not serve is sent as dropped.
 func (r acceptedEdit) visibleTo(groups []string) *wire.Edit {
--- a/internal/controlstate/registration_test.go
+++ b/internal/controlstate/registration_test.go
@@ -40,6 +40,22 @@
 	}
 }
 
+// TestMarkIsSmall guards against a second stream whose messages grow with the site.
+func TestMarkIsSmall(t *testing.T) {
+	for _, vms := range []int{11, 88, 300, 794} {
+		b := controlstate.New()
+		for i := range vms {
+			register(b, uint64(i+1), fmt.Sprintf("e%03d", i), fmt.Sprintf("host:%d", i))
+		}
+		b.Apply(uint64(vms+1), &wire.Entry{Entry: &wire.Entry_Change{Change: &wire.Change{Id: "c", Edits: []*wire.Edit{group("g", 3)}}}})
+		mark := b.Mark(nil)
+		require.Equal(t, b.Version(), mark.Version)
+		require.Equal(t, b.Index(), mark.Index, "the view of the group changed last")
+		require.Less(t, proto.Size(mark), 30)
+		require.Zero(t, b.Mark([]string{"another"}).Index)
+	}
+}
+
 // TestRegistrationChangesConverge guards against an entry VM that keeps a registration that is gone or misses one, with
 // two streams that send changes since different times, in any order.
 func TestRegistrationChangesConverge(t *testing.T) {
--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -30,6 +30,7 @@
 	wantRegistrations bool   // the stream includes the registrations of entry VMs
 	trustsEdits       bool   // the entry VM applies edits without a check; one of an earlier build refuses published accounts
 	appliesParts      bool   // changes of the registrations may be sent
+	marks             bool   // only the versions of updates are sent
 	registrationIndex uint64 // registration index of the last update
 	registrationsSent time.Time
 }
@@ -47,7 +48,7 @@
 // clients only at the version that Renew returned.
 func (s *service) Watch(r *wire.WatchRequest, stream wire.Control_WatchServer) error {
 	ctx := stream.Context()
-	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, wantRegistrations: r.Entries, trustsEdits: r.Trusts, appliesParts: r.Parts, registrationIndex: r.Entered}
+	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, wantRegistrations: r.Entries, trustsEdits: r.Trusts, appliesParts: r.Parts, marks: r.Marks, registrationIndex: r.Entered}
 	stop, err := s.subscribe(ctx, w)
 	if err != nil {
 		return statusError(err)
@@ -95,23 +96,37 @@
 func (s *service) nextUpdate(ctx context.Context, w *watcher) (u *wire.Update, led bool, err error) {
 	err = s.vm.inbox.Do(ctx, func(now time.Time) {
 		led = s.vm.voter.LeaderAddress(now) != ""
-		var ok bool
-		u, ok = s.vm.state.UpdateSince(w.version, w.index, w.groups)
-		if !ok || len(u.Edits) > 0 && s.vm.state.Published() && !w.trustsEdits {
-			u = s.vm.state.FullUpdate(w.groups)
+		u = s.updateSince(w)
+		index := s.vm.state.RegistrationIndex()
+		if !w.wantRegistrations || index <= w.registrationIndex || now.Sub(w.registrationsSent) < w.registrationInterval() {
+			return
 		}
-		if index := s.vm.state.RegistrationIndex(); w.wantRegistrations && index > w.registrationIndex && now.Sub(w.registrationsSent) >= w.registrationInterval() {
-			s.vm.state.FillRegistrations(u, w.registrationIndex, w.appliesParts)
-			w.registrationsSent = now
+		w.registrationsSent = now
+		if w.marks {
+			u.Entered = index
+			return
 		}
+		s.vm.state.FillRegistrations(u, w.registrationIndex, w.appliesParts)
 	})
 	return u, led, err
 }
 
+// updateSince returns the update for the watcher without registrations.
+func (s *service) updateSince(w *watcher) *wire.Update {
+	if w.marks {
+		return s.vm.state.Mark(w.groups)
+	}
+	u, ok := s.vm.state.UpdateSince(w.version, w.index, w.groups)
+	if !ok || len(u.Edits) > 0 && s.vm.state.Published() && !w.trustsEdits {
+		return s.vm.state.FullUpdate(w.groups)
+	}
+	return u
+}
+
 // sendUpdate sends an update unless it contains nothing new or is older than the version that the entry VM
 // has. The first update of a stream is sent even if it contains nothing new.
 func (s *service) sendUpdate(stream wire.Control_WatchServer, w *watcher, u *wire.Update, first bool) error {
-	fresh := u.Version > w.version || len(u.Views) > 0 || u.Full != nil || u.Entered > w.registrationIndex
+	fresh := u.Version > w.version || len(u.Views) > 0 || u.Full != nil || u.Entered > w.registrationIndex || u.Mark && u.Index > w.index
 	if u.Version < w.version || (!fresh && !first) {
 		return nil
 	}
--- a/internal/renewal/client.go
+++ b/internal/renewal/client.go
@@ -33,9 +33,6 @@
 	// registerTimeout bounds a Renew without a configuration lease. The first one waits for a commit in the
 	// control log.
 	registerTimeout = 2 * time.Second
-	// watchStreams is the number of control VMs watched at the same time. A frozen control VM looks like one that
-	// has no updates to send; the second stream then delivers the updates.
-	watchStreams = 2
 	// finalTimeout bounds the last Renew of a process that shuts down.
 	finalTimeout = time.Second
 	// LeaveTimeout is long enough for Leave: for a Renew in progress plus the last one.
@@ -46,8 +43,6 @@
 	// need not wait for the minimum interval.
 	quickRenewBurst  = 3
 	quickRenewRefill = 2 * time.Second
-	// watchPause is the pause after a stream ended before another control VM is watched.
-	watchPause = 50 * time.Millisecond
 )
 
 // Host is the entry VM that a Client serves. Its methods are called from the goroutines of the Client.
@@ -103,11 +98,10 @@
 	ended         chan struct{}
 	leaving       chan struct{}
 
+	streams *streams
+
 	mu              sync.Mutex
-	learnedControls []string                      // control VMs in the latest reply of a leader
-	pickIndex       int                           // index of the control VM picked last
-	watched         map[string]bool               // by address
-	streams         map[string]context.CancelFunc // by address
+	learnedControls []string // control VMs in the latest reply of a leader
 }
 
 // New returns a Client that sends nothing until Run is called.
@@ -116,7 +110,7 @@
 		options: options, host: host, started: options.Now(), quickTokens: quickRenewBurst, tokensUpdated: options.Now(),
 		renewDue: make(chan struct{}, 1), recheckDue: make(chan struct{}, 1), clients: make(map[string]wire.ControlClient),
 		ended: make(chan struct{}), leaving: make(chan struct{}),
-		pickIndex: rand.IntN(max(len(options.Controls()), 1)), watched: make(map[string]bool), streams: make(map[string]context.CancelFunc),
+		streams: newStreams(rand.IntN(max(len(options.Controls()), 1))),
 	}
 	c.credits = NewCredits(c.recheckNextRenew)
 	return c
@@ -180,8 +174,8 @@
 	defer close(c.ended)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	for range min(watchStreams, len(c.controlAddresses())) {
-		go c.watch(ctx)
+	for stream := range min(watchStreams, len(c.controlAddresses())) {
+		go c.watch(ctx, stream)
 	}
 	targets := targetSelector{index: rand.IntN(len(c.controlAddresses()))}
 	for {
@@ -301,93 +295,6 @@
 	return reply, nil
 }
 
-// watch keeps one stream of updates open. Any control VM can serve it.
-func (c *Client) watch(ctx context.Context) {
-	for ctx.Err() == nil {
-		address := c.pickUnwatched(c.controlAddresses())
-		err := c.watchOne(ctx, address)
-		c.unmarkWatched(address)
-		if ctx.Err() != nil {
-			return
-		}
-		log.WithError(err).WithField("control", address).Warn("stream of updates ended; opening another one")
-		select {
-		case <-ctx.Done():
-		case <-time.After(watchPause):
-		}
-	}
-}
-
-// pickUnwatched returns the next control VM without a stream, or the next one if all have a stream, and marks
-// it as watched.
-func (c *Client) pickUnwatched(addresses []string) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for range addresses {
-		c.pickIndex = (c.pickIndex + 1) % len(addresses)
-		if !c.watched[addresses[c.pickIndex]] {
-			break
-		}
-	}
-	c.watched[addresses[c.pickIndex]] = true
-	return addresses[c.pickIndex]
-}
-
-func (c *Client) unmarkWatched(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.watched, address)
-}
-
-// ReopenStreams ends the streams, so that they are opened anew. It is called when the configuration version
-// of a granted lease does not arrive.
-func (c *Client) ReopenStreams() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, stop := range c.streams {
-		stop()
-	}
-}
-
-// registerStream lets ReopenStreams end a stream until the returned function is called.
-func (c *Client) registerStream(address string, stop context.CancelFunc) func() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.streams[address] = stop
-	return func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.streams, address)
-	}
-}
-
-func (c *Client) watchOne(ctx context.Context, address string) error {
-	client, closer, err := c.options.Dial(address)
-	if err != nil {
-		return errors.Wrap(err, "renewal: control VM")
-	}
-	defer closer.Close()
-	ctx, stop := context.WithCancel(ctx)
-	defer stop()
-	defer c.registerStream(address, stop)()
-	request, ok := c.host.WatchRequest(ctx)
-	if !ok {
-		return ctx.Err()
-	}
-	request.Entry, request.Groups = c.options.Registration.GetEntry(), c.options.Groups
-	stream, err := client.Watch(ctx, request)
-	if err != nil {
-		return errors.Wrap(err, "renewal: watch")
-	}
-	for {
-		u, err := stream.Recv()
-		if err != nil {
-			return errors.Wrap(err, "renewal: watch")
-		}
-		c.host.Update(u)
-	}
-}
-
 // Leave makes Run send a last Renew, which reports that the VM has released everything, and waits for its end
 // up to a limit.
 func (c *Client) Leave(limit time.Duration) {
