Answer entry VMs and spares at control VMs without a disk

Cause: seeds may be exchanged for control VMs without a disk (gateways). These had no listener for other VMs: after a loss of power entry VMs that knew only them found no leader, and nothing was served until the end. A first start with a gateway among the seeds waited for it, and a spare that knew only gateways did not join.

Change: a gateway redirects Renews to the leader and answers spares with its address. A leader makes itself known to configured addresses that are no members. A group forms without gateways. Streams of updates go to members once a leader has named them.

--- a/internal/controllog/membership.go
+++ b/internal/controllog/membership.go
@@ -101,7 +101,7 @@
 }
 
 // handleHelloReply collects the replies of the other control VMs. The one with the lowest address forms the
-// group once all others have replied that they have none.
+// group once all others have replied that they have none. Gateways are left out.
 func (v *Voter) handleHelloReply(now time.Time, m *wire.VoterMessage, r *wire.HelloReply) {
 	if r.Challenge != 0 {
 		h := &wire.Hello{Zone: v.config.Zone, Spare: v.config.Spare, Echo: r.Challenge}
@@ -116,6 +116,9 @@
 	v.helloReplies[m.Address] = m
 	for _, address := range v.peerAddresses() {
 		reply := v.helloReplies[address].GetHelloReply()
+		if reply.GetGateway() {
+			continue
+		}
 		if reply == nil || reply.Formed || reply.Spare || address < v.config.Address {
 			return
 		}
@@ -134,6 +137,9 @@
 	g.Members = append(g.Members, &wire.VoterMember{Identity: string(v.id), Address: v.config.Address, Zone: v.config.Zone})
 	for _, address := range v.peerAddresses() {
 		m := v.helloReplies[address]
+		if m.GetHelloReply().GetGateway() {
+			continue
+		}
 		g.Members = append(g.Members, &wire.VoterMember{Identity: m.From, Address: address, Zone: m.GetHelloReply().Zone})
 	}
 	g.Voters = uint32(max(len(g.Members), v.config.Voters))
--- a/internal/controlvm/dial.go
+++ b/internal/controlvm/dial.go
@@ -55,3 +55,14 @@
 		return wire.NewControlClient(c), c, nil
 	}
 }
+
+// VoterDialer returns a function that dials the listeners of voters. A nil pair means no TLS.
+func VoterDialer(pair *certificate.Reloader, options ...grpc.DialOption) func(address string) (wire.VoterClient, io.Closer, error) {
+	return func(address string) (wire.VoterClient, io.Closer, error) {
+		c, err := Dial(address, pair, options...)
+		if err != nil {
+			return nil, nil, err
+		}
+		return wire.NewVoterClient(c), c, nil
+	}
+}
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -49,6 +49,8 @@
 	Backends BackendClient
 	// Policy returns the failover policy of a new leader; nil means failover.New.
 	Policy func(identity string) failover.Policy
+	// Seeds returns the addresses of control VMs as configured now, which may change; nil if they do not.
+	Seeds func() []string
 	// Tolerance is by how much client accounts may exceed their rate limits.
 	Tolerance lease.Tolerance
 	// HeartbeatInterval is the time between heartbeats of the control group; 0 means the default.
@@ -180,6 +182,9 @@
 		g.Go(func() error { return vm.serveAnnouncements(ctx) })
 	}
 	g.Go(func() error { return vm.outbox.run(ctx) })
+	if vm.options.Seeds != nil {
+		g.Go(func() error { return newIntroduction(vm).run(ctx) })
+	}
 	if vm.options.Console.Listen != "" {
 		g.Go(func() error { return vm.serveConsole(ctx) })
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,5 +1,5 @@
-// Package gateway passes calls of operators and of backend servers on to the control leader. It serves a control VM
-// without a disk, which cannot be a voter of the control group.
+// Package gateway passes calls of operators and of backend servers on to the control leader, and tells entry VMs and
+// spares where the leader is. It serves a control VM without a disk, which cannot be a voter of the control group.
 package gateway
 
 import (
@@ -35,6 +35,9 @@
 type Options struct {
 	Controls func() []string // addresses of control VMs as configured; may change
 	Dial     func(address string) (wire.ControlClient, io.Closer, error)
+	// DialVoter connects to a control VM that looks for the group.
+	DialVoter func(address string) (wire.VoterClient, io.Closer, error)
+	Address   string // of the gRPC listener of this VM
 }
 
 // Gateway calls the leader of the control group. It keeps no state of the group but the addresses of its members.
@@ -183,7 +186,7 @@
 	if found == nil {
 		return "", ErrNoLeader
 	}
-	g.learn(found)
+	g.learn(found.GetLeader(), found.GetControls())
 	return found.Leader, nil
 }
 
@@ -201,10 +204,10 @@
 }
 
 // learn stores the leader and the members of the group.
-func (g *Gateway) learn(r *wire.LocateReply) {
+func (g *Gateway) learn(leader string, controls []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.leader, g.learned = r.Leader, r.Controls
+	g.leader, g.learned = leader, controls
 }
 
 // forget makes the next call search for the leader, unless another one was found meanwhile.
--- a/internal/renewal/watch.go
+++ b/internal/renewal/watch.go
@@ -139,7 +139,7 @@
 // watch keeps one stream open. Any control VM can serve it.
 func (c *Client) watch(ctx context.Context, stream int) {
 	for ctx.Err() == nil {
-		address := c.streams.pick(c.controlAddresses())
+		address := c.streams.pick(c.watchAddresses())
 		err := c.watchOne(ctx, address, stream)
 		c.streams.unpick(address)
 		if ctx.Err() != nil {
@@ -154,6 +154,17 @@
 	}
 }
 
+// watchAddresses returns the members of the control group in the latest reply of a leader, or the configured control VMs
+// until there is one: some of these may be no members, and have no state to send.
+func (c *Client) watchAddresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.learnedControls) > 0 {
+		return c.learnedControls
+	}
+	return c.options.Controls()
+}
+
 // watchOne keeps a stream of a control VM open, in changing roles, until it ends.
 func (c *Client) watchOne(ctx context.Context, address string, stream int) error {
 	client, closer, err := c.options.Dial(address)
