Do not probe idle connections between entry VMs each two seconds

Cause: each entry VM probed each connection of another one that was idle for 2 s, to roll back the transactions of one that had vanished. With 300 entry VMs and up to 96 connections opened in advance by each, that is 14,000 probes a second in the fleet, nearly all of them between zones; statements are 1,500 to 2,500 a second.

Change: a transaction that another entry VM leaves idle for 1 s longer than the limit for idle transactions is rolled back, and an idle connection is probed after 30 s.

TestIdleConnectionsAreSilent (34 bytes in 5 s before) and TestIdleTransactionOfVanishedVMEnds failed before and pass.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -84,6 +85,8 @@
 	return l.pool
 }
 
+func (pools) MaxIdle() time.Duration { return 100 * time.Millisecond }
+
 // kept is the proof of the group "g".
 var kept = freshness.Proof{Sent: time.Now().Add(-time.Second), At: position.Position{Term: 2, Offset: 9}}
 
@@ -155,6 +158,61 @@
 	}, 5*time.Second, time.Millisecond)
 }
 
+// TestIdleTransactionOfVanishedVMEnds guards against a transaction that keeps its connection and its locks because the
+// entry VM of its caller has vanished or is frozen.
+func TestIdleTransactionOfVanishedVMEnds(t *testing.T) {
+	s, c, address := start(t)
+	h, err := c.NewHandle(forward.Request{Address: address, Server: "i", Account: "a", Pinned: true})
+	require.NoError(t, err)
+	defer h.Release()
+	_, err = h.Run(t.Context(), limit(5*time.Second), nil, operation.Statement{Kind: operation.Begin}, operation.Statement{Kind: operation.Write})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		kinds := s.kinds()
+		return kinds[len(kinds)-1] == operation.Rollback
+	}, 5*time.Second, time.Millisecond)
+}
+
+// countingListener counts the bytes that arrive on its connections.
+type countingListener struct {
+	net.Listener
+	arrived *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.arrived}, err
+}
+
+type countingConn struct {
+	net.Conn
+	arrived *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.arrived.Add(int64(n))
+	return n, err
+}
+
+// TestIdleConnectionsAreSilent guards against probes on idle connections: with hundreds of entry VMs each has hundreds of
+// these.
+func TestIdleConnectionsAreSilent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var arrived atomic.Int64
+	go forward.NewServer(pools{}, time.Now).Serve(t.Context(), countingListener{listener, &arrived}) //nolint:errcheck // ends with the test
+	c := forward.NewClient(time.Now)
+	t.Cleanup(c.Close)
+	address := listener.Addr().String()
+	c.Connect(address)
+	c.AwaitConnection(address)
+	time.Sleep(500 * time.Millisecond)
+	before := arrived.Load()
+	time.Sleep(5 * time.Second)
+	require.Equal(t, before, arrived.Load())
+}
+
 // TestOutcomes guards against a statement with unknown outcome that is reported as not run.
 func TestOutcomes(t *testing.T) {
 	s, c, address := start(t)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -19,10 +19,14 @@
 )
 
 const (
-	// keepaliveInterval and keepaliveTimeout detect an entry VM that vanished, so that its transactions are rolled
-	// back.
-	keepaliveInterval = 2 * time.Second
+	// keepaliveInterval and keepaliveTimeout end the connection of an entry VM that vanished. Transactions do not wait
+	// for that (see idleMargin): each entry VM has a connection of each other one, most of them idle, and more frequent
+	// probes would take a large part of the processor time and of the bytes between the VMs.
+	keepaliveInterval = 30 * time.Second
 	keepaliveTimeout  = 2 * time.Second
+	// idleMargin is the time after the limit for idle transactions at which the transaction of another entry VM is
+	// rolled back. That VM ends it earlier if it still runs.
+	idleMargin = time.Second
 	// stopGrace is the time that statements in progress get when the VM stops.
 	stopGrace = 300 * time.Millisecond
 )
@@ -38,6 +42,8 @@
 	Proofs(ctx context.Context, r ProofsRequest) (proofs []freshness.Proof, known bool)
 	// Spend spends a credit of a client account. known is false if this VM cannot tell whether there is one.
 	Spend(ctx context.Context, r SpendRequest) (result lease.Result, known bool)
+	// MaxIdle returns the time after which an idle transaction is ended by the entry VM of its caller.
+	MaxIdle() time.Duration
 }
 
 // Server runs statements that other entry VMs forward.
@@ -96,7 +102,8 @@
 	return out
 }
 
-// Hold implements wire.ForwardServer.
+// Hold implements wire.ForwardServer. It ends without an error when the entry VM of the caller has left the transaction
+// idle for too long: that VM may have vanished, or be frozen.
 func (s *Server) Hold(stream wire.Forward_HoldServer) error {
 	var pool *connpool.Pool
 	var h *connpool.Handle
@@ -105,13 +112,22 @@
 			h.Release()
 		}
 	}()
+	requests := receive(stream)
+	idle := time.NewTimer(s.host.MaxIdle() + idleMargin)
+	defer idle.Stop()
 	for {
-		r, err := stream.Recv()
-		if err != nil {
-			if errors.Is(err, io.EOF) {
-				return nil
+		var r *wire.ForwardRequest
+		select {
+		case received := <-requests:
+			if received.err != nil {
+				return received.err
 			}
-			return err
+			r = received.request
+		case <-idle.C:
+			return nil
+		}
+		if r == nil {
+			return nil
 		}
 		if h == nil {
 			if pool = s.host.Pool(stream.Context(), r.GetServer()); pool == nil {
@@ -126,9 +142,38 @@
 		if h.Broken() {
 			return nil
 		}
+		idle.Reset(s.host.MaxIdle() + idleMargin)
 	}
 }
 
+// received is the next request of a stream, its end (neither field is set), or its failure.
+type received struct {
+	request *wire.ForwardRequest
+	err     error
+}
+
+// receive returns the requests of a stream until its end, its failure, or the end of its handler.
+func receive(stream wire.Forward_HoldServer) <-chan received {
+	out := make(chan received)
+	go func() {
+		for {
+			r, err := stream.Recv()
+			if errors.Is(err, io.EOF) {
+				r, err = nil, nil
+			}
+			select {
+			case out <- received{r, err}:
+			case <-stream.Context().Done():
+				return
+			}
+			if r == nil {
+				return
+			}
+		}
+	}()
+	return out
+}
+
 // run runs the steps of one request. The end of the caller's context does not interrupt a statement that was
 // already sent; only the time limit does.
 func (s *Server) run(ctx context.Context, pool *connpool.Pool, h *connpool.Handle, r *wire.ForwardRequest) *wire.ForwardReply {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -214,6 +214,9 @@
 	return out
 }
 
+// MaxIdle implements forward.Host.
+func (p *Proxy) MaxIdle() time.Duration { return p.config.Load().idle }
+
 // Pool implements forward.Host. A VM that has just started waits briefly for its first views; otherwise the
 // others would conclude that the instance has left and use other entry VMs.
 func (p *Proxy) Pool(ctx context.Context, server string) *connpool.Pool {
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -158,6 +158,9 @@
 	z.proxy.ownership.Store(placement.NewOwnership(z.group.instances(), *z.proxy.entries.Load()))
 }
 
+// RunPeriodic runs the periodic work of the event loop.
+func (z *ZoneVM) RunPeriodic(now time.Time) { z.proxy.runPeriodic(now) }
+
 // KeepsOwnership reports whether an update finds the assignment of connections in force, which then is not computed again.
 func (z *ZoneVM) KeepsOwnership() bool {
 	before := z.proxy.ownership.Load()
@@ -169,7 +172,8 @@
 func (z *ZoneVM) AddGroup(name string) {
 	g := newGroup(name, z.proxy)
 	id := placement.ServerID(name)
-	g.members = []*member{{id: id, zone: "zone", stats: placement.NewInstanceStats(initialLatency)}}
+	pool := connpool.New(connpool.Options{Server: name, Now: time.Now, Slots: 2, Connections: 2})
+	g.members = []*member{{id: id, zone: "zone", pool: pool, stats: placement.NewInstanceStats(initialLatency)}}
 	g.ids = []placement.ServerID{id}
 	z.proxy.groups[name] = g
 }
