Serve HTTP by one package that answers accepted requests at a stop

Cause: three places served HTTP until a context ended. The one for the platform answers requests that it has accepted; announcements of backend servers to a control VM and requests to the console were cut off.

Change: internal/httpserver, used by the three.

TestAcceptedRequestsAreAnswered, TestStopIsBounded; with the close of the former announcement listener the first one gets no body.

--- a/internal/console/server.go
+++ b/internal/console/server.go
@@ -11,11 +11,16 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"fireflyrudder.example/fireflyrudder/internal/httpserver"
 )
 
 // requestTimeout bounds a request, so that a state dump of a hung process returns an error.
 const requestTimeout = 5 * time.Second
 
+// stopGrace is the time that accepted requests get when the process stops.
+const stopGrace = 500 * time.Millisecond
+
 // Process is the source of the data that a console serves. Its functions are called concurrently.
 type Process struct {
 	Name  string                                 // name of the metrics in /debug/vars
@@ -28,7 +33,7 @@
 type Server struct {
 	process  Process
 	listener net.Listener
-	http     *http.Server
+	handler  http.Handler
 }
 
 // Listen opens a listener at IP:port. Requests are served by Serve.
@@ -43,7 +48,7 @@
 	mux.HandleFunc("GET /dump", s.dump)
 	mux.HandleFunc("GET /ready", s.ready)
 	mux.HandleFunc("GET /metrics", s.metrics)
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: requestTimeout}
+	s.handler = mux
 	return s, nil
 }
 
@@ -52,13 +57,7 @@
 
 // Serve serves requests until the context ends.
 func (s *Server) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.http.Close() })
-	defer stop()
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "console")
+	return errors.Wrap(httpserver.Serve(ctx, s.listener, s.handler, stopGrace), "console")
 }
 
 // vars writes the expvar metrics of the program and those of the process as JSON.
--- a/internal/controlvm/announce.go
+++ b/internal/controlvm/announce.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"fireflyrudder.example/fireflyrudder/internal/failover"
+	"fireflyrudder.example/fireflyrudder/internal/httpserver"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
@@ -48,6 +49,9 @@
 	return r, nil
 }
 
+// announceStopGrace is the time that accepted announcements get when the process stops.
+const announceStopGrace = time.Second
+
 // serveAnnouncements serves POST /announce until the context ends.
 func (vm *VM) serveAnnouncements(ctx context.Context) error {
 	listener := vm.options.Announce
@@ -59,14 +63,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /announce", vm.handleAnnouncement)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-	defer stop()
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "controlvm: announcement listener")
+	return errors.Wrap(httpserver.Serve(ctx, listener, mux, announceStopGrace), "controlvm: announcement listener")
 }
 
 // handleAnnouncement posts an announcement to the event loop.
