Do not bring back an instance by an announcement from before its end

Cause: after an instance had reported its end, nothing was remembered of it. An announcement that it had sent before, and that arrived late (over a partition, or after a restart of the control VM), made it a member again; nobody announced its end a second time, so statements went to it until they failed, without end. Looked for because operators of similar systems reported that a server that had left was in use again after a restart.

Change: the record of an end in the control log carries the start and the sequence of the latest announcement that the leader had received. An instance that started again, or whose end was that of an earlier start, announces with a later start or sequence and is taken.

--- a/internal/controlstate/publish.go
+++ b/internal/controlstate/publish.go
@@ -161,13 +161,26 @@
 
 // delist removes an instance that has ended. If it was the primary, the view still names it, so that the
 // failover procedure looks for a successor.
-func (s *State) delist(server string) {
-	v, ok := s.View(s.groupOfMember(server))
+func (s *State) delist(d *wire.Delist) {
+	v, ok := s.View(s.groupOfMember(d.GetServer()))
 	if !ok {
 		return
 	}
 	s.updateView(v, func(v *wire.View) {
-		v.Members = removeNamed(v.GetMembers(), server, (*wire.Member).GetServer)
+		v.Members = removeNamed(v.GetMembers(), d.GetServer(), (*wire.Member).GetServer)
+	})
+	s.departed = append(slices.Clip(s.departed), d)
+	s.departed = s.departed[max(len(s.departed)-maxDeparted, 0):]
+}
+
+// HasDeparted reports whether an announcement was sent before the end of its instance. The instance may have started
+// again since. One that does not state its start is never reported, since its counts start anew.
+func (s *State) HasDeparted(m *wire.Member) bool {
+	if m.GetBorn() == 0 {
+		return false
+	}
+	return slices.ContainsFunc(s.departed, func(d *wire.Delist) bool {
+		return d.GetServer() == m.GetServer() && !IsNewer(m, &wire.Member{Born: d.GetBorn(), Sequence: d.GetSequence()})
 	})
 }
 
--- a/internal/controlstate/publish_test.go
+++ b/internal/controlstate/publish_test.go
@@ -97,3 +97,24 @@
 	register(5, "c", "host:1")
 	require.False(t, b.Registrations()[1].GetLapsed(), "it registered again")
 }
+
+// TestDepartedInstancesAreRemembered guards against a late announcement that brings back an instance that has ended, also
+// after a snapshot was restored, and against an instance that cannot start again.
+func TestDepartedInstancesAreRemembered(t *testing.T) {
+	s := controlstate.New()
+	s.Apply(1, &wire.Entry{Entry: &wire.Entry_Publish{Publish: &wire.Configuration{Version: 1, Groups: []*wire.Group{{Name: "g"}}}}})
+	member := func(born, sequence uint64) *wire.Member {
+		return &wire.Member{Server: "i", Address: "a:1", Born: born, Sequence: sequence}
+	}
+	s.Apply(2, &wire.Entry{Entry: &wire.Entry_Enlist{Enlist: &wire.Enlist{Group: "g", Member: member(10, 1)}}})
+	s.Apply(3, &wire.Entry{Entry: &wire.Entry_Delist{Delist: &wire.Delist{Server: "i", Born: 10, Sequence: 5}}})
+	restored, err := controlstate.Restore(s.Snapshot())
+	require.NoError(t, err)
+	for _, state := range []*controlstate.State{s, restored} {
+		require.True(t, state.HasDeparted(member(10, 4)))
+		require.True(t, state.HasDeparted(member(9, 7)), "an earlier start")
+		require.False(t, state.HasDeparted(member(10, 6)), "it was still running: its end was that of an earlier start")
+		require.False(t, state.HasDeparted(member(11, 1)), "it has started again")
+		require.False(t, state.HasDeparted(&wire.Member{Server: "j", Born: 10, Sequence: 1}))
+	}
+}
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -17,6 +17,8 @@
 	maxDecisions = 10_000
 	// maxEdits bounds the edits kept for deltas. An entry VM that is further behind gets the full state.
 	maxEdits = 10_000
+	// maxDeparted bounds the instances that are remembered after their end. A late announcement arrives within seconds.
+	maxDeparted = 4096
 )
 
 // State is the state applied from the control log. Messages passed to it or returned by it are shared and
@@ -30,6 +32,7 @@
 	registrationIndex uint64             // log index of the latest change of the registrations
 	registrationEdits []registrationEdit // oldest first, at most maxRegistrationEdits, contiguous up to registrationIndex
 	registrationBase  uint64             // index of the registrations that the first of registrationEdits changes
+	departed          []*wire.Delist     // instances that have ended, oldest first, at most maxDeparted
 	drained           []string           // accounts whose bucket may be below its reserve, sorted
 	decisions         []*wire.Decision   // oldest first, at most maxDecisions
 	outcomes          map[string]*wire.Decision
@@ -75,7 +78,7 @@
 	s.views = snapshot.GetViews()
 	s.registrations, s.registrationIndex = snapshot.GetRegistrations(), snapshot.GetEntered()
 	s.registrationBase = s.registrationIndex
-	s.drained = snapshot.GetDrained()
+	s.drained, s.departed = snapshot.GetDrained(), snapshot.GetDeparted()
 	s.decisions = snapshot.GetDecisions()
 	for _, d := range s.decisions {
 		s.outcomes[d.GetChange()] = d
@@ -101,6 +104,7 @@
 		Decisions:     slices.Clip(s.decisions),
 		Entered:       s.registrationIndex,
 		Drained:       s.drained,
+		Departed:      slices.Clip(s.departed),
 	}
 }
 
@@ -131,7 +135,7 @@
 	case *wire.Entry_Enlist:
 		s.enlist(e.Enlist)
 	case *wire.Entry_Delist:
-		s.delist(e.Delist.GetServer())
+		s.delist(e.Delist)
 	case *wire.Entry_Lapse:
 		s.markLapsed(e.Lapse)
 	case *wire.Entry_Drain:
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -23,6 +23,7 @@
 	removing        map[lease.EntryID]bool // entry VMs whose removal is proposed
 	configuredIndex uint64                 // index of the control state at the last configure
 	registrations   map[lease.EntryID]*wire.Registration
+	announced       *announced
 
 	policy    failover.Policy
 	version   uint64            // version of the configuration last passed to the policy
@@ -40,7 +41,7 @@
 	d := &leadership{
 		term:     term,
 		issuer:   lease.NewIssuer(now, state.Configuration(), state.Registrations()),
-		removing: map[lease.EntryID]bool{},
+		removing: map[lease.EntryID]bool{}, announced: newAnnounced(),
 
 		policy: vm.newPolicy(),
 	}
--- a/internal/controlvm/publish.go
+++ b/internal/controlvm/publish.go
@@ -154,16 +154,20 @@
 	a := r.GetAnnouncement()
 	if a == nil {
 		vm.stepPolicy(now, failover.InstanceStopped{Server: failover.ServerID(r.GetEnded())})
-		if _, _, known := vm.state.Member(r.GetEnded()); !known {
+		known, _, ok := vm.state.Member(r.GetEnded())
+		if !ok {
 			return nil
 		}
-		return &wire.Entry{Entry: &wire.Entry_Delist{Delist: &wire.Delist{Server: r.GetEnded()}}}
+		return &wire.Entry{Entry: &wire.Entry_Delist{Delist: vm.leadership.announced.end(known)}}
 	}
 	m := a.GetMember()
 	known, group, ok := vm.state.Member(m.GetServer())
 	if ok && controlstate.IsNewer(known, m) {
 		return nil // superseded by a later announcement
 	}
+	if !vm.leadership.announced.observe(m) || !ok && vm.state.HasDeparted(m) {
+		return nil // the instance has ended since
+	}
 	if _, configured := vm.state.Group(a.GetGroup()); !configured {
 		return nil
 	}
