--- a/internal/placement/owner.go
+++ b/internal/placement/owner.go
@@ -21,25 +21,47 @@
 	Zone   string
 }
 
+// maxOwners is the number of entry VMs that are kept for each instance: the preferred one and its successors.
+const maxOwners = 4
+
 // Owners returns the entry VMs of an availability zone, ordered for a key by rendezvous hashing. Every entry VM computes
 // the same order, and it changes little when entry VMs come and go.
 func Owners(key, zone string, entries []EntryVM) []EntryVM {
-	type candidate struct {
-		hash  uint64
-		entry EntryVM
+	near := inZone(zone, entries)
+	ranked := rank(key, near, nil)
+	owners := make([]EntryVM, len(near))
+	for i, r := range ranked {
+		owners[i] = near[r.index]
 	}
-	var near []candidate
+	return owners
+}
+
+// inZone returns the entry VMs of an availability zone that other entry VMs can call.
+func inZone(zone string, entries []EntryVM) []EntryVM {
+	var near []EntryVM
 	for _, e := range entries {
 		if e.Zone == zone && e.Address != "" {
-			near = append(near, candidate{spread.Hash(e.ID, key), e})
+			near = append(near, e)
 		}
 	}
-	slices.SortFunc(near, func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
-	owners := make([]EntryVM, len(near))
-	for i, c := range near {
-		owners[i] = c.entry
+	return near
+}
+
+// ranked is an entry VM in an order by rendezvous hashing. It has no pointers, since hundreds of orders of hundreds of
+// entry VMs are sorted after each change.
+type ranked struct {
+	hash  uint64
+	index int // in the list of entry VMs
+}
+
+// rank returns the order of entry VMs for a key, in the memory of buffer.
+func rank(key string, entries []EntryVM, buffer []ranked) []ranked {
+	buffer = buffer[:0]
+	for i := range entries {
+		buffer = append(buffer, ranked{spread.Hash(entries[i].ID, key), i})
 	}
-	return owners
+	slices.SortFunc(buffer, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	return buffer
 }
 
 // Ownership assigns each instance the entry VMs that may own the connections to it. The statements of all client
@@ -65,7 +87,7 @@
 	return slices.Equal(o.instances, instances) && slices.Equal(o.entries, entries)
 }
 
-// Of returns the entry VMs that may own the connections to an instance, preferred first.
+// Of returns the entry VMs that may own the connections to an instance, preferred first, at most maxOwners.
 func (o *Ownership) Of(server string) []EntryVM {
 	o.compute.Do(o.assign)
 	return o.owners[server]
@@ -88,26 +110,36 @@
 // assign gives each instance, in an order by hash, the first of its entry VMs that may own another one.
 func (o *Ownership) assign() {
 	o.owners = make(map[string][]EntryVM, len(o.instances))
-	inZone := map[string]int{}
+	count := map[string]int{}
+	near := map[string][]EntryVM{}
 	for _, i := range o.instances {
-		inZone[i.Zone]++
+		if count[i.Zone]++; count[i.Zone] == 1 {
+			near[i.Zone] = inZone(i.Zone, o.entries)
+		}
 	}
 	ordered := slices.Clone(o.instances)
 	slices.SortFunc(ordered, func(a, b Instance) int {
 		return cmp.Or(cmp.Compare(spread.Hash(a.Server), spread.Hash(b.Server)), cmp.Compare(a.Server, b.Server))
 	})
 	owned := map[string]int{}
+	var buffer []ranked
 	for _, i := range ordered {
-		candidates := Owners(i.Server, i.Zone, o.entries)
-		most := (inZone[i.Zone] + len(candidates) - 1) / max(len(candidates), 1)
-		first := slices.IndexFunc(candidates, func(e EntryVM) bool { return owned[e.ID] < most })
-		if first > 0 {
-			chosen := candidates[first]
-			candidates = slices.Insert(slices.Delete(candidates, first, first+1), 0, chosen)
+		entries := near[i.Zone]
+		if len(entries) == 0 {
+			o.owners[i.Server] = nil
+			continue
 		}
-		if len(candidates) > 0 {
-			owned[candidates[0].ID]++
+		most := (count[i.Zone] + len(entries) - 1) / len(entries)
+		buffer = rank(i.Server, entries, buffer)
+		first := slices.IndexFunc(buffer, func(r ranked) bool { return owned[entries[r.index].ID] < most })
+		owners := make([]EntryVM, 0, maxOwners)
+		owners = append(owners, entries[buffer[first].index])
+		for n, r := range buffer[:min(len(buffer), maxOwners)] {
+			if n != first && len(owners) < maxOwners {
+				owners = append(owners, entries[r.index])
+			}
 		}
-		o.owners[i.Server] = candidates
+		owned[owners[0].ID]++
+		o.owners[i.Server] = owners
 	}
 }
--- a/internal/proxy/credit.go
+++ b/internal/proxy/credit.go
@@ -83,10 +83,12 @@
 	return p.awaitCredit(ctx, now, r.Account, r.Target, min(r.Limit, creditTimeout)), true
 }
 
-// creditKeeperVMs returns the entry VMs of a zone that keep credits.
-func creditKeeperVMs(zone string, entries []placement.EntryVM) []placement.EntryVM {
-	all := placement.Owners("credits", zone, entries)
-	return all[:(len(all)+keeperShare-1)/keeperShare]
+// creditKeeperVMs returns the entry VMs of a zone that keep credits. The result must not be modified.
+func (p *Proxy) creditKeeperVMs(zone string, entries *[]placement.EntryVM) []placement.EntryVM {
+	return p.creditVMs.of(entries, func() []placement.EntryVM {
+		all := placement.Owners("credits", zone, *entries)
+		return all[:(len(all)+keeperShare-1)/keeperShare]
+	})
 }
 
 // creditKeeper returns the choice of the keeper for an account.
@@ -94,7 +96,7 @@
 	if k, ok := p.creditKeepers.Load(id); ok {
 		return k.(*zoneKeeper)
 	}
-	k, _ := p.creditKeepers.LoadOrStore(id, newZoneKeeper("credits of "+string(id), creditKeeperVMs))
+	k, _ := p.creditKeepers.LoadOrStore(id, newZoneKeeper("credits of "+string(id), p.creditKeeperVMs))
 	return k.(*zoneKeeper)
 }
 
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -161,6 +161,15 @@
 // RunPeriodic runs the periodic work of the event loop.
 func (z *ZoneVM) RunPeriodic(now time.Time) { z.proxy.runPeriodic(now) }
 
+// ChangeEntries replaces the list of entry VMs and computes the owners again.
+func (z *ZoneVM) ChangeEntries() {
+	entries := slices.Clone(*z.proxy.entries.Load())
+	entries[0].Address += "x"
+	z.proxy.entries.Store(&entries)
+	z.proxy.updateOwnership()
+	z.proxy.ownership.Load().Of("group-00")
+}
+
 // KeepsOwnership reports whether an update finds the assignment of connections in force, which then is not computed again.
 func (z *ZoneVM) KeepsOwnership() bool {
 	before := z.proxy.ownership.Load()
--- a/internal/proxy/keeper.go
+++ b/internal/proxy/keeper.go
@@ -13,8 +13,8 @@
 // zoneKeeper chooses the entry VM that keeps something for all entry VMs of an availability zone. All of them choose the
 // same one. It is safe for concurrent use.
 type zoneKeeper struct {
-	key string                                                             // what is kept
-	vms func(zone string, entries []placement.EntryVM) []placement.EntryVM // entry VMs of a zone that keep such things
+	key string                                                              // what is kept
+	vms func(zone string, entries *[]placement.EntryVM) []placement.EntryVM // those that keep such things, in the zone or anywhere
 
 	mu         sync.Mutex
 	ordered    []placement.EntryVM  // that may be the keeper, preferred first
@@ -23,7 +23,7 @@
 }
 
 // newZoneKeeper returns a zoneKeeper without a choice.
-func newZoneKeeper(key string, vms func(zone string, entries []placement.EntryVM) []placement.EntryVM) *zoneKeeper {
+func newZoneKeeper(key string, vms func(zone string, entries *[]placement.EntryVM) []placement.EntryVM) *zoneKeeper {
 	return &zoneKeeper{key: key, vms: vms, avoidUntil: map[string]time.Time{}}
 }
 
@@ -32,7 +32,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.from != entries {
-		k.ordered, k.from = placement.Owners(k.key, zone, k.vms(zone, *entries)), entries
+		k.ordered, k.from = placement.Owners(k.key, zone, k.vms(zone, entries)), entries
 	}
 	return k.ordered[:min(len(k.ordered), maxKeepers)]
 }
@@ -62,3 +62,21 @@
 	defer k.mu.Unlock()
 	return now.Before(k.avoidUntil[address])
 }
+
+// keeperVMs are the entry VMs of an availability zone that may keep something, for the latest list of entry VMs. Hundreds
+// of keepers are chosen among them after each change of the list. It is safe for concurrent use.
+type keeperVMs struct {
+	mu   sync.Mutex
+	from *[]placement.EntryVM
+	vms  []placement.EntryVM
+}
+
+// of returns the entry VMs for a list, and computes them if it is not that of the last call.
+func (k *keeperVMs) of(entries *[]placement.EntryVM, compute func() []placement.EntryVM) []placement.EntryVM {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.from != entries {
+		k.vms, k.from = compute(), entries
+	}
+	return k.vms
+}
--- a/internal/proxy/proofs.go
+++ b/internal/proxy/proofs.go
@@ -205,10 +205,8 @@
 	}
 }
 
-// proofKeeperVMs returns the entry VMs of a zone that keep proofs.
-func proofKeeperVMs(zone string, entries []placement.EntryVM) []placement.EntryVM {
-	return placement.Owners("proofs", zone, entries)
-}
+// proofKeeperVMs returns the entry VMs that may keep proofs: all of them.
+func proofKeeperVMs(_ string, entries *[]placement.EntryVM) []placement.EntryVM { return *entries }
 
 // Proofs implements forward.Host.
 func (p *Proxy) Proofs(ctx context.Context, r forward.ProofsRequest) ([]freshness.Proof, bool) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -116,6 +116,7 @@
 	ownership     atomic.Pointer[placement.Ownership]
 	served        atomic.Pointer[map[string]*group] // by name
 	viewsReady    chan struct{}                     // closed when the pools of the first views are published
+	creditVMs     keeperVMs                         // entry VMs of this zone that keep credits
 	creditKeepers sync.Map                          // choices of the credit keeper (*zoneKeeper) by lease.AccountID
 	leases        renewal.ConfigLeases              // modified only by the event loop
 	draining      atomic.Bool
--- a/internal/proxy/warm.go
+++ b/internal/proxy/warm.go
@@ -53,7 +53,7 @@
 // neededPeers returns the addresses of the keepers of credits in this availability zone and of the owners of connections,
 // each group in an order that differs between entry VMs.
 func (p *Proxy) neededPeers() []string {
-	keepers := creditKeeperVMs(p.options.Node.Zone, *p.entries.Load())
+	keepers := slices.Clone(p.creditKeeperVMs(p.options.Node.Zone, p.entries.Load()))
 	var addresses []string
 	for _, vms := range [][]placement.EntryVM{keepers, p.ownership.Load().First()} {
 		slices.SortFunc(vms, func(a, b placement.EntryVM) int {
