Fix the windows of connections between VMs, so that calls cause no pings

Cause: gRPC measures the bandwidth of a connection by a ping with each message unless its windows are set.

--- a/internal/controlvm/dial.go
+++ b/internal/controlvm/dial.go
@@ -31,7 +31,7 @@
 	if pair != nil {
 		transport = credentials.NewTLS(pair.ClientConfig(address))
 	}
-	options = append(options, wire.ClientBuffers()...)
+	options = append(options, wire.ClientOptions()...)
 	options = append(options,
 		grpc.WithTransportCredentials(transport),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -42,7 +42,7 @@
 			return errors.WithHint(errors.Wrap(err, "controlvm"), "choose another address for --listen, or stop the process that uses it")
 		}
 	}
-	options := append(recovery.ServerOptions(), wire.ServerBuffers()...)
+	options := append(recovery.ServerOptions(), wire.ServerOptions()...)
 	options = append(options,
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxSendMsgSize(maxMessageBytes),
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -87,7 +87,7 @@
 	if p := c.peers[address]; p != nil {
 		return p, nil
 	}
-	options := append(slices.Clone(c.options), wire.ClientBuffers()...)
+	options := append(slices.Clone(c.options), wire.ClientOptions()...)
 	options = append(options,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/net/http2"
 
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
 	"fireflyrudder.example/fireflyrudder/internal/forward"
@@ -213,6 +215,63 @@
 	require.Equal(t, before, arrived.Load())
 }
 
+// recordingListener records what arrives on its connections.
+type recordingListener struct {
+	net.Listener
+	mu      sync.Mutex
+	arrived bytes.Buffer
+}
+
+func (l *recordingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return recordingConn{c, l}, err
+}
+
+type recordingConn struct {
+	net.Conn
+	listener *recordingListener
+}
+
+func (c recordingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.listener.arrived.Write(b[:n])
+	return n, err
+}
+
+// TestCallsCauseNoPings guards against a ping for each message, by which gRPC measures the bandwidth unless windows are
+// fixed: it doubles the packets and wake-ups of the many small calls between entry VMs.
+func TestCallsCauseNoPings(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	recorded := &recordingListener{Listener: listener}
+	go forward.NewServer(pools{}, time.Now).Serve(t.Context(), recorded) //nolint:errcheck // ends with the test
+	c := forward.NewClient(time.Now)
+	t.Cleanup(c.Close)
+	address := listener.Addr().String()
+	c.AwaitConnection(address)
+	for range 20 {
+		_, err := c.Spend(t.Context(), address, forward.SpendRequest{Account: "a", Limit: time.Second})
+		require.NoError(t, err)
+	}
+	recorded.mu.Lock()
+	defer recorded.mu.Unlock()
+	recorded.arrived.Next(len(http2.ClientPreface))
+	framer := http2.NewFramer(nil, &recorded.arrived)
+	pings := 0
+	for {
+		f, err := framer.ReadFrame()
+		if err != nil {
+			break
+		}
+		if f.Header().Type == http2.FramePing {
+			pings++
+		}
+	}
+	require.Zero(t, pings)
+}
+
 // TestOutcomes guards against a statement with unknown outcome that is reported as not run.
 func TestOutcomes(t *testing.T) {
 	s, c, address := start(t)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -60,7 +60,7 @@
 
 // Serve accepts requests on l until ctx ends.
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
-	options := append(recovery.ServerOptions(), wire.ServerBuffers()...)
+	options := append(recovery.ServerOptions(), wire.ServerOptions()...)
 	options = append(options, grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
 	server := grpc.NewServer(options...)
 	wire.RegisterForwardServer(server, s)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -26,7 +26,7 @@
 
 // Serve serves other VMs until the context ends.
 func (g *Gateway) Serve(ctx context.Context, listener net.Listener) error {
-	server := grpc.NewServer(append(recovery.ServerOptions(), wire.ServerBuffers()...)...)
+	server := grpc.NewServer(append(recovery.ServerOptions(), wire.ServerOptions()...)...)
 	s := &service{gateway: g}
 	wire.RegisterControlServer(server, s)
 	wire.RegisterVoterServer(server, s)
