Send no old state after a restart, and wake streams of updates together

Besides, each commit of a registration woke all streams of each control VM, and after a restart of all there are as many registrations as streams.

Change: the first update of a stream waits until the control VM has caught up with its leader. Streams are woken by changes of the configuration and of views at once, by registrations each 0.2 s, by nothing else. A stream ends after two checks of contact without a leader, not after two wake-ups. New counter lookups.

--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -193,6 +193,16 @@
 	return v.leaderAddress
 }
 
+// CaughtUp reports whether this voter has committed what its leader had when it was heard last. A leader knows what was
+// committed before its term once a record of that term is committed.
+func (v *Voter) CaughtUp() bool {
+	if v.role == Leader {
+		return v.termCommitted
+	}
+	term, ok := v.log.term(v.commit)
+	return v.leaderCommit > 0 && v.commit >= v.leaderCommit && ok && term == v.term
+}
+
 // HoldsLease reports whether this voter is certainly the only leader at now, and its applied state is
 // current. A caller that prepares a reply must read the clock and check again before it sends the reply.
 func (v *Voter) HoldsLease(now time.Time) bool {
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -65,9 +65,7 @@
 // It runs between steps of the voter, because it may propose entries.
 func (vm *VM) propagateChanges(now time.Time) {
 	vm.changed = false
-	for w := range vm.watchers {
-		signal(w.wake)
-	}
+	vm.wakeWatchers(now)
 	if d := vm.leadership; d != nil {
 		d.configure(now, vm.state)
 		vm.updatePolicy(now, d, vm.state)
--- a/internal/controlvm/metrics.go
+++ b/internal/controlvm/metrics.go
@@ -11,6 +11,7 @@
 	changes     *expvar.Int
 	renewals    *expvar.Int
 	updates     *expvar.Int
+	lookups     *expvar.Int // of a stream for updates
 	announced   *expvar.Int
 	elections   *expvar.Int
 	snapshots   *expvar.Int
@@ -28,7 +29,7 @@
 func newMetrics() *metrics {
 	m := &metrics{all: new(expvar.Map).Init()}
 	named := map[string]**expvar.Int{
-		"changes": &m.changes, "renewals": &m.renewals, "updates": &m.updates, "announcements": &m.announced,
+		"changes": &m.changes, "renewals": &m.renewals, "updates": &m.updates, "lookups": &m.lookups, "announcements": &m.announced,
 		"elections": &m.elections, "snapshots": &m.snapshots, "installs": &m.installs,
 		"delivered": &m.delivered, "undelivered": &m.undelivered, "dropped": &m.dropped,
 		"syncs": &m.syncs, "records": &m.records, "syncing": &m.syncTime,
--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -190,7 +190,7 @@
 func (s *service) awaitLeader(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, leaderWait)
 	defer cancel()
-	w := &watcher{wake: make(chan struct{}, 1)}
+	w := &watcher{wake: make(chan struct{}, 1), eager: true}
 	stop, err := s.subscribe(ctx, w)
 	if err != nil {
 		return false
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -81,6 +81,7 @@
 	proposed      map[uint64]*pendingProposal // by tag
 	waiting       map[uint64]*pendingProposal // by log index
 	watchers      map[*watcher]struct{}
+	notice        notice
 	changed       bool      // the control state changed since propagateChanges
 	started       time.Time // time of the first tick
 	noGroupWarned bool      // warnNoGroup has logged its warning
@@ -240,6 +241,7 @@
 			now := clock.Now()
 			vm.step(now, controllog.Tick{})
 			vm.leaderTick(now)
+			vm.wakeWatchers(now)
 			vm.warnNoGroup(now)
 		case event := <-vm.inbox.C():
 			event(clock.Now())
--- a/internal/controlvm/watch.go
+++ b/internal/controlvm/watch.go
@@ -14,8 +14,8 @@
 // entry VMs, so that they watch another control VM before their configuration lease ends.
 const leaderContactInterval = time.Second
 
-// registrationInterval is the least time between two messages with changes of the registrations on a stream. A
-// receiver of an earlier build gets all registrations each time, at most once per fullRegistrationInterval.
+// registrationInterval is the least time between two notices of changes of the registrations. A receiver of an earlier
+// build gets all registrations each time, at most once per fullRegistrationInterval.
 const (
 	registrationInterval     = 200 * time.Millisecond
 	fullRegistrationInterval = time.Second
@@ -23,7 +23,8 @@
 
 // watcher is the state of one stream of updates to an entry VM.
 type watcher struct {
-	wake              chan struct{} // contains one token when the control state has changed
+	wake              chan struct{} // contains one token when there may be something to send
+	eager             bool          // woken by each change of the control state; accessed by the event loop only
 	version           uint64
 	index             uint64
 	groups            []string
@@ -35,17 +36,11 @@
 	registrationsSent time.Time
 }
 
-// registrationInterval returns the least time between two messages with registrations.
-func (w *watcher) registrationInterval() time.Duration {
-	if w.appliesParts {
-		return registrationInterval
-	}
-	return fullRegistrationInterval
-}
-
 // Watch sends the state that an entry VM lacks and then every change. Every control VM that is in contact
 // with the leader serves it. This is safe because all state it sends is committed, and an entry VM serves
-// clients only at the version that Renew returned.
+// clients only at the version that Renew returned. The first update waits until this control VM has caught up: after
+// a restart it knows only an old part of the state, and the whole of that would take the place of the current one on the
+// link of the entry VM.
 func (s *service) Watch(r *wire.WatchRequest, stream wire.Control_WatchServer) error {
 	ctx := stream.Context()
 	w := &watcher{wake: make(chan struct{}, 1), version: r.Version, index: r.Index, groups: r.Groups, wantRegistrations: r.Entries, trustsEdits: r.Trusts, appliesParts: r.Parts, marks: r.Marks, registrationIndex: r.Entered}
@@ -56,20 +51,17 @@
 	defer stop()
 	contact := time.NewTicker(leaderContactInterval)
 	defer contact.Stop()
-	lost := 0
-	for first := true; ; first = false {
-		u, led, err := s.nextUpdate(ctx, w)
+	alone := false // no leader was known when contact was checked last
+	for first := true; ; {
+		u, led, err := s.nextUpdate(ctx, w, first)
 		if err != nil {
 			return statusError(err)
 		}
-		if lost++; led {
-			lost = 0
-		}
-		if lost > 1 {
-			return status.Error(codes.Unavailable, "controlvm: this control VM hears from no leader; watch another one")
-		}
-		if err := s.sendUpdate(stream, w, u, first); err != nil {
-			return err
+		if u != nil {
+			if err := s.sendUpdate(stream, w, u, first); err != nil {
+				return err
+			}
+			first = false
 		}
 		select {
 		case <-ctx.Done():
@@ -78,6 +70,10 @@
 			return statusError(errStopped)
 		case <-w.wake:
 		case <-contact.C:
+			if alone && !led {
+				return status.Error(codes.Unavailable, "controlvm: this control VM hears from no leader; watch another one")
+			}
+			alone = !led
 		}
 	}
 }
@@ -92,13 +88,19 @@
 	}, nil
 }
 
-// nextUpdate returns the state that the watcher lacks and whether the leader is known.
-func (s *service) nextUpdate(ctx context.Context, w *watcher) (u *wire.Update, led bool, err error) {
+// nextUpdate returns the state that the watcher lacks and whether the leader is known. It returns no first update while
+// this control VM has not caught up.
+func (s *service) nextUpdate(ctx context.Context, w *watcher, first bool) (u *wire.Update, led bool, err error) {
+	s.vm.metrics.lookups.Add(1)
 	err = s.vm.inbox.Do(ctx, func(now time.Time) {
 		led = s.vm.voter.LeaderAddress(now) != ""
+		if w.eager = first && !s.vm.voter.CaughtUp(); w.eager {
+			return
+		}
 		u = s.updateSince(w)
 		index := s.vm.state.RegistrationIndex()
-		if !w.wantRegistrations || index <= w.registrationIndex || now.Sub(w.registrationsSent) < w.registrationInterval() {
+		tooEarly := !w.appliesParts && now.Sub(w.registrationsSent) < fullRegistrationInterval
+		if !w.wantRegistrations || index <= w.registrationIndex || tooEarly {
 			return
 		}
 		w.registrationsSent = now
