Wake idle entry VMs five times a second instead of twenty

Cause: the event loop of each entry VM woke twenty times a second, also where the VM neither owned connections nor kept proofs.

Change: 200 ms between ticks of such a VM, while the control group answers and no connections are to be opened.

TestIdleVMsWakeRarely failed before (the pause was 50 ms).

--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -158,8 +158,12 @@
 	z.proxy.ownership.Store(placement.NewOwnership(z.group.instances(), *z.proxy.entries.Load()))
 }
 
-// RunPeriodic runs the periodic work of the event loop.
-func (z *ZoneVM) RunPeriodic(now time.Time) { z.proxy.runPeriodic(now) }
+// RunPeriodic runs the periodic work of the event loop of a VM that reaches the control group, and returns the time until
+// it is due again.
+func (z *ZoneVM) RunPeriodic(now time.Time) time.Duration {
+	z.proxy.metrics.connected.Store(true)
+	return z.proxy.runPeriodic(now)
+}
 
 // ChangeEntries replaces the list of entry VMs and computes the owners again.
 func (z *ZoneVM) ChangeEntries() {
--- a/internal/proxy/proofs.go
+++ b/internal/proxy/proofs.go
@@ -194,15 +194,19 @@
 }
 
 // refreshProof fetches a proof before the newest one becomes too old, while the group is in use and if this VM keeps
-// the proofs of its availability zone.
-func (g *group) refreshProof(now time.Time) {
+// the proofs of its availability zone. It reports whether that is the case.
+func (g *group) refreshProof(now time.Time) (keeps bool) {
 	g.mu.Lock()
 	sent, _, ok := g.proofs.Newest()
-	due := now.Sub(g.lastUsed) < activePeriod && (!ok || now.Sub(sent) >= proofRefreshAge)
+	active := now.Sub(g.lastUsed) < activePeriod
 	g.mu.Unlock()
-	if due && g.proofKeeper(now) == "" {
+	if !active || g.proofKeeper(now) != "" {
+		return false
+	}
+	if !ok || now.Sub(sent) >= proofRefreshAge {
 		g.fetchProof()
 	}
+	return true
 }
 
 // proofKeeperVMs returns the entry VMs that may keep proofs: all of them.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -41,8 +41,10 @@
 )
 
 const (
-	// tickInterval is the granularity of connection limits, proof refreshes and idle timeouts.
-	tickInterval = 50 * time.Millisecond
+	// tickInterval is the granularity of connection limits, proof refreshes and idle timeouts. An entry VM that neither
+	// uses connections of its own nor keeps proofs uses idleTickInterval: waking up costs a small VM more than the work.
+	tickInterval     = 50 * time.Millisecond
+	idleTickInterval = 200 * time.Millisecond
 	// eventQueueSize is large enough that other goroutines need not wait while the event loop is busy.
 	eventQueueSize = 256
 	// defaultTimeout bounds a statement on a route without a configured timeout.
@@ -198,8 +200,8 @@
 // runEventLoop runs the event loop until the Proxy stops.
 func (p *Proxy) runEventLoop() {
 	defer close(p.eventLoopDone)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	tick := time.NewTimer(tickInterval)
+	defer tick.Stop()
 	summary := time.NewTicker(summaryInterval)
 	defer summary.Stop()
 	for {
@@ -214,8 +216,8 @@
 			return
 		case f := <-p.inbox.C():
 			f(p.options.Now())
-		case <-ticker.C:
-			p.runPeriodic(p.options.Now())
+		case <-tick.C:
+			tick.Reset(p.runPeriodic(p.options.Now()))
 		}
 	}
 }
@@ -238,17 +240,20 @@
 	}
 }
 
-// runPeriodic runs the periodic work of the event loop.
-func (p *Proxy) runPeriodic(now time.Time) {
+// runPeriodic runs the periodic work of the event loop and returns the time until it is due again.
+func (p *Proxy) runPeriodic(now time.Time) time.Duration {
 	p.serveDisconnected(now)
 	p.updateConnectionLimits(now)
+	busy := !p.metrics.connected.Load()
 	for _, g := range p.groups {
-		g.refreshProof(now)
-		if s := g.sight(now); s != nil && !s.Reachable {
+		busy = g.refreshProof(now) || busy
+		s := g.sight(now)
+		if s != nil && !s.Reachable {
 			p.control.RenewNow() // the control group detects a failed primary by the reports of entry VMs
 		}
+		busy = busy || s != nil
 	}
-	p.openAhead(now)
+	busy = p.openAhead(now) || busy
 	if address := p.warm.next(now, p.ownership.Load(), p.neededPeers); address != "" {
 		p.forward.Connect(address)
 	}
@@ -256,6 +261,10 @@
 	for _, s := range p.openSessions() {
 		s.expireIdle(now, idle)
 	}
+	if busy || p.warm.pendingWork() {
+		return tickInterval
+	}
+	return idleTickInterval
 }
 
 // applyUpdate applies an update from the control group.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -208,6 +208,26 @@
 	}
 }
 
+// TestIdleVMsWakeRarely guards against hundreds of entry VMs that wake twenty times a second for nothing. The owner of
+// connections, and a VM that still has connections to open, must not wait longer.
+func TestIdleVMsWakeRarely(t *testing.T) {
+	now := time.Now()
+	for _, vm := range startZone(t, &primary{}, 12) {
+		vm.UseOwner()
+		vm.SetAccounts()
+		require.Equal(t, 50*time.Millisecond, vm.RunPeriodic(now), "the owners are new")
+		var pause time.Duration
+		for i := range 20 {
+			pause = vm.RunPeriodic(now.Add(time.Second + time.Duration(i)*50*time.Millisecond))
+		}
+		if vm.OwnerRank() == 0 {
+			require.Equal(t, 50*time.Millisecond, pause)
+			continue
+		}
+		require.Equal(t, 200*time.Millisecond, pause)
+	}
+}
+
 // TestOwnershipIsComputedForChanges guards against an assignment of connections that is computed again for each view of a
 // group: with hundreds of entry VMs that takes a small VM longer than a statement.
 func TestOwnershipIsComputedForChanges(t *testing.T) {
--- a/internal/proxy/warm.go
+++ b/internal/proxy/warm.go
@@ -50,6 +50,9 @@
 	return address
 }
 
+// pendingWork reports whether connections are still to be opened.
+func (w *warmUp) pendingWork() bool { return !w.listed || len(w.pending) > 0 }
+
 // neededPeers returns the addresses of the keepers of credits in this availability zone and of the owners of connections,
 // each group in an order that differs between entry VMs.
 func (p *Proxy) neededPeers() []string {
@@ -69,16 +72,18 @@
 }
 
 // openAhead opens connections to the instances whose connections this VM owns, before statements of their client accounts
-// wait for them: those of the accounts with the highest rates first.
-func (p *Proxy) openAhead(now time.Time) {
+// wait for them: those of the accounts with the highest rates first. It reports whether the VM owns any.
+func (p *Proxy) openAhead(now time.Time) (owns bool) {
 	ownership := p.ownership.Load()
-	if p.draining.Load() || !p.warm.settled(now, ownership) {
-		return
-	}
+	settled := p.warm.settled(now, ownership) && !p.draining.Load()
 	accounts := p.config.Load().byRate
 	for _, g := range p.groups {
 		for _, pool := range g.ownedPools(p.options.Process, ownership) {
-			pool.OpenAhead(now, accounts)
+			owns = true
+			if settled {
+				pool.OpenAhead(now, accounts)
+			}
 		}
 	}
+	return owns
 }
