--- a/review/cmd/harness/cases.go
+++ b/review/cmd/harness/cases.go
@@ -204,13 +204,13 @@
 
 // drainPrimary: the primary of a service leaves, while the platform answers no orders.
 func drainPrimary(s *site, trouble bool) (bool, error) {
-	d, err := begin(s, 0, func(write bool) time.Duration { return between(4*time.Millisecond, 16*time.Millisecond) })
+	d, err := begin(s, 0, func(write bool) time.Duration { return between(4*time.Millisecond, 60*time.Millisecond) })
 	if err != nil {
 		return false, err
 	}
 	l := &load{site: s, stop: make(chan struct{})}
-	for n := range 6 {
-		l.add(fmt.Sprintf("writer%d", n), primaryRoute, s.machines[n:], func(n int) string { return fmt.Sprintf("WRITE seat%d x", n) }, 100*time.Millisecond, true)
+	for n := range 12 {
+		l.add(fmt.Sprintf("writer%d", n), primaryRoute, s.machines[n%len(s.machines):], func(n int) string { return fmt.Sprintf("WRITE seat%d x", n) }, 20*time.Millisecond, true)
 	}
 	if err := d.addInstance(zones[0]); err != nil { // the successor starts before the other one leaves
 		return false, err
