Compact the control log by its size in bytes

Cause: the log was compacted each 200 records, whatever their size (0.45 MB each), so the disks of all voters were full at the same record; a full disk was left only by writing the whole log a second time. Ruled out: anything else on the disk.

--- a/internal/controllog/cluster_test.go
+++ b/internal/controllog/cluster_test.go
@@ -28,6 +28,7 @@
 	speed          float64 // rate of its clock
 	id             controllog.Identity
 	durable        controllog.PersistentState
+	mostStored     uint64            // largest size of its stored records so far, in bytes
 	voter          *controllog.Voter // nil while crashed
 	frozen         time.Duration     // suspended until this time
 	inbox          []*wire.VoterMessage
@@ -164,11 +165,11 @@
 			book := &wire.Book{Configuration: &wire.Configuration{Change: m.digest}}
 			s := &wire.VoterSnapshot{Index: e.Index, Term: e.Term, Membership: e.Membership, Book: book}
 			require.Equal(c.t, m.applied, e.Index)
-			m.durable.Snapshot, m.durable.Records = s, slices.Clone(e.Tail)
+			m.compact(s, e.Tail)
 			c.stepVoter(m, controllog.SnapshotSaved{Snapshot: s})
 		case controllog.InstallSnapshot:
 			c.sync(m)
-			m.durable.Snapshot, m.durable.Records = e.Snapshot, slices.Clone(e.Tail)
+			m.compact(e.Snapshot, e.Tail)
 			m.applied, m.digest = e.Snapshot.Index, e.Snapshot.Book.Configuration.Change
 			require.Equal(c.t, c.committedDigests[m.applied], m.digest, "a snapshot contains the committed records")
 			c.stepVoter(m, controllog.SnapshotInstalled{Snapshot: e.Snapshot})
@@ -176,6 +177,14 @@
 	}
 }
 
+// compact replaces the stored records by a snapshot and the records after it.
+func (m *machine) compact(s *wire.VoterSnapshot, tail []*wire.LogRecord) {
+	m.durable.Snapshot, m.durable.Records, m.durable.Stored = s, slices.Clone(tail), 0
+	for _, r := range tail {
+		m.durable.Stored += uint64(proto.Size(r))
+	}
+}
+
 // sync makes pending records durable and returns the last one.
 func (c *cluster) sync(m *machine) *wire.LogRecord {
 	var last *wire.LogRecord
@@ -184,9 +193,11 @@
 			at := r.Index - m.durable.Snapshot.GetIndex() - 1
 			require.LessOrEqual(c.t, at, uint64(len(m.durable.Records)), "no gap on disk")
 			m.durable.Records = append(m.durable.Records[:at:at], r)
+			m.durable.Stored += uint64(proto.Size(r))
 			last = r
 		}
 	}
+	m.mostStored = max(m.mostStored, m.durable.Stored)
 	m.pending = nil
 	return last
 }
@@ -280,10 +291,13 @@
 	require.LessOrEqual(c.t, len(holders), 1, "two lease holders: %v", holders)
 }
 
-// propose sends a proposal to every machine that is not suspended.
-func (c *cluster) propose() {
+// propose sends a small proposal to every machine that is not suspended.
+func (c *cluster) propose() { c.proposeBytes(0) }
+
+// proposeBytes sends a proposal of at least some size to every machine that is not suspended.
+func (c *cluster) proposeBytes(size int) {
 	c.counter++
-	e := &wire.Entry{Entry: &wire.Entry_Forget{Forget: fmt.Sprint(c.counter)}}
+	e := &wire.Entry{Entry: &wire.Entry_Forget{Forget: fmt.Sprintf("%0*d", size, c.counter)}}
 	for _, m := range c.machines {
 		if c.elapsed >= m.frozen {
 			c.step(m, controllog.Proposed{Tag: uint64(c.counter), Entry: e})
--- a/internal/controllog/event.go
+++ b/internal/controllog/event.go
@@ -133,4 +133,11 @@
 	RetainedRecords      = 500  // records up to a snapshot that stay in memory for slow followers
 	MaxMembers           = 9    // voters and learners
 	DefaultSnapshotEvery = 1000 // committed records between snapshots
+	// DefaultSnapshotBytes is the size of the stored records that a snapshot makes superfluous, in bytes. Records of large
+	// configurations reach it long before DefaultSnapshotEvery.
+	DefaultSnapshotBytes = 16 << 20
+	// RetainedBytes bounds the records retained for slow followers in bytes. Beyond it a snapshot is the smaller message.
+	RetainedBytes = 4 << 20
+	// largeRecord is the size in bytes from which a proposal is refused while too many bytes are not committed yet.
+	largeRecord = 64 << 10
 )
--- a/internal/controllog/log.go
+++ b/internal/controllog/log.go
@@ -13,6 +13,7 @@
 	base     uint64 // index before the first record in memory
 	baseTerm uint64
 	records  []*wire.LogRecord // records[i].Index == base+1+i
+	sizes    []uint64          // sizes[i] is the encoded size of records[i] in bytes
 
 	snapshot    *wire.VoterSnapshot // latest durable snapshot; nil before the first; base <= snapshot.Index <= last()
 	memberships []indexedMembership // ascending by index; the last one is in force
@@ -55,10 +56,33 @@
 	return l.records[from-l.base-1 : to-l.base]
 }
 
+// bytes returns the encoded size of the records with from <= index <= to.
+func (l *log) bytes(from, to uint64) uint64 {
+	to = min(to, l.last())
+	if from > to || from <= l.base {
+		return 0
+	}
+	sum := uint64(0)
+	for _, size := range l.sizes[from-l.base-1 : to-l.base] {
+		sum += size
+	}
+	return sum
+}
+
+// sizesOf returns the encoded sizes of records in bytes.
+func sizesOf(records []*wire.LogRecord) []uint64 {
+	sizes := make([]uint64, 0, len(records))
+	for _, r := range records {
+		sizes = append(sizes, uint64(proto.Size(r)))
+	}
+	return sizes
+}
+
 // replaceFrom replaces all records from the index of the first given one on.
 func (l *log) replaceFrom(records []*wire.LogRecord) {
 	first := records[0].Index
 	l.records = slices.Concat(l.records[:first-l.base-1], records)
+	l.sizes = slices.Concat(l.sizes[:first-l.base-1], sizesOf(records))
 	for n := len(l.memberships); n > 0 && l.memberships[n-1].index >= first; n-- {
 		l.memberships = l.memberships[:n-1]
 	}
@@ -69,18 +93,22 @@
 	}
 }
 
-// compact drops records that a durable snapshot contains, except the last keep records.
-func (l *log) compact(s *wire.VoterSnapshot, keep uint64) {
+// compact drops records that a durable snapshot contains, except the last ones up to a number and a size in bytes.
+func (l *log) compact(s *wire.VoterSnapshot, keep, keepBytes uint64) {
 	if l.snapshot != nil && s.Index <= l.snapshot.Index {
 		return
 	}
 	l.snapshot = s
-	if s.Index <= l.base+keep {
+	base := s.Index - min(keep, s.Index-l.base)
+	for l.bytes(base+1, s.Index) > keepBytes {
+		base++
+	}
+	if base == l.base {
 		return
 	}
-	base := s.Index - keep
 	term, _ := l.term(base)
-	l.records = append([]*wire.LogRecord(nil), l.between(base+1, l.last())...)
+	l.sizes = slices.Clone(l.sizes[base-l.base:])
+	l.records = slices.Clone(l.records[base-l.base:])
 	l.base, l.baseTerm = base, term
 	for len(l.memberships) > 1 && l.memberships[1].index <= base {
 		l.memberships = l.memberships[1:]
--- a/internal/controllog/replication.go
+++ b/internal/controllog/replication.go
@@ -3,16 +3,24 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
-// propose appends an entry if this voter is a leader with a current state.
+// propose appends an entry if this voter is a leader with a current state. A large one has to wait while the records that are
+// not committed are large already: they cannot be compacted.
 func (v *Voter) propose(now time.Time, p Proposed) {
 	if v.role != Leader || !v.termCommitted {
 		v.emit(Refused{p.Tag, v.LeaderAddress(now)})
 		return
 	}
 	r := &wire.LogRecord{Body: &wire.LogRecord_Entry{Entry: p.Entry}}
+	waiting := v.log.bytes(v.commit+1, v.log.last())
+	if size := uint64(proto.Size(r)); size >= largeRecord && waiting > 0 && waiting+size > v.config.SnapshotBytes {
+		v.emit(Refused{Tag: p.Tag})
+		return
+	}
 	v.appendRecord(now, r)
 	v.emit(Accepted{p.Tag, r.Index, r.Term})
 }
@@ -20,14 +28,20 @@
 // appendRecord appends a record as the leader and replicates it.
 func (v *Voter) appendRecord(now time.Time, r *wire.LogRecord) {
 	r.Index, r.Term = v.log.last()+1, v.term
-	v.log.replaceFrom([]*wire.LogRecord{r})
+	v.store([]*wire.LogRecord{r})
 	if r.GetMembership() != nil {
 		v.updateFollowers(now)
 	}
-	v.emit(Append{[]*wire.LogRecord{r}})
 	v.broadcast(now)
 }
 
+// store appends records to the log, in place of those from the index of the first one on.
+func (v *Voter) store(records []*wire.LogRecord) {
+	v.log.replaceFrom(records)
+	v.stored += v.log.bytes(records[0].Index, v.log.last())
+	v.emit(Append{records})
+}
+
 // tickLeader handles the periodic work of a leader: heartbeats, stepping down without a quorum, membership
 // changes.
 func (v *Voter) tickLeader(now time.Time) {
@@ -134,9 +148,8 @@
 	}
 	end := max(v.commit, a.Previous+uint64(len(a.Records)))
 	if fresh := v.newRecords(records); len(fresh) > 0 {
-		v.log.replaceFrom(fresh)
 		v.synced = min(v.synced, fresh[0].Index-1)
-		v.emit(Append{fresh})
+		v.store(fresh)
 	}
 	v.verified = max(v.verified, end)
 	if v.verified > v.synced {
@@ -251,15 +264,17 @@
 	}
 }
 
-// commitTo commits records up to index and requests a snapshot after every SnapshotEvery records.
+// commitTo commits records up to index and requests a snapshot after every SnapshotEvery records, and as soon as it makes
+// SnapshotBytes of stored records superfluous.
 func (v *Voter) commitTo(index uint64) {
 	if index <= v.commit {
 		return
 	}
 	v.emit(Commit{v.log.between(v.commit+1, index)})
 	v.commit = index
-	if index-v.snapshotIndex >= v.config.SnapshotEvery {
-		v.snapshotIndex = index
+	waiting := v.log.bytes(index+1, v.log.last())
+	if index-v.snapshotIndex >= v.config.SnapshotEvery || v.stored >= v.config.SnapshotBytes+waiting {
+		v.snapshotIndex, v.stored = index, waiting
 		term, _ := v.log.term(index)
 		tail := v.log.between(index+1, v.log.last())
 		v.snapshotTail = Synced{v.log.last(), v.log.lastTerm()}
@@ -282,7 +297,7 @@
 
 // snapshotSaved compacts the log after a snapshot became durable. The records after it became durable with it.
 func (v *Voter) snapshotSaved(s *wire.VoterSnapshot) {
-	v.log.compact(s, min(RetainedRecords, v.config.SnapshotEvery/2))
+	v.log.compact(s, min(RetainedRecords, v.config.SnapshotEvery/2), RetainedBytes)
 	v.recordsSynced(v.snapshotTail)
 }
 
@@ -292,6 +307,7 @@
 		return
 	}
 	v.log.reset(s)
+	v.stored = v.log.bytes(s.Index+1, v.log.last())
 	v.commit, v.snapshotIndex = s.Index, s.Index
 	v.synced = v.log.last()
 	v.verified = max(v.verified, s.Index)
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -38,6 +38,7 @@
 	Spare             bool          // never forms a group; joins as a learner
 	Voters            int           // voting members that the group grows to; 0 means those that formed it
 	SnapshotEvery     uint64        // committed records between snapshots; 0 means DefaultSnapshotEvery
+	SnapshotBytes     uint64        // size of stored records that a snapshot makes superfluous; 0 means DefaultSnapshotBytes
 	HeartbeatInterval time.Duration // election timeouts and the lease scale with it; 0 means DefaultHeartbeatInterval
 	ReplaceAfter      time.Duration // time without a message after which a voter is replaced; 0 means DefaultReplaceAfter
 }
@@ -49,6 +50,7 @@
 	Leader   Identity            // leader of the term; empty if it has sent no message
 	Snapshot *wire.VoterSnapshot // nil if there is none
 	Records  []*wire.LogRecord   // after the snapshot, without gaps
+	Stored   uint64              // size of the stored records in bytes, with those that others replaced
 }
 
 // Voter is one voter of the control group. It is not safe for concurrent use.
@@ -80,6 +82,7 @@
 	leaderHint    string                        // leader address from the latest HelloReply that named one
 	snapshotIndex uint64                        // index of the last snapshot that was requested, installed or restored
 	snapshotTail  Synced                        // last record of the log when that snapshot was requested
+	stored        uint64                        // bytes of the stored records, with those that others replaced
 
 	termBegan     time.Time // leader: when this voter became leader
 	heartbeatSent time.Time // leader: when heartbeats were last sent
@@ -115,6 +118,9 @@
 	if config.SnapshotEvery == 0 {
 		v.config.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if config.SnapshotBytes == 0 {
+		v.config.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if config.ReplaceAfter == 0 {
 		v.config.ReplaceAfter = DefaultReplaceAfter
 	}
@@ -126,6 +132,7 @@
 		v.log.replaceFrom(restored.Records)
 	}
 	v.synced = v.log.last()
+	v.stored = restored.Stored
 	v.leaderHeard = now
 	v.resetElectionTimer(now)
 	if v.termLeader == id || (v.termLeader == "" && v.vote == id) {
--- a/internal/controlvm/vm.go
+++ b/internal/controlvm/vm.go
@@ -45,6 +45,7 @@
 	Listener      net.Listener // gRPC listener; opened from the settings if nil
 	Announce      net.Listener // announcement listener; opened from the settings if nil
 	SnapshotEvery uint64       // committed records between snapshots; 0 means the default
+	SnapshotBytes uint64       // size of stored records that a snapshot makes superfluous; 0 means the default
 	// Backends makes the calls to backend servers; nil means SQL calls over PostgreSQL connections.
 	Backends BackendClient
 	// Policy returns the failover policy of a new leader; nil means failover.New.
@@ -138,11 +139,11 @@
 	c := vm.options.Control
 	config := controllog.Config{
 		Address: c.Listen, Zone: vm.options.Node.Zone, Peers: c.Peers, Spare: c.Join, Voters: c.Voters, SnapshotEvery: vm.options.SnapshotEvery,
-		ReplaceAfter: vm.options.ReplaceAfter, HeartbeatInterval: vm.options.HeartbeatInterval,
+		SnapshotBytes: vm.options.SnapshotBytes, ReplaceAfter: vm.options.ReplaceAfter, HeartbeatInterval: vm.options.HeartbeatInterval,
 	}
 	state := controllog.PersistentState{
 		Term: found.Vote.GetTerm(), Vote: controllog.Identity(found.Vote.GetCandidate()), Leader: controllog.Identity(found.Vote.GetLeader()),
-		Snapshot: found.Snapshot, Records: found.Records,
+		Snapshot: found.Snapshot, Records: found.Records, Stored: uint64(vm.folder.Size()),
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	vm.voter = controllog.New(now, controllog.Identity(vm.folder.Identity()), config, random, state)
--- a/internal/disk/folder.go
+++ b/internal/disk/folder.go
@@ -31,13 +31,14 @@
 const damageHint = "stop this control VM, move its data folder away and start it again: it joins as a learner " +
 	"and receives the state from the other control VMs"
 
-// Folder is an open data folder. It is not safe for concurrent use. After a failed write the process
-// must stop, because it is unknown which data is durable.
+// Folder is an open data folder. It is not safe for concurrent use. After a failed write the folder must be opened anew.
 type Folder struct {
 	path      string
 	identity  string
 	lock      *os.File
 	log       *os.File
+	size      int64 // bytes of the write-ahead file; all of them are durable
+	uncertain bool  // the write-ahead file may contain a failed append
 	state     State
 	syncs     uint64
 	truncated int64
@@ -72,6 +73,28 @@
 	return errors.CombineErrors(errors.Wrapf(f.rewrite(f.state.Records), "disk: %s", path), f.Close())
 }
 
+// probeBytes is the room that a folder needs to go on: a vote and the records of some changes of views.
+const probeBytes = 64 << 10
+
+// Probe returns an error if a data folder has no room to go on.
+func Probe(path string) error {
+	name := filepath.Join(path, logFile) + ".new"
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	_, err = f.Write(make([]byte, probeBytes))
+	if err == nil {
+		err = f.Sync()
+	}
+	if err != nil {
+		_ = f.Truncate(0)
+		return err
+	}
+	return os.Remove(name)
+}
+
 // IsFull reports whether an error means that the disk has no room for a write.
 func IsFull(err error) bool { return errors.IsAny(err, syscall.ENOSPC, syscall.EDQUOT) }
 
@@ -88,6 +111,7 @@
 	if err := f.loadIdentity(); err != nil {
 		return err
 	}
+	f.emptyUnfinished()
 	vote, snapshot := &wire.Vote{}, &wire.VoterSnapshot{}
 	if found, err := readFile(f.filePath(voteFile), vote); err != nil {
 		return err
@@ -102,6 +126,13 @@
 	return f.replay()
 }
 
+// emptyUnfinished empties the files that a process was writing when it ended, so that they take no room.
+func (f *Folder) emptyUnfinished() {
+	for _, name := range []string{identityFile, voteFile, snapshotFile, logFile} {
+		_ = os.Truncate(f.filePath(name)+".new", 0) // most often there is none
+	}
+}
+
 // acquireLock locks the folder until Close or the end of the process.
 func (f *Folder) acquireLock() error {
 	lock, err := os.OpenFile(f.filePath(lockFile), os.O_CREATE|os.O_RDWR, 0o600)
@@ -162,13 +193,34 @@
 	if len(records) == 0 {
 		return nil
 	}
-	if err := f.write(f.log, records); err != nil {
+	written, err := f.write(f.log, records)
+	if err == nil {
+		f.syncs++
+		err = f.log.Sync()
+	}
+	if err != nil {
+		f.uncertain = f.undo() != nil
 		return errors.Wrap(err, "disk: append")
 	}
-	f.syncs++
-	return errors.Wrap(f.log.Sync(), "disk: append")
+	f.size += written
+	return nil
+}
+
+// undo removes a failed append from the write-ahead file, which needs no room. Otherwise its records could be read again
+// although they may not be durable.
+func (f *Folder) undo() error {
+	if err := f.log.Truncate(f.size); err != nil {
+		return err
+	}
+	return f.log.Sync()
 }
 
+// Size returns the size of the write-ahead file in bytes.
+func (f *Folder) Size() int64 { return f.size }
+
+// Intact reports whether all that can be read from the folder is durable, also after a failed write.
+func (f *Folder) Intact() bool { return !f.uncertain }
+
 // Compact makes a snapshot durable and then replaces the write-ahead file with the records after
 // it. After a crash between the two steps, Open skips the records that the snapshot covers.
 func (f *Folder) Compact(s *wire.VoterSnapshot, tail []*wire.LogRecord) error {
@@ -184,8 +236,9 @@
 	if err != nil {
 		return err
 	}
+	var written int64
 	if len(tail) > 0 {
-		err = f.write(next, tail)
+		written, err = f.write(next, tail)
 	}
 	if err == nil {
 		err = next.Sync()
@@ -197,11 +250,12 @@
 		err = syncFolder(f.path)
 	}
 	if err != nil {
+		_ = next.Truncate(0) // it must not take the room that it lacked
 		_ = next.Close()
 		return err
 	}
 	_ = f.log.Close()
-	f.log = next
+	f.log, f.size = next, written
 	return nil
 }
 
@@ -220,15 +274,15 @@
 	return filepath.Join(f.path, file)
 }
 
-// write appends one batch as one frame. Each frame is synced by itself, so a valid frame after a
+// write appends one batch as one frame and returns its size. Each frame is synced by itself, so a valid frame after a
 // damaged one proves that the damaged one was durable before.
-func (f *Folder) write(to *os.File, records []*wire.LogRecord) error {
+func (f *Folder) write(to *os.File, records []*wire.LogRecord) (int64, error) {
 	payload, err := proto.Marshal(&wire.LogBatch{Records: records})
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = to.Write(encodeFrame(payload))
-	return err
+	n, err := to.Write(encodeFrame(payload))
+	return int64(n), err
 }
 
 // syncFolder makes the directory entries of a folder durable.
--- a/internal/disk/folder_test.go
+++ b/internal/disk/folder_test.go
@@ -171,3 +171,43 @@
 	require.NoError(t, os.Remove(filepath.Join(path, "identity")))
 	refused(t, path)
 }
+
+// Guards against records of a failed append that are read again although they may not be durable.
+func TestFailedAppendIsUndone(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	f := open(t, path)
+	require.NoError(t, f.Append([]*wire.LogRecord{record(1, 1)}))
+	size := f.Size()
+	other, err := os.OpenFile(filepath.Join(path, "log"), os.O_APPEND|os.O_WRONLY, 0)
+	require.NoError(t, err)
+	log, err := os.ReadFile(other.Name())
+	require.NoError(t, err)
+	_, err = other.Write(log) // a whole frame, of which it is unknown whether it is durable
+	require.NoError(t, err)
+	require.NoError(t, other.Close())
+	require.NoError(t, disk.Undo(f))
+	require.Equal(t, size, f.Size())
+	f = reopen(t, f, path)
+	require.Equal(t, size, f.Size())
+	require.Equal(t, []uint64{1}, indices(f.State().Records))
+	require.True(t, f.Intact())
+}
+
+// Guards against files that were being written when the disk was full, or the process ended, and keep the disk full.
+func TestUnfinishedFilesTakeNoRoom(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "data")
+	require.NoError(t, open(t, path).Close())
+	for _, name := range []string{"vote.new", "log.new", "snapshot.new"} {
+		require.NoError(t, os.WriteFile(filepath.Join(path, name), make([]byte, 1<<20), 0o600))
+	}
+	f := open(t, path)
+	defer f.Close()
+	entries, err := os.ReadDir(path)
+	require.NoError(t, err)
+	for _, e := range entries {
+		info, err := e.Info()
+		require.NoError(t, err)
+		require.Less(t, info.Size(), int64(1000), e.Name())
+	}
+	require.NoError(t, disk.Probe(path))
+}
--- a/internal/disk/frame.go
+++ b/internal/disk/frame.go
@@ -100,7 +100,8 @@
 			return err
 		}
 	}
-	_, err := f.log.Seek(int64(end), io.SeekStart)
+	f.size = int64(end)
+	_, err := f.log.Seek(f.size, io.SeekStart)
 	return err
 }
 
@@ -143,6 +144,9 @@
 	if err == nil {
 		err = next.Sync()
 	}
+	if err != nil {
+		_ = next.Truncate(0) // it must not take the room that it lacked
+	}
 	err = errors.CombineErrors(err, next.Close())
 	if err == nil {
 		err = os.Rename(next.Name(), name)
