End sessions after their answers in a planned stop

Cause: the stop closed a session only if it found it idle, which a busy session is for 2 ms between two statements; what was left at four fifths of the grace was cut. Ruled out: statements that outlast the grace.

Change: a session, and a transaction after half of the grace, ends itself after the answer to its statement; what still waits after five sixths is told what is known; an interruption does not hit a message that has begun to arrive; the VM waits for the statements that other entry VMs run on its connections; the phases scale with the grace.

Why it works: the moment at which a session may be closed is known to the session, not to a poll from outside.

Red before: TestStopAnswersBusySessions, TestStopEndsLongTransaction (EOF), TestStopAnswersWaitingStatement (no answer), TestStopAnswersForwardedStatements (INDOUBT).

--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -47,6 +47,8 @@
 type Client struct {
 	now     func() time.Time
 	options []grpc.DialOption
+	calls   context.Context // of all requests
+	abort   context.CancelFunc
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
@@ -67,9 +69,14 @@
 
 // NewClient returns a Client that opens connections on demand.
 func NewClient(now func() time.Time, options ...grpc.DialOption) *Client {
-	return &Client{now: now, options: options, peers: map[string]*peer{}}
+	c := &Client{now: now, options: options, peers: map[string]*peer{}}
+	c.calls, c.abort = context.WithCancel(context.Background())
+	return c
 }
 
+// Abort ends all requests, also later ones. The outcome of those in progress is unknown.
+func (c *Client) Abort() { c.abort() }
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -274,7 +281,7 @@
 func (h *Handle) Load() Load { return h.load }
 
 // Run runs statements like connpool.Handle.Run.
-func (h *Handle) Run(ctx context.Context, l connpool.Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
+func (h *Handle) Run(_ context.Context, l connpool.Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
 	now := h.client.now()
 	limit := l.Until.Sub(now)
 	if limit <= 0 {
@@ -287,7 +294,7 @@
 	if !l.Target.IsZero() {
 		request.Target = cmp.Or(l.Target.Sub(now).Microseconds(), -1) // 0 on the wire states no target
 	}
-	reply, err := h.exchange(ctx, limit, request)
+	reply, err := h.exchange(limit, request)
 	if err != nil {
 		return nil, err
 	}
@@ -297,7 +304,7 @@
 }
 
 // Prove requests a proof like connpool.Handle.Prove. Sent is not later than the statement was sent.
-func (h *Handle) Prove(ctx context.Context, l connpool.Limit, maxAge time.Duration) (connpool.Proof, error) {
+func (h *Handle) Prove(_ context.Context, l connpool.Limit, maxAge time.Duration) (connpool.Proof, error) {
 	now := h.client.now()
 	limit := l.Until.Sub(now)
 	if limit <= 0 {
@@ -305,7 +312,7 @@
 	}
 	// An entry VM of an earlier build ignores the age and begins a transaction.
 	begin := encodeSteps([]operation.Statement{{Kind: operation.Begin}})
-	reply, err := h.exchange(ctx, limit, &wire.ForwardRequest{
+	reply, err := h.exchange(limit, &wire.ForwardRequest{
 		Server: h.request.Server, Account: h.request.Account, Limit: limit.Microseconds(), Steps: begin, ProofAge: max(maxAge.Microseconds(), 1),
 	})
 	if err != nil {
@@ -322,9 +329,9 @@
 }
 
 // exchange sends a request and waits for its reply.
-func (h *Handle) exchange(ctx context.Context, limit time.Duration, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
+func (h *Handle) exchange(limit time.Duration, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
 	ended := h.peer.track(h.client.now)
-	reply, err := h.call(ctx, limit+replyMargin, r)
+	reply, err := h.call(limit+replyMargin, r)
 	ended(err)
 	if err != nil {
 		h.broken = true
@@ -334,16 +341,15 @@
 	return reply, nil
 }
 
-func (h *Handle) call(ctx context.Context, limit time.Duration, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
+func (h *Handle) call(limit time.Duration, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
 	if !h.request.Pinned {
-		// The server enforces the limit and reports whether the statement ran, so wait for its reply even if
-		// the caller's context ends.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+		// The server enforces the limit and reports whether the statement ran, so only Abort ends the wait for its reply.
+		ctx, cancel := context.WithTimeout(h.client.calls, limit)
 		defer cancel()
 		return h.peer.client.Run(ctx, r)
 	}
 	if h.stream == nil {
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithCancel(h.client.calls)
 		stream, err := h.peer.client.Hold(ctx)
 		if err != nil {
 			cancel()
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -227,7 +227,7 @@
 	case <-ctx.Done():
 		return nil
 	}
-	if p.closing.Load() {
+	if p.closing(p.options.Now()) {
 		return nil
 	}
 	return (*p.pools.Load())[server]
--- a/internal/proxy/credit.go
+++ b/internal/proxy/credit.go
@@ -77,7 +77,7 @@
 // Spend implements forward.Host.
 func (p *Proxy) Spend(ctx context.Context, r forward.SpendRequest) (result lease.Result, known bool) {
 	now := p.options.Now()
-	if p.closing.Load() || p.config.Load().accounts[string(r.Account)] == nil || !p.credits.Answered(now) {
+	if p.closing(now) || p.config.Load().accounts[string(r.Account)] == nil || !p.credits.Answered(now) {
 		return lease.Result{}, false
 	}
 	return p.awaitCredit(ctx, now, r.Account, r.Target, min(r.Limit, creditTimeout)), true
--- a/internal/proxy/dump.go
+++ b/internal/proxy/dump.go
@@ -39,7 +39,7 @@
 	var d dump
 	err := p.inbox.Do(ctx, func(now time.Time) {
 		d = dump{
-			Identity: p.identity, Version: p.state.Version(), Leased: p.hasLease(now), Draining: p.draining.Load(),
+			Identity: p.identity, Version: p.state.Version(), Leased: p.hasLease(now), Draining: p.stopStarted.Load() != nil,
 			Sessions: p.sessionCount(), Entries: len(*p.entries.Load()), Groups: map[string]dumpGroup{},
 		}
 		for name, g := range p.groups {
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -84,8 +84,8 @@
 
 // runSingle runs a statement outside a transaction.
 func (s *Session) runSingle(ctx context.Context, arrived time.Time, p *permit, st operation.Statement) operation.Answer {
-	until := arrived.Add(p.route.timeout)
-	ctx, cancel := context.WithTimeout(ctx, p.route.timeout)
+	until := s.proxy.deadline(arrived, p.route.timeout)
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(arrived))
 	defer cancel()
 	e := &execution{session: s, permit: p, st: st, deadline: until, targetDeadline: p.targetDeadline(arrived)}
 	switch {
--- a/internal/proxy/proofs.go
+++ b/internal/proxy/proofs.go
@@ -215,7 +215,7 @@
 // Proofs implements forward.Host.
 func (p *Proxy) Proofs(ctx context.Context, r forward.ProofsRequest) ([]freshness.Proof, bool) {
 	g := (*p.served.Load())[r.Group]
-	if g == nil || p.closing.Load() {
+	if g == nil || p.closing(p.options.Now()) {
 		return nil, false
 	}
 	return g.keepProofs(ctx, r), true
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -91,15 +91,6 @@
 	Traffic *traffic.Meter
 }
 
-// Drain sets the phases of a planned stop, as times since its start.
-type Drain struct {
-	Idle   time.Duration // sessions without a transaction are closed
-	Open   time.Duration // open transactions are rolled back
-	Finish time.Duration // remaining connections are closed
-	// Leave bounds the wait for the control group after that. The stop takes at most Finish plus Leave.
-	Leave time.Duration
-}
-
 // Proxy is the protocol-independent part of one entry VM.
 type Proxy struct {
 	options       Options
@@ -121,8 +112,9 @@
 	creditVMs     keeperVMs                         // entry VMs of this zone that keep credits
 	creditKeepers sync.Map                          // choices of the credit keeper (*zoneKeeper) by lease.AccountID
 	leases        renewal.ConfigLeases              // modified only by the event loop
-	draining      atomic.Bool
-	closing       atomic.Bool // new sessions are refused
+	stopStarted   atomic.Pointer[time.Time]         // start of the planned stop; nil before
+	statements    context.Context                   // ends when statements in progress must be answered, because the VM stops
+	interrupt     context.CancelFunc                // ends statements
 
 	mu       sync.Mutex
 	sessions map[*Session]struct{}
@@ -150,6 +142,7 @@
 	p.pools.Store(&map[string]*connpool.Pool{})
 	p.served.Store(&map[string]*group{})
 	p.ctx, p.stop = context.WithCancel(context.Background())
+	p.statements, p.interrupt = context.WithCancel(p.ctx)
 	p.inbox = eventloop.New(eventQueueSize, p.ctx.Done(), errStopped)
 	p.config.Store(newConfigSnapshot(p.state.Configuration(), nil))
 	p.control = renewal.New(host{p}, renewal.Options{
@@ -175,28 +168,6 @@
 	return nil
 }
 
-// drain closes sessions as they become idle, and the rest according to Options.Drain.
-func (p *Proxy) drain() {
-	p.draining.Store(true)
-	started := p.options.Now()
-	log.WithFields(log.Fields{"event": "stop", "sessions": p.sessionCount()}).Info("entry VM drains")
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for range ticker.C {
-		elapsed := p.options.Now().Sub(started)
-		if elapsed < p.options.Drain.Idle {
-			continue
-		}
-		p.closing.Store(true)
-		for _, s := range p.openSessions() {
-			s.shutDown(elapsed >= p.options.Drain.Open, elapsed >= p.options.Drain.Finish)
-		}
-		if p.sessionCount() == 0 || elapsed >= p.options.Drain.Finish {
-			return
-		}
-	}
-}
-
 // runEventLoop runs the event loop until the Proxy stops.
 func (p *Proxy) runEventLoop() {
 	defer close(p.eventLoopDone)
@@ -415,10 +386,14 @@
 	return !until.IsZero() && now.Before(until.Add(p.options.LeaseGrace))
 }
 
+// Statements returns the context in which adapters handle statements. It ends when the VM stops and those in progress must be
+// answered.
+func (p *Proxy) Statements() context.Context { return p.statements }
+
 // Ready returns nil if the VM accepts sessions, or the reason why it does not.
 func (p *Proxy) Ready(context.Context) error {
 	switch {
-	case p.draining.Load():
+	case p.stopStarted.Load() != nil:
 		return errors.New("relay: the entry VM shuts down; connect to another one")
 	case !p.hasLease(p.options.Now()):
 		return errors.New("relay: no configuration lease; no control VM answers")
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -23,8 +23,8 @@
 type Caller struct {
 	Route string // name of the route
 	Key   string // key of the client account
-	// Interrupt makes the adapter close the connection once every statement that it has read is answered. It is
-	// called when the VM shuts down, possibly more than once.
+	// Interrupt makes the adapter close the connection unless it has begun to receive another statement. It is called when
+	// the VM shuts down, possibly more than once.
 	Interrupt func()
 	Close     func() // closes the connection at once
 }
@@ -78,7 +78,7 @@
 		proxy: p, route: c.Route, key: sha256.Sum256([]byte(c.Key)), close: c.Close, interrupt: c.Interrupt,
 		values: map[string]string{}, prepared: map[string]preparedStatement{},
 	}
-	if p.closing.Load() {
+	if p.closing(p.options.Now()) {
 		return nil, p.refuse("", operation.Busy, reasonStop, "the entry VM shuts down; connect to another one")
 	}
 	if _, refusal := s.authorize(p.options.Now(), ""); refusal != nil {
@@ -130,6 +130,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.handle(ctx, st)
+	s.endForStop(s.proxy.phase(s.proxy.options.Now()))
 	s.proxy.metrics.outcomes.Add(a.Code.String(), 1)
 	return a
 }
@@ -155,6 +156,9 @@
 	if !s.resolve(&st) {
 		return operation.Answer{Code: operation.NoStatement, Detail: st.Name}
 	}
+	if refusal := s.refuseForStop(arrived, st.ID); refusal != nil {
+		return *refusal
+	}
 	p, refusal := s.admit(ctx, arrived, st.ID)
 	if refusal != nil {
 		return *refusal
@@ -286,26 +290,6 @@
 	return &a
 }
 
-// shutDown makes the adapter close the session if it has no transaction. Later in a planned stop, rollback ends
-// an open transaction, and finally cut closes the connection at once.
-func (s *Session) shutDown(rollback, cut bool) {
-	if cut {
-		s.close()
-		return
-	}
-	if !s.mu.TryLock() {
-		return // a statement is running
-	}
-	defer s.mu.Unlock()
-	if s.tx != nil && rollback {
-		s.fail("the entry VM shuts down; the transaction was rolled back")
-		return
-	}
-	if s.tx == nil && !s.failed {
-		s.interrupt()
-	}
-}
-
 // expireIdle fails a transaction that has been idle for too long.
 func (s *Session) expireIdle(now time.Time, idle time.Duration) {
 	if !s.mu.TryLock() {
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -35,9 +35,10 @@
 		s.fail("no statement of that name is prepared")
 		return operation.Answer{Code: operation.NoStatement, Detail: st.Name, State: operation.Failed}
 	}
-	ctx, cancel := context.WithTimeout(ctx, t.permit.route.timeout)
+	until := s.proxy.deadline(arrived, t.permit.route.timeout)
+	ctx, cancel := context.WithTimeout(ctx, until.Sub(arrived))
 	defer cancel()
-	e := &execution{session: s, permit: t.permit, st: st, deadline: arrived.Add(t.permit.route.timeout), targetDeadline: t.permit.targetDeadline(arrived)}
+	e := &execution{session: s, permit: t.permit, st: st, deadline: until, targetDeadline: t.permit.targetDeadline(arrived)}
 	a := s.runInTransaction(ctx, e)
 	took := s.proxy.options.Now().Sub(arrived)
 	s.proxy.observe(&st, a, took)
--- a/internal/proxy/warm.go
+++ b/internal/proxy/warm.go
@@ -75,7 +75,7 @@
 // wait for them: those of the accounts with the highest rates first. It reports whether the VM owns any.
 func (p *Proxy) openAhead(now time.Time) (owns bool) {
 	ownership := p.ownership.Load()
-	settled := p.warm.settled(now, ownership) && !p.draining.Load()
+	settled := p.warm.settled(now, ownership) && p.stopStarted.Load() == nil
 	accounts := p.config.Load().byRate
 	for _, g := range p.groups {
 		for _, pool := range g.ownedPools(p.options.Process, ownership) {
