Send no new work to a primary that leaves for too long

Cause: the choice of the primary had no limit in time; it was kept until there is a successor. Ruled out: entry VMs that do not learn of the report, and control VMs that order nobody.

Change: no new work goes to an instance from drain_ms less a second on, whether it leads or not; the pool of its connections keeps the limit for what waits in it; the control log keeps when it first reported that it leaves, for entry VMs that start later. Operations that need such a primary are refused at once.

Why it works: every statement to an instance passes its pool, and every entry VM knows when the instance began to leave.

Red before: TestLeavingPrimaryTakesNoLateWork (DONE after the drain time), TestWaitingWorkDoesNotReachLeavingInstance (9 arrivals, not 5).

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -44,13 +44,20 @@
 	until := l.Until
 	ctx, cancel := context.WithTimeout(ctx, max(until.Sub(now()), 0))
 	defer cancel()
+	if h.pooled == nil {
+		left, limited := h.pool.remaining(now())
+		if limited {
+			ctx, cancel = context.WithTimeout(ctx, max(left, 0))
+			defer cancel()
+		}
+	}
 	if operation.AnyNeedsSlot(statements) {
 		t := slots.NewTicket()
 		t.Ticket = admission.Ticket{
 			Account: admission.AccountID(h.account), Weight: h.weight, Read: h.read, InTransaction: h.pooled != nil, Deadline: until, Target: l.Target,
 		}
 		if err := h.pool.admit(ctx, t); err != nil {
-			return nil, err
+			return nil, h.beginError(err)
 		}
 		h.counted = h.counted || h.pooled == nil
 		entered := now()
@@ -62,7 +69,10 @@
 	if h.pooled == nil {
 		if err := h.pool.acquire(ctx, h, values); err != nil {
 			h.releaseAdmission()
-			return nil, err
+			return nil, h.beginError(err)
+		}
+		if h.pool.ended(now()) {
+			return nil, ErrClosed
 		}
 	}
 	if err := h.adjust(until, values); err != nil {
@@ -71,6 +81,14 @@
 	return h.runAll(until, statements)
 }
 
+// beginError returns the error of work that was not sent: ErrClosed if the pool takes no new work any more.
+func (h *Handle) beginError(err error) error {
+	if h.pooled == nil && h.pool.ended(h.pool.options.Now()) {
+		return ErrClosed
+	}
+	return err
+}
+
 // adjust applies the session values to the connection.
 func (h *Handle) adjust(until time.Time, values map[string]string) error {
 	first := h.pooled.adjust(values)
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -22,7 +22,8 @@
 	ErrQueueTimeout = errors.New("lane: no room for the statement within its time; it did not run")
 	// ErrQueueFull reports that too many statements of the client account are queued.
 	ErrQueueFull = errors.New("lane: too many statements of the client account wait; the statement did not run")
-	// ErrClosed reports that the pool is closed: the backend server left its group, or the entry VM stops.
+	// ErrClosed reports that the pool takes no new work: the backend server left its group or is about to, or the entry VM
+	// stops.
 	ErrClosed = errors.New("lane: the backend server left; the statement did not run")
 	// ErrUnreachable reports that no connection could be opened.
 	ErrUnreachable = errors.New("lane: the backend server is not reached; the statement did not run")
@@ -101,6 +102,7 @@
 	inUse            map[*Handle]struct{}
 	waiting          []chan struct{} // one for each Handle that waits for a connection, first come first served
 	closed           bool
+	endAt            time.Time // no new work is sent from this time on; zero for none
 	ahead            ahead
 	proof            Proof                   // latest one, with the log position only
 	stats            placement.InstanceStats // of the exchanges on connections of this VM, and of failed attempts to open one
@@ -225,6 +227,26 @@
 	p.open--
 }
 
+// EndAt sets the time from which no new work is sent to the instance; zero for none. Transactions that have begun go on.
+func (p *Pool) EndAt(t time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endAt = t
+}
+
+// remaining returns the time in which new work may be sent. limited is false if there is no end.
+func (p *Pool) remaining(now time.Time) (left time.Duration, limited bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endAt.Sub(now), !p.endAt.IsZero()
+}
+
+// ended reports whether no new work may be sent any more.
+func (p *Pool) ended(now time.Time) bool {
+	left, limited := p.remaining(now)
+	return limited && left <= 0
+}
+
 // CloseIdle closes connections that have been idle for at least maxIdle.
 func (p *Pool) CloseIdle(now time.Time, maxIdle time.Duration) {
 	p.mu.Lock()
--- a/internal/controlstate/member.go
+++ b/internal/controlstate/member.go
@@ -30,7 +30,7 @@
 		return errors.Wrapf(err, "controlstate: instance %q: address", m.GetServer())
 	case at.Port() == 0:
 		return errors.Newf("controlstate: instance %q: the address %q has no port", m.GetServer(), m.GetAddress())
-	case m.GetBorn() > maxBorn || m.GetSequence() > maxSequence || m.GetSlots() > maxSlots:
+	case m.GetBorn() > maxBorn || m.GetLeft() < 0 || m.GetLeft() > maxBorn || m.GetSequence() > maxSequence || m.GetSlots() > maxSlots:
 		return errors.Newf("controlstate: instance %q: a number is too large", m.GetServer())
 	}
 	return nil
--- a/internal/controlvm/publish.go
+++ b/internal/controlvm/publish.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	"fireflyrudder.example/fireflyrudder/internal/controlstate"
 	"fireflyrudder.example/fireflyrudder/internal/failover"
@@ -185,6 +186,10 @@
 	if ok && group == a.GetGroup() && sameMember(m, known) {
 		return nil
 	}
+	if ok && known.GetLeaving() && known.GetBorn() == m.GetBorn() && m.GetLeaving() {
+		m = proto.CloneOf(m)
+		m.Left = known.GetLeft()
+	}
 	return &wire.Entry{Entry: &wire.Entry_Enlist{Enlist: &wire.Enlist{Group: a.GetGroup(), Member: m}}}
 }
 
--- a/internal/placement/finder.go
+++ b/internal/placement/finder.go
@@ -64,11 +64,19 @@
 	}
 }
 
+// Leader returns the instance that led last, as far as is known; empty if none did.
+func (f *Finder) Leader() ServerID {
+	if f.confirmed != "" && (f.confirmed == f.view || !f.confirmedAt.Before(f.viewedAt)) {
+		return f.confirmed
+	}
+	return f.view
+}
+
 // Primary returns the instance to try as the primary. If none should be tried now, ok is false and retryAfter
 // is the time until one may be.
 func (f *Finder) Primary(now time.Time, members []ServerID) (id ServerID, retryAfter time.Duration, ok bool) {
-	if f.confirmed != "" && (f.confirmed == f.view || !f.confirmedAt.Before(f.viewedAt)) && f.eligible(now, f.confirmed, members) {
-		return f.confirmed, 0, true
+	if leader := f.Leader(); f.eligible(now, leader, members) {
+		return leader, 0, true
 	}
 	if f.eligible(now, f.view, members) {
 		return f.view, 0, true
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -201,7 +201,8 @@
 	}
 }
 
-// awaitPrimary waits for an instance to use as the primary. It returns false if the deadline would pass.
+// awaitPrimary waits for an instance to use as the primary. It returns false if the deadline would pass, or at once if the
+// primary leaves and has no successor yet: nobody knows when there will be one.
 func (e *execution) awaitPrimary(ctx context.Context) (*member, bool) {
 	for {
 		m, wait, changed := e.permit.route.group.primaryTarget(e.now(), true)
@@ -209,7 +210,7 @@
 			return m, true
 		}
 		e.recordFailure(operation.Answer{Code: operation.Busy}, reasonPrimary)
-		if !e.pause(ctx, wait, changed) {
+		if e.permit.route.group.primaryIsLeaving(e.now()) || !e.pause(ctx, wait, changed) {
 			return nil, false
 		}
 	}
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -37,12 +38,15 @@
 	zone       string
 	slots      int
 	leaving    bool
+	leftAt     time.Time // when it began to leave; zero if it does not
 }
 
 // group is the state of a database group on this VM. It is safe for concurrent use.
 type group struct {
 	name        string
 	now         func() time.Time
+	wall        func() time.Time
+	leaveLimit  time.Duration // see Options.LeaveLimit
 	zoneRTT     func(zone string) time.Duration
 	owner       func(g *group, m *member) string // see Proxy.owner
 	keeper      *zoneKeeper                      // of the proofs
@@ -54,6 +58,7 @@
 	members       []*member            // in the order of the view
 	ids           []placement.ServerID // of members, for the finder
 	primary       string               // according to the control group
+	former        string               // primary of an earlier term, according to the control group
 	term          uint64               // of the group, according to the control group
 	switching     bool                 // a planned switchover is in progress; new writes wait
 	finder        *placement.Finder
@@ -69,7 +74,7 @@
 func newGroup(name string, p *Proxy) *group {
 	keeper := newZoneKeeper("proofs of "+name, proofKeeperVMs)
 	return &group{
-		name: name, now: p.options.Now, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward,
+		name: name, now: p.options.Now, wall: p.options.Wall, leaveLimit: p.options.LeaveLimit, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward,
 		proofKeeper: func(now time.Time) string { return keeper.address(now, p) },
 		finder:      placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
 	}
@@ -80,8 +85,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	former := g.primary
-	g.updateMembers(v, retired, newPool)
-	g.primary, g.term = v.GetPrimary(), v.GetTerm()
+	g.updateMembers(now, v, retired, newPool)
+	g.primary, g.former, g.term = v.GetPrimary(), v.GetFormer(), v.GetTerm()
 	g.switching = v.GetPhase() == wire.Phase_PHASE_SWITCHING
 	g.finder.SetView(now, placement.ServerID(g.primary))
 	close(g.viewChanged)
@@ -95,7 +100,7 @@
 
 // updateMembers replaces the members by those of the view. An instance with unchanged address and start time
 // keeps its pool and statistics. The caller holds the lock.
-func (g *group) updateMembers(v *wire.View, retired map[string]bool, newPool func(m *wire.Member) *connpool.Pool) {
+func (g *group) updateMembers(now time.Time, v *wire.View, retired map[string]bool, newPool func(m *wire.Member) *connpool.Pool) {
 	var members []*member
 	var ids []placement.ServerID
 	for _, w := range v.GetMembers() {
@@ -107,10 +112,15 @@
 			}
 		}
 		ids = append(ids, id)
-		members = append(members, &member{
+		next := &member{
 			id: id, pool: m.pool, stats: m.stats, avoidUntil: m.avoidUntil, born: m.born, zone: w.GetZone(), slots: int(w.GetSlots()),
 			leaving: w.GetLeaving() || w.GetRetired() || retired[w.GetServer()],
-		})
+		}
+		if next.leaving {
+			next.leftAt = g.leftAt(now, w)
+		}
+		next.pool.EndAt(g.lastWork(next))
+		members = append(members, next)
 	}
 	for _, m := range g.members {
 		if !slices.ContainsFunc(members, func(n *member) bool { return n.pool == m.pool }) {
@@ -120,6 +130,33 @@
 	g.members, g.ids = members, ids
 }
 
+// leftAt returns when a member began to leave. What this VM saw itself goes before what a control VM states by its wall clock.
+// The caller holds the lock.
+func (g *group) leftAt(now time.Time, w *wire.Member) time.Time {
+	known := g.find(placement.ServerID(w.GetServer()))
+	switch {
+	case known != nil && known.born == w.GetBorn() && known.leaving:
+		return known.leftAt
+	case known != nil && known.born == w.GetBorn() || w.GetLeft() == 0:
+		return now
+	}
+	return now.Add(-max(g.wall().Sub(time.UnixMilli(w.GetLeft())), 0))
+}
+
+// lastWork returns the time from which a member takes no new work; zero if there is none.
+func (g *group) lastWork(m *member) time.Time {
+	if !m.leaving || g.leaveLimit == 0 {
+		return time.Time{}
+	}
+	return m.leftAt.Add(g.leaveLimit)
+}
+
+// takesWork reports whether new work may go to a member.
+func (g *group) takesWork(now time.Time, m *member) bool {
+	last := g.lastWork(m)
+	return last.IsZero() || now.Before(last)
+}
+
 // find returns the member with an id, or nil. The caller holds the lock.
 func (g *group) find(id placement.ServerID) *member {
 	for _, m := range g.members {
@@ -207,7 +244,8 @@
 }
 
 // primaryTarget returns the instance to use as the primary. If there is none, wait is the time after which to
-// try again, unless changed closes before. With fresh set, it returns none during a planned switchover.
+// try again, unless changed closes before. With fresh set it is for new work: it returns none during a planned switchover, and
+// no instance that has been leaving for too long.
 func (g *group) primaryTarget(now time.Time, fresh bool) (m *member, wait time.Duration, changed <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -215,13 +253,39 @@
 	if g.switching && fresh {
 		return nil, switchoverRetry, g.viewChanged
 	}
-	id, wait, ok := g.finder.Primary(now, g.ids)
+	ids := g.ids
+	if fresh {
+		ids = g.idsForWork(now)
+	}
+	id, wait, ok := g.finder.Primary(now, ids)
 	if !ok {
 		return nil, wait, g.viewChanged
 	}
 	return g.find(id), 0, g.viewChanged
 }
 
+// idsForWork returns the ids of the members that take new work. The caller holds the lock.
+func (g *group) idsForWork(now time.Time) []placement.ServerID {
+	if !slices.ContainsFunc(g.members, func(m *member) bool { return !g.takesWork(now, m) }) {
+		return g.ids
+	}
+	var ids []placement.ServerID
+	for _, m := range g.members {
+		if g.takesWork(now, m) {
+			ids = append(ids, m.id)
+		}
+	}
+	return ids
+}
+
+// primaryIsLeaving reports whether the instance that led last takes no new work any more.
+func (g *group) primaryIsLeaving(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.find(cmp.Or(g.finder.Leader(), placement.ServerID(g.former)))
+	return m != nil && !g.takesWork(now, m)
+}
+
 // recordPrimary records that an instance led when a request was sent to it, with its log position as a proof.
 func (g *group) recordPrimary(sent time.Time, server string, at position.Position) {
 	g.mu.Lock()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -86,7 +86,11 @@
 	// LeaseGrace is how long the configuration remains usable after its lease expired. With 0, a VM that is cut
 	// off from the control group refuses operations as soon as the lease expires.
 	LeaseGrace time.Duration
-	Drain      Drain
+	// LeaveLimit is how long new work may go to an instance after it announced that it leaves; 0 for no limit.
+	LeaveLimit time.Duration
+	// Wall is the clock with which control VMs state when an instance began to leave; nil if they do not.
+	Wall  func() time.Time
+	Drain Drain
 	// Traffic counts what this VM exchanges with other VMs; nil for a Meter of its own.
 	Traffic *traffic.Meter
 }
@@ -135,6 +139,9 @@
 	if p.options.Traffic == nil {
 		p.options.Traffic = traffic.NewMeter()
 	}
+	if p.options.Wall == nil {
+		p.options.Wall = func() time.Time { return time.Time{} }
+	}
 	p.options.Traffic.Publish(p.metrics.all)
 	p.forward = forward.NewClient(o.Now, grpc.WithStatsHandler(p.options.Traffic))
 	p.entries.Store(&[]placement.EntryVM{})
