Bound the messages of the control log in bytes

Cause: up to 256 records made one message whatever their size, the messages that waited were joined into one call, and each refused heartbeat made the leader send all that the follower lacked again.

Change: 1 MB of records in one message, 2 MB in one call, 4 MB on the way to one member; a refusal of a message from before the last resend is ignored.

Why it works: what one call carries fits into its time, and a member gets what it lacks once.

--- a/internal/controllog/cluster_test.go
+++ b/internal/controllog/cluster_test.go
@@ -57,6 +57,8 @@
 	loss             float64       // probability that a message is lost
 	duplication      float64       // probability that a message is sent twice
 	maxDelay         time.Duration // largest delay of a message
+	mostRecords      uint64        // largest size of the records in a message so far, in bytes
+	sentRecords      uint64        // size of the records in all messages so far, in bytes
 	crashBeforeSync  float64       // probability of a crash before records become durable
 	committedDigests map[uint64]string
 	committed        map[uint64]*wire.LogRecord
@@ -220,6 +222,11 @@
 
 // sendMessage sends a message over the simulated network.
 func (c *cluster) sendMessage(from *machine, s controllog.Send) {
+	size := uint64(0)
+	for _, r := range s.Message.GetAppend().GetRecords() {
+		size += uint64(proto.Size(r))
+	}
+	c.mostRecords, c.sentRecords = max(c.mostRecords, size), c.sentRecords+size
 	copies := 1
 	if c.random.Float64() < c.duplication {
 		copies = 2
--- a/internal/controllog/event.go
+++ b/internal/controllog/event.go
@@ -129,10 +129,12 @@
 
 // Limits of memory and message size.
 const (
-	MaxBatchRecords      = 256  // records in one message
-	RetainedRecords      = 500  // records up to a snapshot that stay in memory for slow followers
-	MaxMembers           = 9    // voters and learners
-	DefaultSnapshotEvery = 1000 // committed records between snapshots
+	MaxBatchRecords      = 256     // records in one message
+	MaxBatchBytes        = 1 << 20 // bytes of the records in one message; a larger record is sent alone
+	MaxInFlightBytes     = 4 << 20 // bytes of the records sent to one member that it has not confirmed
+	RetainedRecords      = 500     // records up to a snapshot that stay in memory for slow followers
+	MaxMembers           = 9       // voters and learners
+	DefaultSnapshotEvery = 1000    // committed records between snapshots
 	// DefaultSnapshotBytes is the size of the stored records that a snapshot makes superfluous, in bytes. Records of large
 	// configurations reach it long before DefaultSnapshotEvery.
 	DefaultSnapshotBytes = 16 << 20
--- a/internal/controllog/replication.go
+++ b/internal/controllog/replication.go
@@ -80,7 +80,7 @@
 	if !ok {
 		return
 	}
-	records := v.log.between(f.next, previous+MaxBatchRecords)
+	records := v.nextBatch(f)
 	if len(records) == 0 && !heartbeat {
 		return
 	}
@@ -95,6 +95,24 @@
 	v.send(m.Address, m.Identity, &wire.VoterMessage{Body: &wire.VoterMessage_Append{Append: a}})
 }
 
+// nextBatch returns the records that are sent to a follower next. While many bytes are on their way there are none: each
+// heartbeat would add more to what a slow link or receiver has not taken yet.
+func (v *Voter) nextBatch(f *follower) []*wire.LogRecord {
+	inFlight := v.log.bytes(f.matched+1, f.next-1)
+	last, size := f.next, v.log.bytes(f.next, f.next)
+	for last+1 < f.next+MaxBatchRecords && last < v.log.last() {
+		more := v.log.bytes(last+1, last+1)
+		if size+more > MaxBatchBytes {
+			break
+		}
+		last, size = last+1, size+more
+	}
+	if inFlight > 0 && inFlight+size > MaxInFlightBytes {
+		return nil
+	}
+	return v.log.between(f.next, last)
+}
+
 // heartbeat returns a message without records for a follower that is being sent a snapshot. The follower
 // refuses it, but does not start an election.
 func (v *Voter) heartbeat(now time.Time) *wire.VoterMessage {
@@ -224,7 +242,11 @@
 	if acked := v.termBegan.Add(time.Duration(r.Sent)); acked.After(f.acked) {
 		f.acked = acked
 	}
+	if r.Refused && v.termBegan.Add(time.Duration(r.Sent)).Before(f.rewound) {
+		return // the records that this message lacked have been sent since
+	}
 	if r.Refused {
+		f.rewound = now
 		f.next = max(f.matched, min(f.next-1, r.Hint)) + 1
 	} else {
 		f.matched = max(f.matched, r.Matched)
--- a/internal/controllog/size_test.go
+++ b/internal/controllog/size_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/controllog"
 )
 
 // TestStoredRecordsAreBoundedInBytes guards against a log of few but large records that fills the disks of all voters before
@@ -56,3 +58,40 @@
 	c.run(span)
 	m.isolated = false
 }
+
+// TestMessagesAreBoundedInBytes guards against a follower that was cut off and gets all that it lacks in one message, and again
+// with each heartbeat: the copies take more memory than the VMs have.
+func TestMessagesAreBoundedInBytes(t *testing.T) {
+	for _, size := range []int{1_000, 300_000, 1_500_000} {
+		t.Run(fmt.Sprint(size, " bytes"), func(t *testing.T) {
+			c := newCluster(t, 7, 3, 0)
+			for _, m := range c.machines {
+				c.crash(m)
+				m.config.SnapshotEvery, m.config.SnapshotBytes = 1_000_000, 1<<30
+				c.boot(m)
+			}
+			c.runUntil(10*time.Second, "forming the group", c.fullyReplicated)
+			leader := c.leader()
+			require.NotNil(t, leader)
+			behind := c.machines[0]
+			if behind == leader {
+				behind = c.machines[1]
+			}
+			behind.isolated = true
+			lacking := 0
+			for lacking < 18_000_000 {
+				for range max(300_000/size, 1) {
+					c.proposeBytes(size)
+					lacking += size
+				}
+				c.run(50 * time.Millisecond)
+			}
+			c.sentRecords = 0
+			c.maxDelay = 300 * time.Millisecond // each message overtakes others
+			behind.isolated = false
+			c.runUntil(60*time.Second, "replication", c.fullyReplicated)
+			require.LessOrEqual(t, c.mostRecords, uint64(max(controllog.MaxBatchBytes, size+100)))
+			require.Less(t, c.sentRecords, uint64(3*lacking), "what a member lacks is sent again only if it was lost")
+		})
+	}
+}
--- a/internal/controllog/voter.go
+++ b/internal/controllog/voter.go
@@ -107,6 +107,7 @@
 	lastHeard    time.Time // when it last replied
 	acked        time.Time // send time of the latest message that it replied to in this term; bounds the lease
 	snapshotSent time.Time // when a snapshot was last sent
+	rewound      time.Time // when records were last sent again from an earlier index on
 }
 
 // New returns a voter that continues from its data folder. The start counts as a message from the leader,
--- a/internal/controlvm/export_test.go
+++ b/internal/controlvm/export_test.go
@@ -3,6 +3,11 @@
 import (
 	"context"
 	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"fireflyrudder.example/fireflyrudder/internal/controllog"
+	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
 // PostgresClient exposes the calls to backend servers to tests.
@@ -52,3 +57,20 @@
 func (vm *VM) Freeze(d time.Duration) {
 	_ = vm.inbox.Post(context.Background(), func(time.Time) { time.Sleep(d) })
 }
+
+// CallSizes returns the sizes in bytes of the calls that deliver messages to one address.
+func CallSizes(messages []*wire.VoterMessage) []int {
+	o := newOutbox(nil, newMetrics())
+	for _, m := range messages {
+		o.enqueue(controllog.Send{Address: "vm", Message: m})
+	}
+	var sizes []int
+	q := o.queues["vm"]
+	if q == nil {
+		return nil
+	}
+	for call := o.dequeue(q); len(call) > 0; call = o.dequeue(q) {
+		sizes = append(sizes, proto.Size(&wire.DeliverRequest{Messages: call}))
+	}
+	return sizes
+}
--- a/internal/controlvm/outbox.go
+++ b/internal/controlvm/outbox.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"fireflyrudder.example/fireflyrudder/internal/certificate"
 	"fireflyrudder.example/fireflyrudder/internal/controllog"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
@@ -14,6 +16,7 @@
 // Limits of the messages to one address. The control log repeats lost messages.
 const (
 	maxQueued              = 1024
+	maxCallBytes           = 2 << 20                // of the messages in one call; a larger message is sent alone
 	deliverTimeout         = 400 * time.Millisecond // bounds how long a frozen receiver delays later messages
 	snapshotDeliverTimeout = 10 * time.Second       // bounds a delivery that contains a snapshot
 	idleTimeout            = time.Minute            // after which an address without messages is removed
@@ -87,7 +90,7 @@
 	}
 }
 
-// sendLoop sends the messages of one queue. Each call delivers all messages that are queued.
+// sendLoop sends the messages of one queue. Each call delivers as many as maxCallBytes allows.
 func (o *outbox) sendLoop(ctx context.Context, address string, q *queue) {
 	conn, err := Dial(address, o.pair)
 	if err != nil {
@@ -107,17 +110,28 @@
 			}
 		case <-q.wake:
 			idle.Reset(idleTimeout)
-			o.send(ctx, client, o.dequeue(q))
+			for messages := o.dequeue(q); len(messages) > 0; messages = o.dequeue(q) {
+				o.send(ctx, client, messages)
+			}
 		}
 	}
 }
 
-// dequeue removes and returns all messages of a queue.
+// dequeue removes and returns the messages of the next call.
 func (o *outbox) dequeue(q *queue) []*wire.VoterMessage {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	messages := q.messages
-	q.messages = nil
+	n, size := 0, 0
+	for ; n < len(q.messages); n++ {
+		size += proto.Size(q.messages[n])
+		if n > 0 && size > maxCallBytes {
+			break
+		}
+	}
+	messages := q.messages[:n:n]
+	if q.messages = q.messages[n:]; len(q.messages) == 0 {
+		q.messages = nil
+	}
 	return messages
 }
 
