End the transactions of a withdrawn key

Cause: the key was checked when an operation began only. Change: each statement of an open transaction checks it; the transaction is rolled back, the statement answered NOAUTH and a COMMIT ABORTED.

Red before: TestWithdrawnKeyEndsTransactions (served 3.0 s after the ack).

--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -31,6 +31,9 @@
 		s.fail("a transaction is open already")
 		return operation.Answer{Code: operation.Malformed, Detail: s.abortReason, State: operation.Failed}
 	}
+	if refusal := s.refuseWithdrawnKey(&st); refusal != nil {
+		return *refusal
+	}
 	if !s.resolve(&st) {
 		s.fail("no statement of that name is prepared")
 		return operation.Answer{Code: operation.NoStatement, Detail: st.Name, State: operation.Failed}
@@ -50,6 +53,24 @@
 	return a
 }
 
+// refuseWithdrawnKey rolls the open transaction back if the key of the session is not valid any more, and returns the answer to
+// its statement. The route of a transaction stays that with which it began.
+func (s *Session) refuseWithdrawnKey(st *operation.Statement) *operation.Answer {
+	route := s.tx.permit.route
+	if _, valid := s.proxy.config.Load().keys[s.key]; valid || route.public {
+		return nil
+	}
+	a := s.proxy.refuse(st.ID, operation.NoAccess, reasonKey, "the key is not valid any more; the transaction was rolled back")
+	s.fail(a.Detail)
+	if st.Kind == operation.Commit {
+		s.failed = false
+		a.Code = operation.Aborted
+		return &a
+	}
+	a.State = operation.Failed
+	return &a
+}
+
 // runInTransaction runs a statement on the connection of the transaction.
 func (s *Session) runInTransaction(ctx context.Context, e *execution) operation.Answer {
 	t := s.tx
