Ask for no proof without a client account

Suspected cause: the event loop asks for a proof between the choice of the primary and the first statement, with an empty client account, which an instance refuses. Change: no proof is asked for before a client account is known.

Red before: TestNoProofWithoutClientAccount (one connection opened).

--- a/internal/proxy/proofs.go
+++ b/internal/proxy/proofs.go
@@ -151,6 +151,10 @@
 func (g *group) queryProof() {
 	ctx, cancel := context.WithTimeout(context.Background(), proofTimeout)
 	defer cancel()
+	account := g.proofAccount()
+	if account == "" {
+		return // the first operation has not reached an instance yet
+	}
 	m, wait, changed := g.primaryTarget(g.now(), false)
 	if m == nil {
 		select {
@@ -159,7 +163,7 @@
 		}
 		return
 	}
-	h := g.newConn(m, connRequest{account: g.proofAccount(), weight: 1, read: true})
+	h := g.newConn(m, connRequest{account: account, weight: 1, read: true})
 	defer h.Release()
 	sent := g.now()
 	proof, err := h.Prove(ctx, connpool.Limit{Until: sent.Add(proofTimeout)}, sharedProofAge)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -62,6 +62,17 @@
 	require.LessOrEqual(t, p.begun.Load(), int32(2))
 }
 
+// TestNoProofWithoutClientAccount guards against a proof that is asked for between the choice of the primary and the first
+// statement: an instance refuses a connection without a client account, and the owner of its connections is avoided for that.
+func TestNoProofWithoutClientAccount(t *testing.T) {
+	p := &primary{}
+	pool := connpool.New(connpool.Options{Group: "g", Server: "i", Dial: p.dial, Now: time.Now, Slots: 3, Connections: 2})
+	proxy.FetchProofs(time.Now, pool, []string{""})
+	require.Zero(t, p.opened.Load())
+	proxy.FetchProofs(time.Now, pool, []string{"tide"})
+	require.EqualValues(t, 1, p.opened.Load())
+}
+
 // TestProofsOfAZoneAreShared guards against statements for proofs that grow with the number of entry VMs: at 300 entry
 // VMs they filled the link of the one that owns the connections to a primary.
 func TestProofsOfAZoneAreShared(t *testing.T) {
