--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -53,11 +53,11 @@
 	return a
 }
 
-// refuseWithdrawnKey rolls the open transaction back if the key of the session is not valid any more, and returns the answer to
-// its statement. The route of a transaction stays that with which it began.
+// refuseWithdrawnKey rolls the open transaction back if the key of the session is not that of its client account any more, and
+// returns the answer to its statement. The route of a transaction stays that with which it began.
 func (s *Session) refuseWithdrawnKey(st *operation.Statement) *operation.Answer {
-	route := s.tx.permit.route
-	if _, valid := s.proxy.config.Load().keys[s.key]; valid || route.public {
+	p := s.tx.permit
+	if owner, valid := s.proxy.config.Load().keys[s.key]; valid && owner == p.account.name || p.route.public {
 		return nil
 	}
 	a := s.proxy.refuse(st.ID, operation.NoAccess, reasonKey, "the key is not valid any more; the transaction was rolled back")
