--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -81,14 +81,6 @@
 	return h.runAll(until, statements)
 }
 
-// beginError returns the error of work that was not sent: ErrClosed if the pool takes no new work any more.
-func (h *Handle) beginError(err error) error {
-	if h.pooled == nil && h.pool.ended(h.pool.options.Now()) {
-		return ErrClosed
-	}
-	return err
-}
-
 // adjust applies the session values to the connection.
 func (h *Handle) adjust(until time.Time, values map[string]string) error {
 	first := h.pooled.adjust(values)
