Send a read to a second instance when its answer is overdue

Cause: a read whose answer is lost, or whose owner has frozen, waits until its deadline. The tests call the new functions, so they were not run on the code before.

--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -247,12 +247,12 @@
 		}
 		st := e.st
 		st.After = floor
-		answers, _, err := e.runAt(ctx, m, st)
-		if len(answers) > 0 && !answers[0].Code.NotRun() {
-			e.session.proxy.countRead(g, string(m.id))
-			return answers[0]
+		r := e.readHedged(ctx, m, st)
+		if r.ran() {
+			e.session.proxy.countRead(g, string(r.member.id))
+			return r.answers[0]
 		}
-		if !e.prepareRetry(ctx, m, answers, err) {
+		if !e.prepareRetry(ctx, r.member, r.answers, r.err) {
 			return e.giveUp()
 		}
 	}
--- /dev/null
+++ b/internal/proxy/hedge.go
@@ -0,0 +1,137 @@
+package proxy
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"fireflyrudder.example/fireflyrudder/internal/connpool"
+	"fireflyrudder.example/fireflyrudder/internal/forward"
+	"fireflyrudder.example/fireflyrudder/internal/lease"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/placement"
+)
+
+// hedgeCreditTimeout bounds the wait for the credit of a read that is sent a second time.
+const hedgeCreditTimeout = 30 * time.Millisecond
+
+// hedger is a placement.Hedge for the sessions. It is safe for concurrent use.
+type hedger struct {
+	mu    sync.Mutex
+	hedge placement.Hedge
+}
+
+func (h *hedger) answered(elapsed time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hedge.Answered(elapsed)
+}
+
+func (h *hedger) delay() (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hedge.Delay()
+}
+
+func (h *hedger) spend() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hedge.Spend()
+}
+
+// readResult is the outcome of a read at one instance.
+type readResult struct {
+	member  *member
+	answers []operation.Answer
+	err     error
+}
+
+// ran reports whether the instance ran the read.
+func (r *readResult) ran() bool { return len(r.answers) > 0 && !r.answers[0].Code.NotRun() }
+
+// readHedged runs a read at an instance, and at another one as well if the answer is overdue. It returns the first result
+// of an instance that ran the read, or else that of the last one.
+func (e *execution) readHedged(ctx context.Context, m *member, st operation.Statement) readResult {
+	p := e.session.proxy
+	sent := e.now()
+	results := make(chan readResult, 2)
+	e.startRead(ctx, m, st, results)
+	r, answered := e.awaitRead(results)
+	if !answered {
+		r = e.hedge(ctx, m, st, results)
+	}
+	elapsed := e.now().Sub(sent)
+	e.permit.trace.run += elapsed
+	if r.ran() {
+		p.hedges.answered(elapsed)
+	}
+	return r
+}
+
+// awaitRead waits for the first result. answered is false once it is overdue.
+func (e *execution) awaitRead(results <-chan readResult) (r readResult, answered bool) {
+	delay, ok := e.session.proxy.hedges.delay()
+	if !ok || delay >= e.remaining() {
+		return <-results, true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case r = <-results:
+		return r, true
+	case <-timer.C:
+		return r, false
+	}
+}
+
+// hedge sends a read that m has not answered to another instance, if there is one, and awaits the results.
+func (e *execution) hedge(ctx context.Context, m *member, st operation.Statement, results chan readResult) readResult {
+	p := e.session.proxy
+	other := e.permit.route.group.readTarget(e.now(), st.After, append(e.triedServers[:len(e.triedServers):len(e.triedServers)], string(m.id)))
+	if other == nil || !p.hedges.spend() || !p.takeHedgeCredit(ctx, e.permit.account) {
+		return <-results
+	}
+	p.metrics.hedged.Add(1)
+	e.startRead(ctx, other, st, results)
+	r := <-results
+	if !r.ran() {
+		r = <-results
+	}
+	if r.member == other && r.ran() {
+		p.metrics.hedgeWins.Add(1)
+	}
+	return r
+}
+
+// startRead runs a read at an instance in a goroutine of its own, which may outlive the execution.
+func (e *execution) startRead(ctx context.Context, m *member, st operation.Statement, results chan<- readResult) {
+	g, request := e.permit.route.group, e.connRequest(false)
+	limit := connpool.Limit{Until: e.deadline, Target: e.targetDeadline}
+	values := maps.Clone(e.session.values)
+	go func() {
+		h := g.newConn(m, request)
+		defer h.Release()
+		answers, err := h.Run(ctx, limit, values, st)
+		results <- readResult{m, answers, err}
+	}()
+}
+
+// takeHedgeCredit takes a credit for a read that is sent a second time, since it is one more statement of its client account
+// for the backend servers.
+func (p *Proxy) takeHedgeCredit(ctx context.Context, a *account) bool {
+	id, now := lease.AccountID(a.name), p.options.Now()
+	if a.name == publicAccount || p.credits.TakeHeld(now, id, 1) {
+		return true
+	}
+	address := p.creditKeeper(id).address(now, p)
+	if address == "" {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, hedgeCreditTimeout)
+	defer cancel()
+	result, err := p.forward.Spend(ctx, address, forward.SpendRequest{
+		Account: id, Limit: hedgeCreditTimeout, Disconnected: p.credits.Disconnected(now),
+	})
+	return err == nil && result.Verdict == lease.Admitted
+}
--- /dev/null
+++ b/internal/proxy/hedge_test.go
@@ -0,0 +1,49 @@
+package proxy_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"fireflyrudder.example/fireflyrudder/internal/connpool"
+	"fireflyrudder.example/fireflyrudder/internal/operation"
+	"fireflyrudder.example/fireflyrudder/internal/proxy"
+)
+
+// silent is a connection to an instance that runs a statement and whose answer is lost.
+type silent struct{ ctx context.Context }
+
+func (s silent) Exchange(limit time.Duration, _ ...operation.Statement) ([]operation.Answer, error) {
+	select {
+	case <-s.ctx.Done():
+	case <-time.After(limit):
+	}
+	return nil, errors.New("no answer")
+}
+
+func (silent) Close() {}
+
+// TestReadWithoutAnswerRunsElsewhere guards against a read that waits until its deadline for an answer that was lost, although
+// another instance is idle.
+func TestReadWithoutAnswerRunsElsewhere(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	dial := func(_ context.Context, target connpool.Target) (connpool.Conn, error) {
+		if target.Server == "lost" {
+			return silent{ctx}, nil
+		}
+		return &primary{}, nil
+	}
+	answered, hedged := proxy.HedgedRead(t.Context(), dial, "lost", "idle")
+	require.Equal(t, "idle", answered)
+	require.EqualValues(t, 1, hedged)
+	answered, hedged = proxy.HedgedRead(t.Context(), dial, "idle", "lost")
+	require.Equal(t, "idle", answered)
+	require.Zero(t, hedged)
+	time.AfterFunc(200*time.Millisecond, stop)
+	answered, _ = proxy.HedgedRead(t.Context(), dial, "lost")
+	require.Empty(t, answered, "there is no other instance")
+}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -24,6 +24,8 @@
 	writes       *expvar.Int
 	commits      *expvar.Int
 	disconnected *expvar.Int          // operations admitted while no control group was reachable
+	hedged       *expvar.Int          // reads that were sent to a second instance, since the answer was overdue
+	hedgeWins    *expvar.Int          // those of them that the second instance answered first
 	handedOver   *expvar.Int          // accrued parts of rates that a credit keeper took, one for each account and message
 	slow         *expvar.Int          // operations above the latency target of their route
 	idle         *expvar.Int          // transactions ended because they were idle
@@ -47,7 +49,7 @@
 	named := map[string]**expvar.Int{
 		"sessions": &m.sessions, "opened": &m.opened, "refused": &m.refused, "versions": &m.versions,
 		"renewals": &m.renewals, "unrenewed": &m.unrenewed, "retries": &m.retries, "replica": &m.replica,
-		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "slow": &m.slow, "alone": &m.disconnected, "pooled": &m.handedOver,
+		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "slow": &m.slow, "alone": &m.disconnected, "pooled": &m.handedOver, "hedged": &m.hedged, "hedgewins": &m.hedgeWins,
 	}
 	for name, counter := range named {
 		*counter = new(expvar.Int)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -114,6 +114,7 @@
 	served        atomic.Pointer[map[string]*group] // by name
 	viewsReady    chan struct{}                     // closed when the pools of the first views are published
 	creditVMs     keeperVMs                         // entry VMs of this zone that keep credits
+	hedges        hedger                            // of reads
 	creditKeepers sync.Map                          // choices of the credit keeper (*zoneKeeper) by lease.AccountID
 	leases        renewal.ConfigLeases              // modified only by the event loop
 	stopStarted   atomic.Pointer[time.Time]         // start of the planned stop; nil before
