Entry VMs report their capacity and use that of the others

Cause: no VM knows the capacity of another one. Change: proxy.Options.Capacity goes with the registration; updateEntryVMs passes the capacities of all to the ownership. Moves of owners are counted (moves) and logged (event=owners).

--- a/internal/controlstate/registration_test.go
+++ b/internal/controlstate/registration_test.go
@@ -95,3 +95,23 @@
 	*sent = u.Entered
 	entry.ApplyUpdate(u)
 }
+
+// TestCapacityOfVMsIsKept guards against entry VMs that compute different owners, because some know the capacity of a VM
+// and others, which got all registrations, changes or a registration that had lapsed, do not.
+func TestCapacityOfVMsIsKept(t *testing.T) {
+	control := controlstate.New()
+	register(control, 1, "other", "host:1")
+	control.Apply(2, &wire.Entry{Entry: &wire.Entry_Register{Register: &wire.Registration{Entry: "e", Cores: 0.5, Link: 2}}})
+	control.Apply(3, &wire.Entry{Entry: &wire.Entry_Lapse{Lapse: "e"}})
+	for _, known := range []uint64{0, 1} {
+		u, entry := &wire.Update{}, controlstate.New()
+		if known > 0 {
+			entry.ApplyUpdate(&wire.Update{Entered: known})
+		}
+		control.FillRegistrations(u, known, true)
+		entry.ApplyUpdate(u)
+		r := entry.Registrations()[0]
+		require.Equal(t, "e", r.GetEntry())
+		require.Equal(t, []float64{0.5, 2}, []float64{r.GetCores(), r.GetLink()})
+	}
+}
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -244,3 +244,12 @@
 	}
 	return opened
 }
+
+// EntryVMs applies an update and returns the entry VMs that may own connections then.
+func EntryVMs(p *Proxy, u *wire.Update) []placement.EntryVM {
+	p.applyUpdate(p.options.Now(), u)
+	return *p.entries.Load()
+}
+
+// Moves returns the number of moves of owners that were counted.
+func Moves(p *Proxy) int64 { return p.metrics.moves.Value() }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -91,6 +91,9 @@
 	// Wall is the clock with which control VMs state when an instance began to leave; nil if they do not.
 	Wall  func() time.Time
 	Drain Drain
+	// Capacity is what counts of this VM for ownership of connections. If any entry VM reports none, owners are chosen by hash
+	// alone.
+	Capacity placement.Capacity
 	// Traffic counts what this VM exchanges with other VMs; nil for a Meter of its own.
 	Traffic *traffic.Meter
 }
@@ -124,9 +127,10 @@
 	sessions map[*Session]struct{}
 
 	// accessed only by the event loop
-	state  *controlstate.State
-	groups map[string]*group
-	warm   warmUp
+	state   *controlstate.State
+	groups  map[string]*group
+	warm    warmUp
+	counted *placement.Ownership // whose moves of owners are counted
 }
 
 // New returns a Proxy. Run starts it.
@@ -145,7 +149,8 @@
 	p.options.Traffic.Publish(p.metrics.all)
 	p.forward = forward.NewClient(o.Now, grpc.WithStatsHandler(p.options.Traffic))
 	p.entries.Store(&[]placement.EntryVM{})
-	p.ownership.Store(placement.NewOwnership(nil, nil))
+	p.counted = placement.NewOwnership(nil, nil)
+	p.ownership.Store(p.counted)
 	p.pools.Store(&map[string]*connpool.Pool{})
 	p.served.Store(&map[string]*group{})
 	p.ctx, p.stop = context.WithCancel(context.Background())
@@ -153,7 +158,7 @@
 	p.inbox = eventloop.New(eventQueueSize, p.ctx.Done(), errStopped)
 	p.config.Store(newConfigSnapshot(p.state.Configuration(), nil))
 	p.control = renewal.New(host{p}, renewal.Options{
-		Registration: &wire.Registration{Entry: p.identity, Name: o.Node.Name, Zone: o.Node.Zone, Process: o.Process, Forward: o.Forward},
+		Registration: &wire.Registration{Entry: p.identity, Name: o.Node.Name, Zone: o.Node.Zone, Process: o.Process, Forward: o.Forward, Cores: o.Capacity.Cores, Link: o.Capacity.Link},
 		Controls:     o.Controls, Dial: o.Dial, Now: o.Now, MinInterval: o.MinRenewInterval,
 	})
 	p.credits = p.control.Credits()
@@ -211,6 +216,7 @@
 // updateConnectionLimits sets how many connections to each instance this VM may open.
 func (p *Proxy) updateConnectionLimits(now time.Time) {
 	ownership := p.ownership.Load()
+	p.countMoves(ownership)
 	accounts := len(p.config.Load().accounts)
 	for _, g := range p.groups {
 		w, _ := p.state.Group(g.name)
@@ -299,7 +305,9 @@
 		if e.GetLapsed() {
 			continue
 		}
-		entries = append(entries, placement.EntryVM{ID: e.GetProcess(), Address: e.GetForward(), Zone: e.GetZone()})
+		entries = append(entries, placement.EntryVM{
+			ID: e.GetProcess(), Address: e.GetForward(), Zone: e.GetZone(), Capacity: placement.Capacity{Cores: e.GetCores(), Link: e.GetLink()},
+		})
 	}
 	if !slices.Equal(entries, *p.entries.Load()) {
 		p.entries.Store(&entries)
@@ -321,6 +329,18 @@
 	}
 }
 
+// countMoves counts and logs the instances whose connections have another owner since the last call.
+func (p *Proxy) countMoves(o *placement.Ownership) {
+	if o == p.counted {
+		return
+	}
+	if moved := o.Moved(p.counted); moved > 0 {
+		p.metrics.moves.Add(int64(moved))
+		log.WithFields(log.Fields{"event": "owners", "moved": moved, "entries": len(*p.entries.Load())}).Info("owners of connections changed")
+	}
+	p.counted = o
+}
+
 // applyViews applies the changed views to their groups.
 func (p *Proxy) applyViews(now time.Time, c *wire.Configuration) {
 	retired := map[string]bool{}
