Owners report how long a statement of the client account waits

Cause: an entry VM learns that the queue of an instance is too long only by sending statements there. Pools with the option Waits pass it to ForwardReply.waits.

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -27,6 +27,9 @@
 	broken     bool
 }
 
+// Waits returns the expected waits of further statements of the client account; see Pool.Waits.
+func (h *Handle) Waits() []time.Duration { return h.pool.Waits(h.account) }
+
 // Broken reports whether the connection was lost.
 func (h *Handle) Broken() bool { return h.broken }
 
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -60,8 +60,9 @@
 	Group, Server, Address string
 	Dial                   Dialer
 	Now                    func() time.Time
-	Slots                  int // statements that the instance runs concurrently; 0 if unknown
-	Connections            int // initial limit on the connections of this VM
+	Slots                  int  // statements that the instance runs concurrently; 0 if unknown
+	Connections            int  // initial limit on the connections of this VM
+	Waits                  bool // the pool estimates how long statements wait for a slot
 	// Observe receives how long statements spend in each stage. It must be safe for concurrent use; nil for none.
 	Observe func(Stage, time.Duration)
 }
@@ -158,6 +159,15 @@
 	return Load{Open: p.open, Idle: len(p.idle), Running: running, Waiting: waiting}
 }
 
+// Waits returns how long a statement of a client account that arrives now is expected to wait for a slot, by priority from 0
+// on; nil if it is not known or not estimated.
+func (p *Pool) Waits(account string) []time.Duration {
+	if !p.options.Waits {
+		return nil
+	}
+	return p.slots.Waits(p.options.Now(), admission.AccountID(account))
+}
+
 // Silence returns for how long the instance has left statements on the connections of this VM unanswered; 0 if it
 // answers.
 func (p *Pool) Silence(now time.Time) time.Duration {
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -266,6 +266,7 @@
 	cancel  context.CancelFunc
 	broken  bool
 	load    Load
+	waits   []time.Duration
 }
 
 // NewHandle returns a Handle. The caller must call Release.
@@ -280,6 +281,9 @@
 // Load returns the load of the other entry VM as of the last reply.
 func (h *Handle) Load() Load { return h.load }
 
+// Waits returns the expected waits of further statements of the client account as of the last reply; nil if it has none.
+func (h *Handle) Waits() []time.Duration { return h.waits }
+
 // Run runs statements like connpool.Handle.Run.
 func (h *Handle) Run(_ context.Context, l connpool.Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
 	now := h.client.now()
@@ -337,6 +341,7 @@
 		h.broken = true
 		return nil, errors.Mark(errors.CombineErrors(connpool.ErrConnectionLost, err), ErrPeerLost)
 	}
+	h.waits = decodeWaits(reply.GetWaits())
 	h.load = Load{Running: int(reply.GetRunning()), Waiting: int(reply.GetWaiting())}
 	return reply, nil
 }
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -7,6 +7,8 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"fireflyrudder.example/fireflyrudder/internal/connpool"
@@ -15,6 +17,13 @@
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
+const (
+	// maxWait bounds the expected waits that are accepted from another entry VM. It is above all deadlines.
+	maxWait = time.Minute
+	// maxPriorities bounds their number.
+	maxPriorities = 8
+)
+
 // failures maps errors of connpool to their values on the wire, in numeric order.
 var failures = []struct {
 	failure wire.Failure
@@ -63,6 +72,22 @@
 	return connpool.ErrConnectionLost
 }
 
+func encodeWaits(waits []time.Duration) []int64 {
+	out := make([]int64, len(waits))
+	for i, w := range waits {
+		out[i] = w.Microseconds()
+	}
+	return out
+}
+
+func decodeWaits(waits []int64) []time.Duration {
+	out := make([]time.Duration, min(len(waits), maxPriorities))
+	for i, w := range waits[:len(out)] {
+		out[i] = time.Duration(min(max(w, 0), maxWait.Microseconds())) * time.Microsecond
+	}
+	return out
+}
+
 func encodePosition(p position.Position) *wire.Position {
 	if p.IsZero() {
 		return nil
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -183,7 +183,9 @@
 		limit.Target = now.Add(time.Duration(r.GetTarget()) * time.Microsecond)
 	}
 	answers, err := h.Run(ctx, limit, r.GetValues(), decodeSteps(r.GetSteps())...)
-	return reply(pool, answers, err)
+	out := reply(pool, answers, err)
+	out.Waits = encodeWaits(h.Waits())
+	return out
 }
 
 // reply returns the reply with the outcome of statements and the load of the pool.
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -46,6 +46,13 @@
 	return s.queue.Running(), s.queue.Waiting()
 }
 
+// Waits returns the expected waits of a client account; see admission.Queue.
+func (s *Slots) Waits(now time.Time, account admission.AccountID) []time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queue.Waits(now, account)
+}
+
 // Push queues a ticket. If the result is Waiting, Await must be called.
 func (s *Slots) Push(now time.Time, t *Ticket) admission.Result {
 	s.mu.Lock()
