Entry VMs refuse at once what would wait for too long everywhere

Cause: statements that cannot be in time are forwarded, wait and come back refused. The reports of replies are kept per member; a statement whose remaining time is below the wait at each instance that may run it is refused with reason late, the wait, the age of the report and when to come back. Reports of an owner that is lost are dropped. Counter early by age of the report.

--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -44,6 +44,9 @@
 	runner
 	group       *group
 	member      *member
+	request     connRequest
+	wait        time.Duration // for a slot, as expected when the latest statements were sent; if waitKnown is set
+	waitKnown   bool
 	peerAddress string // address of the other entry VM; empty if the connection is here
 }
 
@@ -54,7 +57,7 @@
 	g.mu.Lock()
 	g.recentAccount = a.account
 	g.mu.Unlock()
-	c := &serverConn{group: g, member: m, peerAddress: via}
+	c := &serverConn{group: g, member: m, request: a, peerAddress: via}
 	if via != "" {
 		h, err := g.forward.NewHandle(forward.Request{
 			Address: via, Server: string(m.id), Account: a.account, Weight: a.weight, Read: a.read, Pinned: a.pinned,
@@ -108,6 +111,7 @@
 	defer c.group.mu.Unlock()
 	sent := c.group.now()
 	c.member.stats.Sent(sent)
+	c.expectWait(sent)
 	return sent
 }
 
@@ -118,6 +122,7 @@
 		load := h.Load()
 		c.member.stats.Queued(now, load.Running+load.Waiting)
 	}
+	c.recordWaits(now, sent, statements, err)
 	missed := c.member.stats.Failing()
 	defer func() {
 		if missed != c.member.stats.Failing() {
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -29,7 +29,9 @@
 	attempts       int
 	triedServers   []string // instances that did not run the statement
 	lastAnswer     operation.Answer
-	lastReason     string // why the last attempt did not run
+	lastReason     string        // why the last attempt did not run
+	reported       string        // on which report a refusal is based; empty for none
+	retryAfter     time.Duration // stated in the refusal; 0 for that of the reason
 }
 
 func (e *execution) now() time.Time { return e.session.proxy.options.Now() }
@@ -77,7 +79,7 @@
 	}
 	t := &e.permit.trace
 	detail := fmt.Sprintf("the statement did not run; come back in %s (group %s, server %s asked last, %d tries)",
-		retryAfter(reason), e.permit.route.group.name, t.lastServer, t.attempts)
+		e.comeBack(reason), e.permit.route.group.name, t.lastServer, t.attempts) + e.reported
 	return e.session.proxy.refuse(e.st.ID, code, reason, detail)
 }
 
@@ -206,7 +208,7 @@
 	for {
 		m, wait, changed := e.permit.route.group.primaryTarget(e.now(), true)
 		if m != nil {
-			return m, true
+			return m, !e.cannotWait(m)
 		}
 		e.recordFailure(operation.Answer{Code: operation.Busy}, reasonPrimary)
 		if e.permit.route.group.primaryIsLeaving(e.now()) || !e.pause(ctx, wait, changed) {
@@ -272,6 +274,9 @@
 func (e *execution) awaitReadTarget(ctx context.Context) (*member, position.Position, bool) {
 	g := e.permit.route.group
 	for {
+		if e.cannotWait(nil) {
+			return nil, position.Position{}, false
+		}
 		started := e.now()
 		floor, ok := g.floor(ctx, e.permit.account.name, e.permit.route.maxStaleness, e.session.floor)
 		took := e.now().Sub(started)
@@ -281,7 +286,7 @@
 			e.recordFailure(operation.Answer{Code: operation.Busy}, reasonPrimary)
 			return nil, floor, false
 		}
-		if m := g.readTarget(e.now(), floor, e.triedServers); m != nil {
+		if m := g.readTarget(e.now(), floor, e.triedServers, e.permit.account.name); m != nil {
 			return m, floor, true
 		}
 		e.triedServers = e.triedServers[:0]
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -52,6 +52,7 @@
 	keeper      *zoneKeeper                      // of the proofs
 	proofKeeper func(now time.Time) string       // address of the keeper, or "" if that is this VM
 	forward     *forward.Client
+	waits       bool // see Options.Waits
 	proofFlight singleflight.Group
 
 	mu            sync.Mutex
@@ -74,7 +75,7 @@
 func newGroup(name string, p *Proxy) *group {
 	keeper := newZoneKeeper("proofs of "+name, proofKeeperVMs)
 	return &group{
-		name: name, now: p.options.Now, wall: p.options.Wall, leaveLimit: p.options.LeaveLimit, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward,
+		name: name, now: p.options.Now, wall: p.options.Wall, leaveLimit: p.options.LeaveLimit, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward, waits: p.options.Waits,
 		proofKeeper: func(now time.Time) string { return keeper.address(now, p) },
 		finder:      placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
 	}
@@ -308,8 +309,8 @@
 	g.finder.MarkUnreachable(g.now(), placement.ServerID(server))
 }
 
-// readTarget returns the instance to use for a read, or nil if there is none left to try.
-func (g *group) readTarget(now time.Time, floor position.Position, tried []string) *member {
+// readTarget returns the instance to use for a read of a client account, or nil if there is none left to try.
+func (g *group) readTarget(now time.Time, floor position.Position, tried []string, account string) *member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastUsed = now
@@ -326,6 +327,7 @@
 			Slots: m.slots, Waiting: m.stats.Waiting(now), LastPosition: seen, PositionAge: ago, Failing: m.stats.Failing(),
 			Tried: slices.Contains(tried, string(m.id)),
 		})
+		m.stats.Expect(now, account, basePriority, &candidates[len(candidates)-1])
 	}
 	if i := g.reader.Choose(floor, candidates); i >= 0 {
 		return members[i]
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -29,6 +29,7 @@
 	moves        *expvar.Int          // instances whose connections moved to another owner
 	outcomes     *expvar.Map          // answers by code
 	reasons      *expvar.Map          // refusals by reason
+	early        *expvar.Map          // statements refused by reports of expected waits, by the age of the report
 	waits        *histogram.Histogram // waits for rate credits
 	proofs       *histogram.Histogram // waits for a proof of the position that a read must see
 	reads        *histogram.Histogram
@@ -43,7 +44,7 @@
 }
 
 func newMetrics() *metrics {
-	m := &metrics{all: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), reasons: new(expvar.Map).Init()}
+	m := &metrics{all: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), reasons: new(expvar.Map).Init(), early: new(expvar.Map).Init()}
 	named := map[string]**expvar.Int{
 		"sessions": &m.sessions, "opened": &m.opened, "refused": &m.refused, "versions": &m.versions,
 		"renewals": &m.renewals, "unrenewed": &m.unrenewed, "retries": &m.retries, "replica": &m.replica,
@@ -55,6 +56,7 @@
 	}
 	m.all.Set("outcomes", m.outcomes)
 	m.all.Set("reasons", m.reasons)
+	m.all.Set("early", m.early)
 	m.waits, m.proofs = histogram.New(), histogram.New()
 	m.reads, m.changes = histogram.New(), histogram.New()
 	m.all.Set("credit", m.waits)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -94,6 +94,8 @@
 	// Capacity is what counts of this VM for ownership of connections. If any entry VM reports none, owners are chosen by hash
 	// alone.
 	Capacity placement.Capacity
+	// Waits makes the owners of connections report how long statements wait, and the other entry VMs use it.
+	Waits bool
 	// Traffic counts what this VM exchanges with other VMs; nil for a Meter of its own.
 	Traffic *traffic.Meter
 }
@@ -388,7 +390,7 @@
 func (p *Proxy) newPool(g *group, m *wire.Member) *connpool.Pool {
 	return connpool.New(connpool.Options{
 		Group: g.name, Server: m.GetServer(), Address: m.GetAddress(), Dial: p.options.Server, Now: p.options.Now,
-		Slots: int(m.GetSlots()), Connections: fallbackConnections, Observe: p.metrics.observeStage,
+		Slots: int(m.GetSlots()), Connections: fallbackConnections, Waits: p.options.Waits, Observe: p.metrics.observeStage,
 	})
 }
 
