--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -116,7 +116,7 @@
 		return m
 	}
 	tried := append(slices.Clone(e.triedServers), string(m.id))
-	if other := e.permit.route.group.readTarget(e.now(), statements[0].After, tried); other != nil {
+	if other := e.permit.route.group.readTarget(e.now(), statements[0].After, tried, e.permit.account.name); other != nil {
 		return other
 	}
 	return m
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -29,8 +29,10 @@
 	handedOver   *expvar.Int          // accrued parts of rates that a credit keeper took, one for each account and message
 	slow         *expvar.Int          // operations above the latency target of their route
 	idle         *expvar.Int          // transactions ended because they were idle
+	moves        *expvar.Int          // instances whose connections moved to another owner
 	outcomes     *expvar.Map          // answers by code
 	reasons      *expvar.Map          // refusals by reason
+	early        *expvar.Map          // statements refused by reports of expected waits, by the age of the report
 	waits        *histogram.Histogram // waits for rate credits
 	proofs       *histogram.Histogram // waits for a proof of the position that a read must see
 	reads        *histogram.Histogram
@@ -45,11 +47,12 @@
 }
 
 func newMetrics() *metrics {
-	m := &metrics{all: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), reasons: new(expvar.Map).Init()}
+	m := &metrics{all: new(expvar.Map).Init(), outcomes: new(expvar.Map).Init(), reasons: new(expvar.Map).Init(), early: new(expvar.Map).Init()}
 	named := map[string]**expvar.Int{
 		"sessions": &m.sessions, "opened": &m.opened, "refused": &m.refused, "versions": &m.versions,
 		"renewals": &m.renewals, "unrenewed": &m.unrenewed, "retries": &m.retries, "replica": &m.replica,
-		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "slow": &m.slow, "alone": &m.disconnected, "pooled": &m.handedOver, "hedged": &m.hedged, "hedgewins": &m.hedgeWins,
+		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "slow": &m.slow, "alone": &m.disconnected,
+		"moves": &m.moves, "pooled": &m.handedOver, "hedged": &m.hedged, "hedgewins": &m.hedgeWins,
 	}
 	for name, counter := range named {
 		*counter = new(expvar.Int)
@@ -57,6 +60,7 @@
 	}
 	m.all.Set("outcomes", m.outcomes)
 	m.all.Set("reasons", m.reasons)
+	m.all.Set("early", m.early)
 	m.waits, m.proofs = histogram.New(), histogram.New()
 	m.reads, m.changes = histogram.New(), histogram.New()
 	m.all.Set("credit", m.waits)
