Control state: evacuated zones and the marks of their members

Cause: an operator's order to empty an availability zone must survive restarts and reach every entry VM. Change: Entry.evacuation keeps the sorted zones and the latest 256 ids in the Book and sets Member.evacuated of the members there with one new revision for each view that changes; Enlist and Admit set the mark by the zone and ignore that of the announcement. An id that was applied has no effect.

--- a/internal/controlstate/bench_test.go
+++ b/internal/controlstate/bench_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
+
 	"fireflyrudder.example/fireflyrudder/internal/controlstate"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
@@ -94,3 +96,16 @@
 		}
 	})
 }
+
+// BenchmarkStateApplyEvacuation reports the size of the update that an entry VM receives when the zone has a member of each
+// group.
+func BenchmarkStateApplyEvacuation(b *testing.B) {
+	forEachSize(b, func(b *testing.B, t *replica) {
+		before := t.Index()
+		for i := range b.N {
+			t.apply(evacuation("zone-a", fmt.Sprint(i), i%2 > 0))
+		}
+		u, _ := t.UpdateSince(t.Version(), before, nil)
+		b.ReportMetric(float64(proto.Size(u)), "update-bytes")
+	})
+}
--- a/internal/controlstate/publish.go
+++ b/internal/controlstate/publish.go
@@ -117,7 +117,7 @@
 	}
 	v, _ := s.View(e.GetGroup())
 	s.updateView(v, func(v *wire.View) {
-		v.Members = putNamed(v.GetMembers(), m, (*wire.Member).GetServer)
+		v.Members = putNamed(v.GetMembers(), s.marked(m), (*wire.Member).GetServer)
 		v.Absent = removeNamed(v.GetAbsent(), m.GetAddress(), identity)
 	})
 }
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -33,6 +33,8 @@
 	registrationEdits []registrationEdit // oldest first, at most maxRegistrationEdits, contiguous up to registrationIndex
 	registrationBase  uint64             // index of the registrations that the first of registrationEdits changes
 	departed          []*wire.Delist     // instances that have ended, oldest first, at most maxDeparted
+	evacuated         []string           // availability zones that are evacuated, sorted; the members there are marked
+	orders            []string           // ids of evacuation orders, oldest first, at most maxOrders
 	drained           []string           // accounts whose bucket may be below its reserve, sorted
 	decisions         []*wire.Decision   // oldest first, at most maxDecisions
 	outcomes          map[string]*wire.Decision
@@ -70,7 +72,8 @@
 		sorted(c.GetGroups(), (*wire.Group).GetName) &&
 		sorted(c.GetRetired(), identity) &&
 		sorted(snapshot.GetViews(), (*wire.View).GetGroup) &&
-		sorted(snapshot.GetRegistrations(), (*wire.Registration).GetEntry)
+		sorted(snapshot.GetRegistrations(), (*wire.Registration).GetEntry) &&
+		sorted(snapshot.GetEvacuated(), identity)
 	if !ordered {
 		return nil, errors.WithHint(errors.New("controlstate: snapshot is not sorted by name"),
 			"restore the data folder of this control VM from another voter: remove it and join as a spare")
@@ -78,6 +81,7 @@
 	s.views = usableMembers(snapshot.GetViews())
 	s.registrations, s.registrationIndex = snapshot.GetRegistrations(), snapshot.GetEntered()
 	s.registrationBase = s.registrationIndex
+	s.evacuated, s.orders = snapshot.GetEvacuated(), snapshot.GetOrders()
 	s.drained, s.departed = snapshot.GetDrained(), snapshot.GetDeparted()
 	s.decisions = snapshot.GetDecisions()
 	for _, d := range s.decisions {
@@ -105,6 +109,8 @@
 		Entered:       s.registrationIndex,
 		Drained:       s.drained,
 		Departed:      slices.Clip(s.departed),
+		Evacuated:     s.evacuated,
+		Orders:        slices.Clip(s.orders),
 	}
 }
 
@@ -144,6 +150,8 @@
 		s.setDrained(e.Drain)
 	case *wire.Entry_Forget:
 		s.dropRegistration(e.Forget)
+	case *wire.Entry_Evacuation:
+		s.evacuate(e.Evacuation)
 	}
 	return nil
 }
--- a/internal/controlstate/state_test.go
+++ b/internal/controlstate/state_test.go
@@ -89,7 +89,7 @@
 }
 
 func admit(group, server string) *wire.Entry {
-	m := &wire.Member{Server: server, Address: "127.0.0.1:1"}
+	m := &wire.Member{Server: server, Address: "127.0.0.1:1", Zone: "zone-a"}
 	return &wire.Entry{Entry: &wire.Entry_Admit{Admit: &wire.Admit{Group: group, Member: m}}}
 }
 
@@ -334,7 +334,11 @@
 			"promote": func(t *rapid.T) {
 				apply(promoted(name.Draw(t, "group"), term.Draw(t, "term"), server.Draw(t, "server"), 0))
 			},
-			"admit":   func(t *rapid.T) { apply(admit(name.Draw(t, "group"), server.Draw(t, "server"))) },
+			"admit": func(t *rapid.T) { apply(admit(name.Draw(t, "group"), server.Draw(t, "server"))) },
+			"evacuate": func(t *rapid.T) {
+				zone := rapid.SampledFrom([]string{"zone-a", "zone-b"}).Draw(t, "zone")
+				apply(evacuation(zone, fmt.Sprint(rapid.IntRange(0, 60).Draw(t, "id")), rapid.Bool().Draw(t, "withdrawn")))
+			},
 			"dismiss": func(t *rapid.T) { apply(dismiss(name.Draw(t, "group"), server.Draw(t, "server"))) },
 			"restart": func(t *rapid.T) {
 				var s wire.Book
--- a/internal/controlstate/view.go
+++ b/internal/controlstate/view.go
@@ -12,6 +12,11 @@
 // updateView replaces the view of a group with a copy modified by edit. The revision is the log index, so it
 // also grows when a group is dropped and added again.
 func (s *State) updateView(v *wire.View, edit func(*wire.View)) {
+	s.views = putNamed(s.views, s.nextView(v, edit), (*wire.View).GetGroup)
+}
+
+// nextView returns a copy of a view modified by edit, with the revision of the current entry.
+func (s *State) nextView(v *wire.View, edit func(*wire.View)) *wire.View {
 	next := &wire.View{
 		Group:    v.GetGroup(),
 		Term:     v.GetTerm(),
@@ -25,7 +30,7 @@
 		Absent:   v.GetAbsent(),
 	}
 	edit(next)
-	s.views = putNamed(s.views, next, (*wire.View).GetGroup)
+	return next
 }
 
 // raiseTerm records a higher term and the primary of the term before. A planned switchover requires a current primary,
@@ -91,7 +96,7 @@
 		return
 	}
 	s.updateView(v, func(v *wire.View) {
-		v.Members = putNamed(v.GetMembers(), a.GetMember(), (*wire.Member).GetServer)
+		v.Members = putNamed(v.GetMembers(), s.marked(a.GetMember()), (*wire.Member).GetServer)
 	})
 }
 
