Control group: orders to evacuate a zone at the leader

Cause: an operator's order arrives at any control VM or gateway, and only the leader can commit it. Status at a leader with a lease has the evacuated zones. An entry whose call has ended is not proposed any more, because its caller may have sent a later one.

--- a/internal/controlvm/client.go
+++ b/internal/controlvm/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -66,10 +67,7 @@
 			decision = reply.Decision
 			return true, nil
 		case codes.FailedPrecondition:
-			c.preferred = ""
-			if s, err := client.Status(ctx, &wire.StatusRequest{}); err == nil {
-				c.preferred = s.Leader
-			}
+			c.preferLeader(ctx, client)
 		case codes.InvalidArgument:
 			return true, err
 		}
@@ -85,6 +83,33 @@
 	return decision, nil
 }
 
+// Evacuate sends an order for an availability zone until it is committed, and returns the evacuated zones. Every attempt
+// uses the same id.
+func (c *Client) Evacuate(ctx context.Context, zone string, withdrawn bool) ([]string, error) {
+	order := &wire.Evacuation{Zone: zone, Withdrawn: withdrawn, Id: rand.Text()}
+	var zones []string
+	err := c.callUntilDone(ctx, func(ctx context.Context, client wire.ControlClient) (bool, error) {
+		reply, err := client.Evacuate(ctx, &wire.EvacuateRequest{Evacuation: order})
+		if status.Code(err) == codes.FailedPrecondition {
+			c.preferLeader(ctx, client)
+		}
+		zones = reply.GetEvacuated()
+		return err == nil || status.Code(err) == codes.InvalidArgument, err
+	})
+	if err != nil {
+		return nil, errors.WithHint(errors.Wrapf(err, "controlvm: order for availability zone %q", zone), "give the same command again, it may be repeated")
+	}
+	return zones, nil
+}
+
+// preferLeader makes the leader that a control VM names the next one to be called.
+func (c *Client) preferLeader(ctx context.Context, client wire.ControlClient) {
+	c.preferred = ""
+	if s, err := client.Status(ctx, &wire.StatusRequest{}); err == nil {
+		c.preferred = s.Leader
+	}
+}
+
 // callUntilDone makes a call to the leader and then to the other control VMs in turn until one call
 // reports that it is done. It skips the control VM whose call has just failed.
 func (c *Client) callUntilDone(ctx context.Context, call func(context.Context, wire.ControlClient) (bool, error)) error {
--- a/internal/controlvm/effect.go
+++ b/internal/controlvm/effect.go
@@ -142,7 +142,7 @@
 	for _, r := range records {
 		var decision *wire.Decision
 		if e := r.GetEntry(); e != nil {
-			decision = vm.state.Apply(r.Index, e)
+			decision = vm.applyEntry(r.Index, e)
 		}
 		w := vm.waiting[r.Index]
 		delete(vm.waiting, r.Index)
--- a/internal/controlvm/metrics.go
+++ b/internal/controlvm/metrics.go
@@ -9,6 +9,7 @@
 type metrics struct {
 	all         *expvar.Map
 	changes     *expvar.Int
+	evacuations *expvar.Int // orders to evacuate a zone, or to end that, committed here
 	renewals    *expvar.Int
 	updates     *expvar.Int
 	lookups     *expvar.Int // of a stream for updates
@@ -38,7 +39,7 @@
 func newMetrics() *metrics {
 	m := &metrics{all: new(expvar.Map).Init()}
 	named := map[string]**expvar.Int{
-		"changes": &m.changes, "renewals": &m.renewals, "updates": &m.updates, "lookups": &m.lookups, "announcements": &m.announced,
+		"changes": &m.changes, "evacuations": &m.evacuations, "renewals": &m.renewals, "updates": &m.updates, "lookups": &m.lookups, "announcements": &m.announced,
 		"elections": &m.elections, "snapshots": &m.snapshots, "installs": &m.installs,
 		"delivered": &m.delivered, "undelivered": &m.undelivered, "dropped": &m.dropped,
 		"syncs": &m.syncs, "records": &m.records, "syncing": &m.syncTime,
--- a/internal/controlvm/service.go
+++ b/internal/controlvm/service.go
@@ -104,8 +104,8 @@
 	if _, err := proto.Marshal(e); err != nil {
 		return result{}, errors.Wrap(err, "controlvm: an entry that cannot be stored")
 	}
-	var w *pendingProposal
-	if err := vm.inbox.Do(ctx, func(now time.Time) { w = vm.propose(now, e) }); err != nil {
+	w, err := vm.proposeCall(ctx, e)
+	if err != nil {
 		return result{}, err
 	}
 	select {
@@ -118,8 +118,21 @@
 	}
 }
 
+// proposeCall proposes the entry of a call unless the call has ended by then. A caller that gave up, perhaps while this
+// process was suspended, may have sent a later entry that this one would undo.
+func (vm *VM) proposeCall(ctx context.Context, e *wire.Entry) (*pendingProposal, error) {
+	var w *pendingProposal
+	var ended error
+	err := vm.inbox.Do(ctx, func(now time.Time) {
+		if ended = ctx.Err(); ended == nil {
+			w = vm.propose(now, e)
+		}
+	})
+	return w, errors.CombineErrors(err, ended)
+}
+
 // Status returns the local state of this control VM. Only a leader with a valid lease includes the
-// configuration, because an outdated one would mislead operators.
+// configuration and the evacuated zones, because outdated ones would mislead operators.
 func (s *service) Status(ctx context.Context, _ *wire.StatusRequest) (*wire.StatusReply, error) {
 	reply := &wire.StatusReply{}
 	err := s.vm.inbox.Do(ctx, func(now time.Time) {
@@ -131,7 +144,7 @@
 		reply.Registrations = vm.state.Registrations()
 		reply.Voters = vm.voter.Members(now)
 		if vm.voter.HoldsLease(now) {
-			reply.Configuration = vm.state.Configuration()
+			reply.Configuration, reply.Evacuated = vm.state.Configuration(), vm.state.EvacuatedZones()
 		}
 	})
 	if err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,6 +32,7 @@
 	down      bool   // refuses connections
 	believes  string // leader that it names; empty for the real one
 	announced int
+	orders    []*wire.Evacuation
 }
 
 func newGroup(addresses ...string) *group {
