--- a/internal/controlstate/evacuation.go
+++ b/internal/controlstate/evacuation.go
@@ -15,18 +15,18 @@
 // a resent order arrives long before that many later ones.
 const maxOrders = 256
 
-// UnknownZoneError is the reason why an evacuation order was refused: no instance was ever recorded in the zone.
+// UnknownZoneError is the reason why an evacuation order was refused: neither the settings nor a recorded instance names the zone.
 type UnknownZoneError struct {
 	Zone string
 }
 
 // Error names the zone and the remedy.
 func (e *UnknownZoneError) Error() string {
-	return "availability zone " + quoted(e.Zone) + " is unknown; use a zone of the settings or of an instance, see status"
+	return "availability zone " + QuoteZone(e.Zone) + " is unknown; use a zone of the settings or of an instance, see status"
 }
 
-// quoted returns a zone for a message, shortened, since a caller may send any text.
-func quoted(zone string) string {
+// QuoteZone returns a zone for a message, shortened, since a caller may send any text.
+func QuoteZone(zone string) string {
 	const limit = 64
 	if len(zone) > limit {
 		zone = zone[:limit] + "..."
