--- a/cmd/fireflyrudder/status.go
+++ b/cmd/fireflyrudder/status.go
@@ -54,7 +54,7 @@
 	}
 	fmt.Fprintf(w, "leader\t%s\nterm\t%d\nindex\t%d\n", leader, s.Term, s.Index)
 	if c := s.Configuration; c != nil {
-		fmt.Fprintf(w, "version\t%d (change %s)\n", c.Version, c.Change)
+		fmt.Fprintf(w, "version\t%d (change %s)\nevacuated\t%s\n", c.Version, c.Change, formatZones(s.Evacuated))
 	}
 	fmt.Fprintln(w, "\ncontrol VM\tidentity\tzone\trole\tmatched\tsilent")
 	for _, v := range s.Voters {
@@ -81,6 +81,9 @@
 		if m.Retired {
 			name += " (retired)"
 		}
+		if m.Evacuated {
+			name += " (evacuated)"
+		}
 		names = append(names, name)
 	}
 	return strings.Join(names, ", ")
