--- a/cmd/fireflyrudder/control_test.go
+++ b/cmd/fireflyrudder/control_test.go
@@ -80,8 +80,8 @@
 	}
 }
 
-// Guards against losing accepted changes when every process is killed, against changed exit codes, which
-// scripts rely on, and against a resent change that takes effect twice.
+// Guards against losing accepted changes and evacuations when every process is killed, against changed exit codes, which
+// scripts rely on, against a resent change that takes effect twice, and against a mistyped zone that is accepted.
 func TestControlCommands(t *testing.T) {
 	addresses, start := controlGroup(t)
 	processes := []*exec.Cmd{start(0), start(1), start(2)}
@@ -104,6 +104,16 @@
 	require.Contains(t, errOut, "remedy: ")
 	code, _, errOut = execute(t, withControls("apply", "--withdraw-key", "nobody")...)
 	require.Equal(t, 2, code, errOut)
+	for range 2 {
+		code, out, errOut = execute(t, withControls("evacuate", "--zone", "zone-a")...)
+		require.Zero(t, code, errOut)
+		require.Equal(t, "evacuated: zone-a\n", out)
+	}
+	code, _, errOut = execute(t, withControls("evacuate", "--zone", "zone-aa")...)
+	require.Equal(t, 1, code)
+	require.Contains(t, errOut, "use one of zone-a")
+	code, _, errOut = execute(t, withControls("evacuate")...)
+	require.Equal(t, 2, code, errOut)
 
 	for _, p := range processes {
 		require.NoError(t, p.Process.Kill())
@@ -121,6 +131,12 @@
 	code, out, _ = execute(t, withControls("status")...)
 	require.Zero(t, code)
 	require.Contains(t, out, "1 (change first)")
+	require.Regexp(t, `(?m)^evacuated +zone-a$`, out)
+	for range 2 {
+		code, out, errOut = execute(t, withControls("evacuate", "--zone", "zone-a", "--end")...)
+		require.Zero(t, code, errOut)
+		require.Equal(t, "evacuated: none\n", out)
+	}
 }
 
 // Guards against losing accepted changes when the leader is killed between two changes.
--- a/internal/controlvm/switch.go
+++ b/internal/controlvm/switch.go
@@ -52,7 +52,7 @@
 		return nil
 	}
 	for _, m := range v.Members {
-		if r.To == "" || (m.Server == r.To && !m.Retired) {
+		if r.To == "" || (m.Server == r.To && !m.Retired && !m.Evacuated) {
 			return v
 		}
 	}
