Test that an order leaves a frozen control leader

Cause: TestLateOrderAtFrozenLeader passed without the limit of 400 ms for an attempt at the leader. Change: the order must be acknowledged before the frozen leader goes on.

--- a/internal/controlvm/evacuate_test.go
+++ b/internal/controlvm/evacuate_test.go
@@ -104,8 +104,11 @@
 	vms := newTestVMs(t, 3)
 	startAll(vms)
 	frozen, other := leader(t, vms), follower(t, vms)
-	frozen.vm.Freeze(4 * time.Second)
+	const freeze = 6 * time.Second
+	frozen.vm.Freeze(freeze)
+	started := time.Now()
 	require.NoError(t, other.vm.Evacuate(t.Context(), "zone-a", false))
+	require.Less(t, time.Since(started), freeze)
 	require.NoError(t, other.vm.Evacuate(t.Context(), "zone-a", true))
 	frozen.evacuate("zone-b", false)
 	requireEvacuated(t, vms, "zone-b")
