Admission: order by urgency, with a minimum for less urgent classes

Change: with Settings.Urgency each priority has the state that the queue had (lanes, fairness between accounts, estimates of service times). Statements of open transactions go first, then the most urgent class; of the slot time used while they wait, a tenth goes to the classes below, in equal parts. Refusals count what certainly goes first: open transactions, more urgent classes, the own class, the minimum of lower ones, and at most the time after which the minimum of the own class covers the statement. A more urgent arrival that would miss its target or deadline because of the minimum displaces late statements, then at most four of the latest; a waiting statement whose deadline is lost to more urgent arrivals is returned early. Without Urgency there is one class.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -22,6 +22,9 @@
 // DefaultMaxWaiting is the default limit of waiting statements per client account and server.
 const DefaultMaxWaiting = 256
 
+// MaxPriority is the largest Ticket.Priority that is distinguished.
+const MaxPriority = 7
+
 // PrimaryReadShare is the Settings.ReadShare of a primary. At the sizes of both users a quarter leaves writes
 // more than they use, so that replication lag, which sends many reads to the primary, delays writes little.
 const PrimaryReadShare = 0.25
@@ -43,6 +46,8 @@
 	// outside a transaction is admitted only if one is free, and uses it until ReleaseConnection. Statements of
 	// open transactions have theirs already.
 	Connections int
+	// Urgency orders statements by Ticket.Priority. Otherwise all have the same priority.
+	Urgency bool
 }
 
 // Ticket is a statement that requests a slot.
@@ -54,6 +59,11 @@
 	// InTransaction marks a statement of a transaction that is already open at the server. It goes first,
 	// since the transaction holds a connection and locks, but its slot time is charged like any other.
 	InTransaction bool
+	// Priority is the urgency of the route, 0 being the most urgent; values above MaxPriority count as MaxPriority.
+	// It is used only with Settings.Urgency.
+	Priority uint8
+	// Yielded is set by Pop if a Late statement was returned in favor of a more urgent one.
+	Yielded bool
 	// Deadline is when the caller gives up; zero for none.
 	Deadline time.Time
 	// Target is when an answer becomes late for the caller; zero for none. A statement that is already late
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -24,8 +24,11 @@
 	flow       *flow
 	lane       lane
 	prev, next int32
-	generation uint32
-	used       bool
+	// older and newer link the waiting statements of a class outside transactions in order of arrival. They are
+	// used only with Settings.Urgency.
+	older, newer int32
+	generation   uint32
+	used         bool
 }
 
 // ticketList is the list of waiting tickets of one flow and lane, in order of arrival.
@@ -37,9 +40,10 @@
 	caughtUp    time.Time // since when the list has always had statements that are not overdue; zero while it is empty
 }
 
-// flow is the scheduling state of one client account.
+// flow is the scheduling state of one client account in one class.
 type flow struct {
 	account AccountID
+	class   *class
 	weight  float64
 	// start is the start tag of the next statement, in seconds of slot time per weight. All lanes share it,
 	// so that an account gains nothing by mixing reads and writes.
--- a/internal/admission/overdue.go
+++ b/internal/admission/overdue.go
@@ -51,7 +51,7 @@
 
 // isOverdue reports whether a statement that starts now would be answered after its target.
 func (q *Queue) isOverdue(now time.Time, f *flow, t *Ticket) bool {
-	return !t.Target.IsZero() && now.Add(time.Duration(q.cost(f)*float64(time.Second))).After(t.Target)
+	return !t.Target.IsZero() && now.Add(time.Duration(f.cost()*float64(time.Second))).After(t.Target)
 }
 
 // evictOverdue drops the head of the list if it is overdue, to make room for a new statement that is not.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -23,23 +23,18 @@
 	maxWaiting int
 	readShare  float64
 	limit      limit
-	service    service
+	urgency    bool
 
 	connections      int // Settings.Connections
 	connectionsInUse int // may exceed connections after SetConnections
 
-	virtual     float64 // virtual time: start tag of the statement admitted last
-	latest      float64 // largest start tag assigned
-	arrived     uint64
-	waiting     int
-	running     [numLanes]int
-	laneTags    [numLanes]float64 // start tags of the next write and read, scaled by Settings.ReadShare
-	laneVirtual float64           // start tag of the write or read admitted last
+	arrived uint64
+	waiting int
+	running [numLanes]int
 
-	flows     map[AccountID]*flow
-	sweepAt   int   // number of flows at which idle ones are dropped
-	freeFlows *flow // unused flows, linked by next
-	heaps     [numLanes]heap
+	first     class    // the first class to be used; the only one without Settings.Urgency
+	classes   []*class // classes that have been used, the most urgent first; empty without Settings.Urgency
+	freeFlows *flow    // unused flows, linked by next
 	shed      []Ticket // dropped in favor of others, to be returned by Pop
 	nodes     []node
 	freeNodes int32 // unused nodes, linked by next
@@ -54,14 +49,12 @@
 func NewWith(s Settings) *Queue {
 	q := &Queue{
 		policy: s.Policy, maxWaiting: s.MaxWaiting, readShare: clampReadShare(s.ReadShare), limit: newLimit(s.Slots, s.Fixed),
-		connections: s.Connections, flows: make(map[AccountID]*flow), sweepAt: minSweep, freeNodes: noNode,
+		connections: s.Connections, urgency: s.Urgency, freeNodes: noNode,
 	}
 	if q.maxWaiting <= 0 {
 		q.maxWaiting = DefaultMaxWaiting
 	}
-	for i := range q.heaps {
-		q.heaps[i] = heap{queue: q, lane: lane(i)}
-	}
+	q.first.init(q)
 	return q
 }
 
@@ -103,15 +96,21 @@
 // Push queues a ticket. It refuses the ticket if its deadline cannot be met behind the statements that will
 // certainly run before it.
 func (q *Queue) Push(now time.Time, t Ticket) (Handle, Result) {
-	f := q.flow(&t)
+	t.Yielded = false
+	c := q.class(&t)
+	f := c.flow(&t)
 	if f.waiting >= q.maxWaiting {
 		return Handle{}, Full
 	}
 	if f.waiting == 0 {
-		f.start = max(f.start, q.virtual-idleCredit*q.cost(f)/f.weight)
+		f.start = max(f.start, c.virtual-idleCredit*f.cost()/f.weight)
 	}
 	lane := laneOf(&t)
-	if !t.Deadline.IsZero() && q.cannotMeet(now, f, lane, t.Deadline) && !q.evictOverdue(now, f, lane, &t) {
+	if len(q.classes) > 1 && !t.Target.IsZero() {
+		q.yieldToTarget(now, f, lane, t.Target)
+	}
+	if !t.Deadline.IsZero() && q.cannotMeet(now, f, lane, t.Deadline) &&
+		!q.yieldTo(now, f, lane, t.Deadline) && !q.evictOverdue(now, f, lane, &t) {
 		return Handle{}, Late
 	}
 	return q.add(f, lane, t), Waiting
@@ -139,32 +138,37 @@
 		q.shed = q.shed[:n-1]
 		return t, Late
 	}
-	if q.waiting == 0 || q.Running() >= int(q.limit.slots) {
+	if q.waiting == 0 {
 		return Ticket{}, None
 	}
-	lane, ok := q.next()
+	if q.Running() >= int(q.limit.slots) {
+		return q.popHopeless(now)
+	}
+	c, lane, ok := q.next()
 	if !ok {
 		return Ticket{}, None
 	}
-	f := q.heaps[lane].entries[0].flow
-	if q.Running() >= q.limit.allowed() && f.start >= q.virtual {
+	f := c.heaps[lane].entries[0].flow
+	if q.Running() >= q.limit.allowed() && f.start >= c.virtual {
 		// Above the limit only accounts that used less than their share may run.
-		return Ticket{}, None
+		return q.popHopeless(now)
 	}
 	q.dropOverdue(now, f, lane)
 	index := q.pick(now, f, lane)
 	t := q.nodes[index].ticket
-	if q.isLate(now, t.Deadline) {
+	if c.isLate(now, t.Deadline) {
 		q.remove(index)
 		return t, Late
 	}
-	q.charge(f, lane)
+	q.account(c, phaseOf(lane), f.cost())
+	c.charge(f, lane)
 	if lane != continuing && q.connections > 0 {
 		q.connectionsInUse++
 	}
 	q.remove(index)
-	q.fixHeaps(f)
+	c.fixHeaps(f)
 	q.running[lane]++
+	c.running++
 	f.running++
 	t.flow = f
 	return t, Admitted
@@ -178,21 +182,22 @@
 	lane := laneOf(&t)
 	q.running[lane] = max(q.running[lane]-1, 0)
 	seconds := max(elapsed.Seconds(), 0)
-	f := t.flow
+	c, f := q.class(&t), t.flow
 	if f == nil {
-		f = q.flows[t.Account]
+		f = c.flows[t.Account]
 	}
 	if f != nil {
 		f.running = max(f.running-1, 0)
 		f.service.add(seconds)
 	}
+	c.running = max(c.running-1, 0)
 	if !failed {
-		q.service.add(now, seconds)
+		c.service.add(now, seconds)
 	}
 	q.limit.update(now, seconds, failed, busy)
-	if q.waiting == 0 && q.Running() == 0 {
+	if c.waiting == 0 && c.running == 0 {
 		// A busy period ends. No account carries a debt into the next one, so idle flows can be dropped.
-		q.virtual = q.latest
+		c.virtual = c.latest
 	}
 }
 
@@ -206,14 +211,21 @@
 	return writing
 }
 
-// next selects the lane of the next statement.
-func (q *Queue) next() (lane, bool) {
-	if len(q.heaps[continuing].entries) > 0 {
+func phaseOf(lane lane) phase {
+	if lane == continuing {
+		return transactions
+	}
+	return others
+}
+
+// next selects the lane of the next statement of the class.
+func (c *class) next() (lane, bool) {
+	if len(c.heaps[continuing].entries) > 0 {
 		return continuing, true
 	}
-	writes, reads := q.heaps[writing].entries, q.heaps[reading].entries
+	writes, reads := c.heaps[writing].entries, c.heaps[reading].entries
 	switch {
-	case !q.hasConnection():
+	case !c.queue.hasConnection():
 		return 0, false
 	case len(writes) == 0:
 		return reading, len(reads) > 0
@@ -221,8 +233,8 @@
 		return writing, true
 	}
 	first := reads[0].less(&writes[0])
-	if q.readShare > 0 {
-		first = q.laneStart(reading) < q.laneStart(writing)
+	if c.queue.readShare > 0 {
+		first = c.laneStart(reading) < c.laneStart(writing)
 	}
 	if first {
 		return reading, true
@@ -232,138 +244,26 @@
 
 // laneStart returns the start tag of the next statement of a lane. Reads and writes share the slot time like
 // two accounts with the weights ReadShare and 1 - ReadShare.
-func (q *Queue) laneStart(lane lane) float64 {
-	return max(q.laneTags[lane], q.laneVirtual)
+func (c *class) laneStart(lane lane) float64 {
+	return max(c.laneTags[lane], c.laneVirtual)
 }
 
 // charge adds the cost of an admitted statement to the start tags of its flow and its lane.
-func (q *Queue) charge(f *flow, lane lane) {
-	cost := q.cost(f)
-	q.virtual = max(q.virtual, f.start)
+func (c *class) charge(f *flow, lane lane) {
+	cost := f.cost()
+	c.virtual = max(c.virtual, f.start)
 	f.start += cost / f.weight
-	q.latest = max(q.latest, f.start)
-	if q.readShare <= 0 || lane == continuing {
+	c.latest = max(c.latest, f.start)
+	readShare := c.queue.readShare
+	if readShare <= 0 || lane == continuing {
 		return
 	}
-	share := 1 - q.readShare
+	share := 1 - readShare
 	if lane == reading {
-		share = q.readShare
-	}
-	q.laneVirtual = q.laneStart(lane)
-	q.laneTags[lane] = q.laneVirtual + cost/share
-}
-
-// cost returns the slot time charged for a statement of the flow, in seconds.
-func (q *Queue) cost(f *flow) float64 {
-	if f.service.samples >= minSamples {
-		return f.service.value
-	}
-	return q.service.expected()
-}
-
-// isLate reports whether even the fastest observed statement would miss the deadline.
-func (q *Queue) isLate(now time.Time, deadline time.Time) bool {
-	if deadline.IsZero() {
-		return false
-	}
-	left := deadline.Sub(now).Seconds()
-	if q.service.samples < minSamples {
-		return left <= 0
-	}
-	return left < q.service.floor()
-}
-
-// cannotMeet reports whether the waiting statements that certainly run before a new one of the flow leave too
-// little time. The sum over the flows is computed only if the whole queue would take too long, and stops once
-// the time is used up.
-func (q *Queue) cannotMeet(now time.Time, f *flow, own lane, deadline time.Time) bool {
-	if q.isLate(now, deadline) {
-		return true
-	}
-	if q.service.samples < minSamples || own == continuing {
-		return false
-	}
-	left := deadline.Sub(now).Seconds() - q.service.floor()
-	budget := left * float64(q.limit.allowed()) / minServiceRatio
-	if float64(q.waiting)*q.service.value <= budget {
-		return false
-	}
-	tag := f.start + float64(f.lists[own].length)*q.cost(f)/f.weight
-	budget -= float64(f.lists[own].length) * q.cost(f)
-	for lane := range numLanes {
-		// Waiting reads may be delayed in favor of a write, so they do not certainly run before it.
-		if lane == reading && own == writing {
-			continue
-		}
-		if budget -= q.workAhead(lane, f, tag, budget); budget < 0 {
-			return true
-		}
+		share = readShare
 	}
-	return budget < 0
-}
-
-// workAhead returns the slot time of the other flows' waiting statements with start tags below tag, up to the
-// budget.
-func (q *Queue) workAhead(lane lane, own *flow, tag, budget float64) float64 {
-	sum := 0.0
-	for i := range q.heaps[lane].entries {
-		f := q.heaps[lane].entries[i].flow
-		if f == own {
-			continue
-		}
-		work := float64(f.lists[lane].length) * q.cost(f)
-		if q.policy == Fair && lane != continuing {
-			work = min(work, max(tag-f.start, 0)*f.weight)
-		}
-		if sum += work; sum > budget {
-			break
-		}
-	}
-	return sum
-}
-
-// flow returns the flow of the ticket's client account and updates its weight.
-func (q *Queue) flow(t *Ticket) *flow {
-	f := q.flows[t.Account]
-	if f == nil {
-		if len(q.flows) >= q.sweepAt {
-			q.dropIdle()
-		}
-		f = q.newFlow(t.Account)
-		q.flows[t.Account] = f
-	}
-	if t.Weight > 0 {
-		f.weight = t.Weight
-	}
-	return f
-}
-
-// newFlow returns a new or recycled flow.
-func (q *Queue) newFlow(account AccountID) *flow {
-	f := q.freeFlows
-	if f == nil {
-		f = new(flow)
-	} else {
-		q.freeFlows = f.next
-	}
-	*f = flow{account: account, weight: 1}
-	for i := range f.lists {
-		f.lists[i] = ticketList{head: noNode, tail: noNode, heapIndex: notInHeap}
-	}
-	return f
-}
-
-// dropIdle removes flows without statements and debt. It runs when the number of flows has grown by half, so
-// that its cost is spread over the additions.
-func (q *Queue) dropIdle() {
-	for account, f := range q.flows {
-		if f.waiting == 0 && f.running == 0 && f.start <= q.virtual {
-			delete(q.flows, account)
-			f.next = q.freeFlows
-			q.freeFlows = f
-		}
-	}
-	q.sweepAt = max(len(q.flows)+len(q.flows)/2, minSweep)
+	c.laneVirtual = c.laneStart(lane)
+	c.laneTags[lane] = c.laneVirtual + cost/share
 }
 
 // add appends a ticket to its list.
@@ -384,9 +284,13 @@
 	l.tail = index
 	l.length++
 	f.waiting++
+	f.class.waiting++
 	q.waiting++
 	if l.heapIndex == notInHeap {
-		q.heaps[lane].push(f)
+		f.class.heaps[lane].push(f)
+	}
+	if q.urgency && lane != continuing {
+		f.class.link(index)
 	}
 	return Handle{index: index, generation: n.generation}
 }
@@ -405,8 +309,11 @@
 func (q *Queue) remove(index int32) {
 	n := &q.nodes[index]
 	f, l := n.flow, &n.flow.lists[n.lane]
+	if q.urgency && n.lane != continuing {
+		f.class.unlink(index)
+	}
 	if l.length == 1 {
-		q.heaps[n.lane].remove(f)
+		f.class.heaps[n.lane].remove(f)
 		l.caughtUp = time.Time{} // an empty list has no overdue statements
 	}
 	if n.prev != noNode {
@@ -421,19 +328,20 @@
 	}
 	l.length--
 	f.waiting--
+	f.class.waiting--
 	q.waiting--
 	if l.heapIndex != notInHeap {
-		q.heaps[n.lane].fix(f)
+		f.class.heaps[n.lane].fix(f)
 	}
 	*n = node{next: q.freeNodes, generation: n.generation}
 	q.freeNodes = index
 }
 
 // fixHeaps restores the heap order after the start tag of a flow increased.
-func (q *Queue) fixHeaps(f *flow) {
+func (c *class) fixHeaps(f *flow) {
 	for lane := range numLanes {
 		if f.lists[lane].heapIndex != notInHeap {
-			q.heaps[lane].fix(f)
+			c.heaps[lane].fix(f)
 		}
 	}
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -111,7 +111,7 @@
 		slots := rapid.IntRange(1, 4).Draw(t, "slots")
 		q := admission.NewWith(admission.Settings{
 			Slots: slots, Fixed: rapid.Bool().Draw(t, "fixed"), MaxWaiting: 5, ReadShare: 0.5,
-			Policy: admission.Policy(rapid.IntRange(0, 1).Draw(t, "policy")),
+			Policy: admission.Policy(rapid.IntRange(0, 1).Draw(t, "policy")), Urgency: rapid.Bool().Draw(t, "urgency"),
 		})
 		now, next := start, 0
 		waiting := map[int]admission.Handle{}
@@ -152,11 +152,14 @@
 	ticket := admission.Ticket{
 		Account: admission.AccountID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "account")),
 		Read:    rapid.Bool().Draw(t, "read"), InTransaction: rapid.Bool().Draw(t, "continues"), Tag: tag,
-		Weight: rapid.Float64Range(0, 5).Draw(t, "weight"),
+		Weight: rapid.Float64Range(0, 5).Draw(t, "weight"), Priority: uint8(rapid.IntRange(0, 9).Draw(t, "priority")),
 	}
 	if rapid.Bool().Draw(t, "timed") {
 		ticket.Deadline = now.Add(ms(rapid.IntRange(0, 100).Draw(t, "deadline")))
 	}
+	if rapid.Bool().Draw(t, "targeted") {
+		ticket.Target = now.Add(ms(rapid.IntRange(0, 50).Draw(t, "target")))
+	}
 	return ticket
 }
 
