Proxy: carry the priority of a route to the queue of the owner

Cause: wire.Route.Priority reaches every entry VM, but no statement carries it to the queue for the slots. Change: route.priority, connRequest, forward.Request and ForwardRequest.priority, connpool.Handle.SetPriority and admission.Ticket.Priority carry it; proxy.Options.Urgency, off by default, sets admission.Settings.Urgency of the pools.

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -20,6 +20,7 @@
 	account    string
 	weight     float64
 	read       bool
+	priority   uint8       // see SetPriority
 	pooled     *pooledConn // nil before the first statement
 	anyAccount bool        // a connection of any client account will do, with any session values
 	counted    bool        // the queue counts a connection for this Handle
@@ -27,6 +28,11 @@
 	broken     bool
 }
 
+// SetPriority sets the urgency of the statements, 0 being the most urgent. It is used only with Options.Urgency.
+func (h *Handle) SetPriority(priority uint32) {
+	h.priority = uint8(min(priority, admission.MaxPriority))
+}
+
 // Broken reports whether the connection was lost.
 func (h *Handle) Broken() bool { return h.broken }
 
@@ -55,6 +61,7 @@
 		t := slots.NewTicket()
 		t.Ticket = admission.Ticket{
 			Account: admission.AccountID(h.account), Weight: h.weight, Read: h.read, InTransaction: h.pooled != nil, Deadline: until, Target: l.Target,
+			Priority: h.priority,
 		}
 		if err := h.pool.admit(ctx, t); err != nil {
 			return nil, h.beginError(err)
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -64,6 +64,11 @@
 	Connections            int // initial limit on the connections of this VM
 	// Observe receives how long statements spend in each stage. It must be safe for concurrent use; nil for none.
 	Observe func(Stage, time.Duration)
+	// Urgency orders statements by the priority of their Handles; see admission.Settings.
+	Urgency bool
+	// ObserveQueue receives the priority of each statement that requested a slot, what it got and how long it waited, if
+	// Urgency is set. It must be safe for concurrent use; nil for none.
+	ObserveQueue func(priority uint8, o QueueOutcome, waited time.Duration)
 }
 
 // Stage is a stage of a statement in a Pool.
@@ -125,8 +130,14 @@
 	if o.Observe == nil {
 		o.Observe = func(Stage, time.Duration) {}
 	}
+	if o.ObserveQueue == nil || !o.Urgency {
+		o.ObserveQueue = func(uint8, QueueOutcome, time.Duration) {}
+	}
 	return &Pool{
-		options: o, slots: slots.New(admission.Settings{Slots: n + inFlightMargin, Fixed: true, Connections: max(o.Connections, 1)}),
+		options: o,
+		slots: slots.New(admission.Settings{
+			Slots: n + inFlightMargin, Fixed: true, Connections: max(o.Connections, 1), Urgency: o.Urgency,
+		}),
 		knownSlots: n, inUse: map[*Handle]struct{}{}, limit: max(o.Connections, 1), ahead: ahead{served: map[string]bool{}},
 	}
 }
@@ -243,23 +254,6 @@
 	return &Handle{pool: p, account: account, weight: weight, read: read}
 }
 
-// admit waits in the queue until a slot is free for the statement, and a connection unless its transaction has one.
-func (p *Pool) admit(ctx context.Context, t *slots.Ticket) error {
-	queued := p.options.Now()
-	defer func() { p.options.Observe(StageQueue, p.options.Now().Sub(queued)) }()
-	result := p.slots.Push(queued, t)
-	if result == admission.Waiting {
-		result = slots.Await(p.slots, t, ctx.Done())
-	}
-	switch result {
-	case admission.Admitted:
-		return nil
-	case admission.Full:
-		return ErrQueueFull
-	}
-	return ErrQueueTimeout
-}
-
 // acquire attaches to h the idle connection of its client account that needs the fewest statements to match the
 // session values, or opens one. At the limit it closes an idle connection of another account; if all are in use
 // it waits.
--- a/internal/forward/client.go
+++ b/internal/forward/client.go
@@ -250,6 +250,8 @@
 	Weight  float64
 	Read    bool
 	Pinned  bool // the connection is kept between calls of Run
+	// Priority is the urgency of the route, 0 being the most urgent.
+	Priority uint32
 }
 
 // Load is the number of statements that the other entry VM runs and queues for the backend server.
@@ -289,7 +291,7 @@
 	}
 	request := &wire.ForwardRequest{
 		Server: h.request.Server, Account: h.request.Account, Weight: h.request.Weight, Read: h.request.Read,
-		Limit: limit.Microseconds(), Values: values, Steps: encodeSteps(statements),
+		Limit: limit.Microseconds(), Values: values, Steps: encodeSteps(statements), Priority: h.request.Priority,
 	}
 	if !l.Target.IsZero() {
 		request.Target = cmp.Or(l.Target.Sub(now).Microseconds(), -1) // 0 on the wire states no target
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -110,8 +110,14 @@
 }
 
 func start(t *testing.T) (*server, *forward.Client, string) {
+	return startWith(t, connpool.Options{})
+}
+
+// startWith starts an entry VM with further options of its pool.
+func startWith(t *testing.T, o connpool.Options) (*server, *forward.Client, string) {
 	s := &server{}
-	l := connpool.New(connpool.Options{Group: "g", Server: "i", Dial: s.dial, Now: time.Now, Slots: 2, Connections: 4})
+	o.Group, o.Server, o.Dial, o.Now, o.Slots, o.Connections = "g", "i", s.dial, time.Now, 2, 4
+	l := connpool.New(o)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
@@ -146,6 +152,23 @@
 	require.True(t, c.Usable(address))
 }
 
+// TestPriorityReachesTheOwner guards against statements whose priority is lost when they are forwarded, in or outside a
+// transaction.
+func TestPriorityReachesTheOwner(t *testing.T) {
+	for _, pinned := range []bool{false, true} {
+		priorities := make(chan uint8, 1)
+		_, c, address := startWith(t, connpool.Options{
+			Urgency: true, ObserveQueue: func(priority uint8, _ connpool.QueueOutcome, _ time.Duration) { priorities <- priority },
+		})
+		h, err := c.NewHandle(forward.Request{Address: address, Server: "i", Account: "a", Pinned: pinned, Priority: 2})
+		require.NoError(t, err)
+		_, err = h.Run(t.Context(), limit(5*time.Second), nil, operation.Statement{ID: "w", Kind: operation.Write})
+		require.NoError(t, err)
+		require.EqualValues(t, 2, <-priorities)
+		h.Release()
+	}
+}
+
 // TestStreamEndRollsBack guards against a transaction that stays open after its caller released the handle.
 func TestStreamEndRollsBack(t *testing.T) {
 	s, c, address := start(t)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -81,7 +81,7 @@
 	if pool == nil {
 		return &wire.ForwardReply{Failure: wire.Failure_FAILURE_LEFT}, nil
 	}
-	h := pool.NewHandle(r.GetAccount(), r.GetWeight(), r.GetRead())
+	h := newHandle(pool, r)
 	defer h.Release()
 	if r.GetProofAge() > 0 {
 		return s.prove(ctx, pool, h, r), nil
@@ -89,6 +89,13 @@
 	return s.run(ctx, pool, h, r), nil
 }
 
+// newHandle returns a Handle for the statements of a request.
+func newHandle(pool *connpool.Pool, r *wire.ForwardRequest) *connpool.Handle {
+	h := pool.NewHandle(r.GetAccount(), r.GetWeight(), r.GetRead())
+	h.SetPriority(r.GetPriority())
+	return h
+}
+
 // prove answers a request for a proof.
 func (s *Server) prove(ctx context.Context, pool *connpool.Pool, h *connpool.Handle, r *wire.ForwardRequest) *wire.ForwardReply {
 	now := s.now()
@@ -133,7 +140,7 @@
 			if pool = s.host.Pool(stream.Context(), r.GetServer()); pool == nil {
 				return stream.Send(&wire.ForwardReply{Failure: wire.Failure_FAILURE_LEFT})
 			}
-			h = pool.NewHandle(r.GetAccount(), r.GetWeight(), r.GetRead())
+			h = newHandle(pool, r)
 		}
 		reply := s.run(stream.Context(), pool, h, r)
 		if err := stream.Send(reply); err != nil {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -26,10 +26,11 @@
 
 // connRequest describes the use of a connection to an instance.
 type connRequest struct {
-	account string
-	weight  float64
-	read    bool
-	pinned  bool // one connection is used for a whole transaction
+	account  string
+	weight   float64
+	read     bool
+	pinned   bool // one connection is used for a whole transaction
+	priority uint32
 }
 
 // runner runs statements on one connection to an instance, of this VM or of another entry VM.
@@ -57,7 +58,7 @@
 	c := &serverConn{group: g, member: m, peerAddress: via}
 	if via != "" {
 		h, err := g.forward.NewHandle(forward.Request{
-			Address: via, Server: string(m.id), Account: a.account, Weight: a.weight, Read: a.read, Pinned: a.pinned,
+			Address: via, Server: string(m.id), Account: a.account, Weight: a.weight, Read: a.read, Pinned: a.pinned, Priority: a.priority,
 		})
 		if err == nil {
 			c.runner = h
@@ -65,7 +66,9 @@
 		}
 		c.peerAddress = ""
 	}
-	c.runner = m.pool.NewHandle(a.account, a.weight, a.read)
+	h := m.pool.NewHandle(a.account, a.weight, a.read)
+	h.SetPriority(a.priority)
+	c.runner = h
 	return c
 }
 
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -38,7 +38,7 @@
 func (e *execution) remaining() time.Duration { return e.deadline.Sub(e.now()) }
 
 func (e *execution) connRequest(pinned bool) connRequest {
-	return connRequest{account: e.permit.account.name, weight: e.permit.account.weight, read: !e.st.Writes(), pinned: pinned}
+	return connRequest{account: e.permit.account.name, weight: e.permit.account.weight, read: !e.st.Writes(), pinned: pinned, priority: e.permit.route.priority}
 }
 
 // pause waits before the next attempt, or until changed closes. It returns false if the deadline would pass, or if the
--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"io"
 	"net"
 	"slices"
@@ -244,3 +245,28 @@
 	}
 	return opened
 }
+
+// RunWithPriority runs a write on a route with a priority at the instance of a dialer, and returns the metrics of the VM
+// that owns the connections: the same one, or another one behind a listener.
+func RunWithPriority(ctx context.Context, dial connpool.Dialer, urgency bool, priority uint32, owner net.Listener) *expvar.Map {
+	p := New(Options{Server: dial, Now: time.Now, Urgency: urgency, Controls: func() []string { return nil }})
+	g := newGroup("group", p)
+	m := &member{id: "i", pool: p.newPool(g, &wire.Member{Server: "i", Slots: 2}), stats: placement.NewInstanceStats(initialLatency)}
+	metrics := p.metrics
+	if owner != nil {
+		other := New(p.options)
+		other.pools.Store(&map[string]*connpool.Pool{"i": other.newPool(g, &wire.Member{Server: "i", Slots: 2})})
+		close(other.viewsReady)
+		go forward.NewServer(other, time.Now).Serve(ctx, owner) //nolint:errcheck // ends with ctx
+		(&ZoneVM{proxy: p}).awaitUsable(owner.Addr().String())
+		g.owner = func(*group, *member) string { return owner.Addr().String() }
+		metrics = other.metrics
+	}
+	t := newConfigSnapshot(&wire.Configuration{Routes: []*wire.Route{{Name: "r", Group: "group", Priority: priority}}}, map[string]*group{"group": g})
+	e := &execution{
+		session: &Session{proxy: p}, permit: &permit{route: t.routes["r"], account: &account{name: "account", weight: 1}},
+		st: operation.Statement{ID: "1", Kind: operation.Write}, deadline: time.Now().Add(time.Minute),
+	}
+	_, _, _ = e.runAt(ctx, m, e.st)
+	return metrics.all
+}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -33,6 +33,7 @@
 	reads        *histogram.Histogram
 	changes      *histogram.Histogram
 	stages       map[connpool.Stage]*histogram.Histogram // of statements on the connections of this VM; immutable
+	queues       queueMetrics                            // of statements by priority, with Options.Urgency
 	connected    atomic.Bool                             // the last Renew succeeded
 }
 
@@ -54,6 +55,8 @@
 	}
 	m.all.Set("outcomes", m.outcomes)
 	m.all.Set("reasons", m.reasons)
+	m.all.Set("queue_refused", &m.queues.refused)
+	m.all.Set("queue_yielded", &m.queues.yielded)
 	m.waits, m.proofs = histogram.New(), histogram.New()
 	m.reads, m.changes = histogram.New(), histogram.New()
 	m.all.Set("credit", m.waits)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -91,6 +91,8 @@
 	// Wall is the clock with which control VMs state when an instance began to leave; nil if they do not.
 	Wall  func() time.Time
 	Drain Drain
+	// Urgency orders the statements that wait for an instance by the priority of their routes.
+	Urgency bool
 	// Traffic counts what this VM exchanges with other VMs; nil for a Meter of its own.
 	Traffic *traffic.Meter
 }
@@ -369,6 +371,7 @@
 	return connpool.New(connpool.Options{
 		Group: g.name, Server: m.GetServer(), Address: m.GetAddress(), Dial: p.options.Server, Now: p.options.Now,
 		Slots: int(m.GetSlots()), Connections: fallbackConnections, Observe: p.metrics.observeStage,
+		Urgency: p.options.Urgency, ObserveQueue: p.metrics.observeQueue,
 	})
 }
 
--- a/internal/proxy/snapshot.go
+++ b/internal/proxy/snapshot.go
@@ -28,6 +28,7 @@
 	timeout       time.Duration
 	targetLatency time.Duration // 0 if none is configured
 	public        bool          // open to callers without a key
+	priority      uint32        // urgency of the statements, 0 being the most urgent
 }
 
 // account is a client account.
@@ -45,7 +46,7 @@
 	}
 	for _, r := range c.GetRoutes() {
 		t.routes[r.GetName()] = &route{
-			name: r.GetName(), group: groups[r.GetGroup()], public: r.GetOpen(),
+			name: r.GetName(), group: groups[r.GetGroup()], public: r.GetOpen(), priority: r.GetPriority(),
 			maxStaleness: milliseconds(r.GetAge(), 0), targetLatency: milliseconds(r.GetTarget(), 0), timeout: milliseconds(r.GetTimeout(), defaultTimeout),
 		}
 	}
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -15,7 +15,8 @@
 	queue *admission.Queue
 }
 
-// Ticket is a statement that requests a slot. It may be reused once it has a result.
+// Ticket is a statement that requests a slot. It may be reused once it has a result. Yielded is set if that is Late
+// in favor of a more urgent statement.
 type Ticket struct {
 	admission.Ticket
 	handle admission.Handle
@@ -110,7 +111,9 @@
 		if result == admission.None {
 			return
 		}
-		t.Tag.(*Ticket).ready <- result
+		waiting := t.Tag.(*Ticket)
+		waiting.Yielded = t.Yielded
+		waiting.ready <- result
 	}
 }
 
--- a/internal/slots/slots_test.go
+++ b/internal/slots/slots_test.go
@@ -70,3 +70,33 @@
 	require.Zero(t, running)
 	require.Zero(t, waiting)
 }
+
+// Guards against a statement that yielded and is counted as one that was late by itself.
+func TestYieldedReachesTheWaiter(t *testing.T) {
+	s := slots.New(admission.Settings{Slots: 1, Fixed: true, Urgency: true})
+	now := time.Unix(1000, 0)
+	push := func(priority uint8, target time.Duration) (*slots.Ticket, admission.Result) {
+		one := ticket("a")
+		one.Priority = priority
+		if target > 0 {
+			one.Target = now.Add(target)
+		}
+		return one, s.Push(now, one)
+	}
+	for i := range 40 {
+		one, result := push(uint8(i%2), 0)
+		require.Equal(t, admission.Admitted, result)
+		s.Release(now, one.Ticket, 10*time.Millisecond, false)
+	}
+	running, _ := push(0, 0)
+	less, result := push(1, 5*time.Millisecond) // late in any case
+	require.Equal(t, admission.Waiting, result)
+	for range 40 {
+		push(0, 0)
+	}
+	_, result = push(0, 312*time.Millisecond) // of which those ahead take 300
+	require.Equal(t, admission.Waiting, result)
+	require.Equal(t, admission.Late, slots.Await[struct{}](s, less, nil))
+	require.True(t, less.Yielded)
+	require.False(t, running.Yielded)
+}
