Entry VM: setting urgency orders waiting statements by priority

Cause: the PostgreSQL side uses the same queue and has no way to switch the order on. Result: TestPriorityOfRoute (internal/entryvm) passes with and without the setting.

--- a/internal/entryvm/eventloop.go
+++ b/internal/entryvm/eventloop.go
@@ -299,7 +299,7 @@
 		zone:      m.GetZone(),
 		pool:      backend.NewPool(vm.options.Credentials, vm.identity+"/statement", vm.control.RenewNow),
 		slotLimit: int(max(c.GetSlots(), 1)),
-		slots:     slots.New(admission.Settings{Slots: int(max(c.GetSlots(), 1))}),
+		slots:     slots.New(admission.Settings{Slots: int(max(c.GetSlots(), 1)), Urgency: vm.options.Entry.Urgency}),
 		router:    g.router,
 	}
 	if s.zone != vm.options.Node.Zone {
--- a/internal/entryvm/metrics.go
+++ b/internal/entryvm/metrics.go
@@ -20,6 +20,12 @@
 	renewals     *expvar.Int
 	renewFailed  *expvar.Int
 	outcomes     *expvar.Map // requests answered with an error of the VM, by SQLSTATE
+
+	// Statements outside transactions that requested a slot, by priority of their route, with Entry.Urgency.
+	queueAdmitted *expvar.Map
+	queueRefused  *expvar.Map // without those that yielded
+	queueYielded  *expvar.Map // refused in favor of a more urgent statement
+	queueSeconds  *expvar.Map // sum of their waits
 }
 
 func newMetrics() *metrics {
@@ -43,7 +49,15 @@
 	m.dialFailures = number("undialed")
 	m.renewals = number("renewals")
 	m.renewFailed = number("unrenewed")
-	m.outcomes = new(expvar.Map).Init()
-	m.vars.Set("outcomes", m.outcomes)
+	byKey := func(name string) *expvar.Map {
+		v := new(expvar.Map)
+		m.vars.Set(name, v)
+		return v
+	}
+	m.outcomes = byKey("outcomes")
+	m.queueAdmitted = byKey("queue_admitted")
+	m.queueRefused = byKey("queue_refused")
+	m.queueYielded = byKey("queue_yielded")
+	m.queueSeconds = byKey("queue_seconds")
 	return m
 }
--- a/internal/entryvm/slots.go
+++ b/internal/entryvm/slots.go
@@ -1,6 +1,7 @@
 package entryvm
 
 import (
+	"strconv"
 	"time"
 
 	"fireflyrudder.example/fireflyrudder/internal/admission"
@@ -32,7 +33,7 @@
 	}
 	s.ticket.Ticket = admission.Ticket{
 		Account: admission.AccountID(s.conn.Startup.Account), Weight: weight, Read: read, InTransaction: continues,
-		Deadline: w.deadline,
+		Deadline: w.deadline, Priority: s.route.priority,
 	}
 	return s.ticket
 }
@@ -40,10 +41,12 @@
 // acquireSlot waits for a slot of the server.
 func (s *callerSession) acquireSlot(w *requestWait, server *serverState, read bool) *outcome.Error {
 	t := s.prepareTicket(w, read, false)
-	result := server.slots.Push(time.Now(), t)
+	queued := time.Now()
+	result := server.slots.Push(queued, t)
 	if result == admission.Waiting {
 		result = slots.Await(server.slots, t, w.context().Done())
 	}
+	s.vm.countQueued(&t.Ticket, result, queued)
 	switch result {
 	case admission.Admitted:
 		return nil
@@ -53,6 +56,23 @@
 	return w.refusal(outcome.DeadlineUnmet, "no slot within the deadline; the statement did not run", "send it again later or give a longer deadline")
 }
 
+// countQueued counts what a statement got that requested a slot, by the priority of its route.
+func (vm *VM) countQueued(t *admission.Ticket, result admission.Result, queued time.Time) {
+	if !vm.options.Entry.Urgency {
+		return
+	}
+	priority := strconv.Itoa(int(t.Priority))
+	vm.metrics.queueSeconds.AddFloat(priority, time.Since(queued).Seconds())
+	switch {
+	case result == admission.Admitted:
+		vm.metrics.queueAdmitted.Add(priority, 1)
+	case t.Yielded:
+		vm.metrics.queueYielded.Add(priority, 1)
+	default:
+		vm.metrics.queueRefused.Add(priority, 1)
+	}
+}
+
 // acquireTransactionSlot waits for a slot for a statement of the open transaction. It returns false if the statement
 // runs without one.
 func (s *callerSession) acquireTransactionSlot(w *requestWait, server *serverState) bool {
--- a/internal/entryvm/table.go
+++ b/internal/entryvm/table.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"fireflyrudder.example/fireflyrudder/internal/admission"
 	"fireflyrudder.example/fireflyrudder/internal/caller"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/outcome"
@@ -31,6 +32,7 @@
 	accounts   map[string]bool
 	age        time.Duration
 	repeatable bool
+	priority   uint8 // urgency of the statements, 0 being the most urgent
 }
 
 // newTable returns the table of a configuration. A key whose verifier is malformed is left out, so that it is refused.
@@ -53,7 +55,7 @@
 		one := &callerRoute{
 			name: r.GetName(), database: r.GetDatabase(), group: groups[r.GetGroup()], open: r.GetOpen(),
 			accounts: make(map[string]bool, len(r.GetAccounts())), age: time.Duration(r.GetAge()) * time.Millisecond,
-			repeatable: r.GetRepeatable(),
+			repeatable: r.GetRepeatable(), priority: uint8(min(r.GetPriority(), admission.MaxPriority)),
 		}
 		for _, a := range r.GetAccounts() {
 			one.accounts[a] = true
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -148,6 +148,7 @@
 	Token    string            `long:"token-file" ini-name:"token" env:"FIREFLYRUDDER_ENTRY_TOKEN_FILE" description:"file with the secret that signs session tokens, the same on all entry VMs"`
 	Drain    time.Duration     `long:"drain" env:"FIREFLYRUDDER_ENTRY_DRAIN" default:"30s" description:"longest time that a graceful shutdown waits for open transactions"`
 	Wait     time.Duration     `long:"wait" env:"FIREFLYRUDDER_ENTRY_WAIT" default:"10s" description:"default deadline of a statement that waits for a slot, a credit or a primary"`
+	Urgency  bool              `long:"urgency" env:"FIREFLYRUDDER_ENTRY_URGENCY" description:"order statements that wait for a slot by the priority of their routes"`
 	Server   ServerCredentials `group:"server" namespace:"server"`
 }
 
