--- a/internal/admission/accounts.go
+++ b/internal/admission/accounts.go
@@ -4,11 +4,12 @@
 func (c *class) flow(t *Ticket) *flow {
 	f := c.flows[t.Account]
 	if f == nil {
-		if len(c.flows) >= c.sweepAt {
-			c.dropIdle()
+		if c.queue.accounts >= c.queue.sweepAt {
+			c.queue.dropIdle()
 		}
 		f = c.newFlow(t.Account)
 		c.flows[t.Account] = f
+		c.queue.accounts++
 	}
 	if t.Weight > 0 {
 		f.weight = t.Weight
@@ -33,15 +34,25 @@
 
 // dropIdle removes flows without statements and debt. It runs when the number of flows has grown by half, so
 // that its cost is spread over the additions.
+func (q *Queue) dropIdle() {
+	if !q.urgency {
+		q.first.dropIdle()
+	}
+	for _, c := range q.classes {
+		c.dropIdle()
+	}
+	q.sweepAt = max(q.accounts+q.accounts/2, minSweep)
+}
+
 func (c *class) dropIdle() {
 	for account, f := range c.flows {
 		if f.waiting == 0 && f.running == 0 && f.start <= c.virtual {
 			delete(c.flows, account)
 			f.next = c.queue.freeFlows
 			c.queue.freeFlows = f
+			c.queue.accounts--
 		}
 	}
-	c.sweepAt = max(len(c.flows)+len(c.flows)/2, minSweep)
 }
 
 // cost returns the slot time charged for a statement of the flow, in seconds.
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -37,7 +37,8 @@
 	// Fixed keeps the concurrency limit at Slots. Otherwise the limit follows the observed latency between 1
 	// and Slots, because other entry VMs use the same slots.
 	Fixed bool
-	// MaxWaiting limits the waiting statements of one client account; 0 means DefaultMaxWaiting.
+	// MaxWaiting limits the waiting statements of one client account, with Urgency in each priority; 0 means
+	// DefaultMaxWaiting.
 	MaxWaiting int
 	// ReadShare is the share of the slot time that reads may use while writes wait; 0 means no limit. It is
 	// set for primaries.
--- a/internal/admission/class.go
+++ b/internal/admission/class.go
@@ -20,6 +20,7 @@
 	queue    *Queue
 	priority uint8
 	service  service
+	latency  latency
 
 	virtual     float64 // virtual time: start tag of the statement admitted last
 	latest      float64 // largest start tag assigned
@@ -28,9 +29,8 @@
 	laneTags    [numLanes]float64 // start tags of the next write and read, scaled by Settings.ReadShare
 	laneVirtual float64           // start tag of the write or read admitted last
 
-	flows   map[AccountID]*flow
-	sweepAt int // number of flows at which idle ones are dropped
-	heaps   [numLanes]heap
+	flows map[AccountID]*flow
+	heaps [numLanes]heap
 
 	oldest, newest int32 // of the list linked by node.older and node.newer
 	listed         int   // length of that list
@@ -41,7 +41,7 @@
 }
 
 func (c *class) init(q *Queue) {
-	*c = class{queue: q, flows: make(map[AccountID]*flow), sweepAt: minSweep, oldest: noNode, newest: noNode}
+	*c = class{queue: q, flows: make(map[AccountID]*flow), oldest: noNode, newest: noNode}
 	for i := range c.heaps {
 		c.heaps[i] = heap{queue: q, lane: lane(i)}
 	}
@@ -131,9 +131,9 @@
 	return c.heaps[lane].entries[0].flow.cost()
 }
 
-// account adds slot time to the reserves of the classes that wait below the most urgent one, in equal parts, and
+// addToMinima adds slot time to the reserves of the classes that wait below the most urgent one, in equal parts, and
 // takes it from the reserve of the class that uses it.
-func (q *Queue) account(user *class, p phase, cost float64) {
+func (q *Queue) addToMinima(user *class, p phase, cost float64) {
 	if len(q.classes) < 2 {
 		return
 	}
--- a/internal/admission/limit.go
+++ b/internal/admission/limit.go
@@ -25,8 +25,13 @@
 	slots   float64
 	current float64
 	fixed   bool
-	latency float64   // in seconds, exponentially weighted average
 	lowered time.Time // time of the last decrease
+}
+
+// latency compares the latency of the statements of one class with its baseline. Each class has its own: a change of
+// the mix of classes is no congestion.
+type latency struct {
+	current float64 // in seconds, exponentially weighted average
 
 	sum         float64 // of the current batch, in seconds
 	count       int
@@ -45,23 +50,15 @@
 	return int(l.current)
 }
 
-// update adapts the limit to a finished statement. busy reports whether more statements could have used the
-// limit.
-func (l *limit) update(now time.Time, elapsed float64, failed, busy bool) {
+// update adapts the limit to a finished statement of a class. busy reports whether more statements could have used
+// the limit.
+func (l *limit) update(now time.Time, y *latency, elapsed float64, failed, busy bool) {
 	if l.fixed {
 		return
 	}
-	if l.latency == 0 {
-		l.latency = elapsed
-	}
-	l.latency += latencyWeight * (elapsed - l.latency)
-	if !failed {
-		l.updateBaseline(now, elapsed)
-	}
-	baseline := l.baseline()
-	if failed || (baseline > 0 && l.latency > congestionRatio*baseline) {
+	if y.congested(now, elapsed, failed) || failed {
 		// Decrease at most once per latency, so that the statements of one round count once.
-		if now.Sub(l.lowered).Seconds() >= l.latency {
+		if now.Sub(l.lowered).Seconds() >= y.current {
 			l.current = max(l.current*decreaseFactor, 1)
 			l.lowered = now
 		}
@@ -72,28 +69,41 @@
 	}
 }
 
-func (l *limit) updateBaseline(now time.Time, elapsed float64) {
-	l.sum += elapsed
-	l.count++
-	if l.count < batchSize {
+// congested adds the latency of a statement and reports whether the average shows congestion.
+func (y *latency) congested(now time.Time, elapsed float64, failed bool) bool {
+	if y.current == 0 {
+		y.current = elapsed
+	}
+	y.current += latencyWeight * (elapsed - y.current)
+	if !failed {
+		y.updateBaseline(now, elapsed)
+	}
+	baseline := y.baseline()
+	return baseline > 0 && y.current > congestionRatio*baseline
+}
+
+func (y *latency) updateBaseline(now time.Time, elapsed float64) {
+	y.sum += elapsed
+	y.count++
+	if y.count < batchSize {
 		return
 	}
-	mean := l.sum / batchSize
-	l.sum, l.count = 0, 0
+	mean := y.sum / batchSize
+	y.sum, y.count = 0, 0
 	switch {
-	case l.minMean == 0 || now.Sub(l.windowStart) >= baselineWindow:
-		l.previousMin = l.minMean
-		l.minMean = mean
-		l.windowStart = now
+	case y.minMean == 0 || now.Sub(y.windowStart) >= baselineWindow:
+		y.previousMin = y.minMean
+		y.minMean = mean
+		y.windowStart = now
 	default:
-		l.minMean = min(l.minMean, mean)
+		y.minMean = min(y.minMean, mean)
 	}
 }
 
 // baseline returns the latency without congestion, or 0 if it is not known.
-func (l *limit) baseline() float64 {
-	if l.previousMin == 0 {
-		return l.minMean
+func (y *latency) baseline() float64 {
+	if y.previousMin == 0 {
+		return y.minMean
 	}
-	return min(l.minMean, l.previousMin)
+	return min(y.minMean, y.previousMin)
 }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -34,6 +34,8 @@
 
 	first     class    // the first class to be used; the only one without Settings.Urgency
 	classes   []*class // classes that have been used, the most urgent first; empty without Settings.Urgency
+	accounts  int      // flows of all classes
+	sweepAt   int      // number of flows at which idle ones are dropped
 	freeFlows *flow    // unused flows, linked by next
 	shed      []Ticket // dropped in favor of others, to be returned by Pop
 	nodes     []node
@@ -49,7 +51,7 @@
 func NewWith(s Settings) *Queue {
 	q := &Queue{
 		policy: s.Policy, maxWaiting: s.MaxWaiting, readShare: clampReadShare(s.ReadShare), limit: newLimit(s.Slots, s.Fixed),
-		connections: s.Connections, urgency: s.Urgency, freeNodes: noNode,
+		connections: s.Connections, urgency: s.Urgency, sweepAt: minSweep, freeNodes: noNode,
 	}
 	if q.maxWaiting <= 0 {
 		q.maxWaiting = DefaultMaxWaiting
@@ -160,7 +162,7 @@
 		q.remove(index)
 		return t, Late
 	}
-	q.account(c, phaseOf(lane), f.cost())
+	q.addToMinima(c, phaseOf(lane), f.cost())
 	c.charge(f, lane)
 	if lane != continuing && q.connections > 0 {
 		q.connectionsInUse++
@@ -194,7 +196,7 @@
 	if !failed {
 		c.service.add(now, seconds)
 	}
-	q.limit.update(now, seconds, failed, busy)
+	q.limit.update(now, &c.latency, seconds, failed, busy)
 	if c.waiting == 0 && c.running == 0 {
 		// A busy period ends. No account carries a debt into the next one, so idle flows can be dropped.
 		c.virtual = c.latest
--- a/internal/admission/urgency_test.go
+++ b/internal/admission/urgency_test.go
@@ -201,7 +201,8 @@
 // Guards against thousands of idle queues that need much more memory with urgency, and against allocations in the
 // path of every statement.
 func TestUrgencyMemory(t *testing.T) {
-	size := func(s admission.Settings) float64 {
+	accounts := []admission.AccountID{"a", "b", "c", "d", "e", "f"}
+	size := func(s admission.Settings, classes int) float64 {
 		const n = 2000
 		queues := make([]*admission.Queue, n)
 		var before, after runtime.MemStats
@@ -209,15 +210,22 @@
 		runtime.ReadMemStats(&before)
 		for i := range queues {
 			queues[i] = admission.NewWith(s)
-			queues[i].Push(start, admission.Ticket{Account: "a"})
+			for k := range 6 * classes {
+				q := queues[i]
+				q.Push(start, admission.Ticket{Account: accounts[k%6], Priority: uint8(k / 6)})
+				ticket, _ := q.Pop(start)
+				q.Done(start, ticket, ms(1), false)
+			}
 		}
 		runtime.ReadMemStats(&after)
 		runtime.KeepAlive(queues)
 		return float64(after.TotalAlloc-before.TotalAlloc) / n
 	}
-	off, on := size(admission.Settings{Slots: 4}), size(admission.Settings{Slots: 4, Urgency: true})
-	t.Logf("bytes of a queue with one account: %.0f, with urgency %.0f", off, on)
+	off, on := size(admission.Settings{Slots: 4}, 1), size(admission.Settings{Slots: 4, Urgency: true}, 1)
+	three := size(admission.Settings{Slots: 4, Urgency: true}, 3)
+	t.Logf("bytes of an idle queue that had six accounts: %.0f; with urgency %.0f, after three priorities %.0f", off, on, three)
 	require.Less(t, on-off, 200.0)
+	require.Less(t, three-on, 2500.0)
 
 	q := admission.NewWith(admission.Settings{Slots: 1, Urgency: true})
 	priority := uint8(0)
@@ -233,6 +241,25 @@
 	require.Zero(t, testing.AllocsPerRun(1000, run))
 }
 
+// Guards against classes with different service times that look like congestion when their mix changes.
+func TestMixOfClassesIsNoCongestion(t *testing.T) {
+	q := admission.NewWith(admission.Settings{Slots: 4, Urgency: true, MaxWaiting: 10_000})
+	now := start
+	for round := range 6 {
+		class := round % 2 * 2
+		push(q, "a", 200, admission.Ticket{Priority: uint8(class)})
+		for {
+			ticket, result := q.Pop(now)
+			if result == admission.None {
+				break
+			}
+			now = now.Add(loadClasses[class].work)
+			q.Done(now, ticket, loadClasses[class].work, false)
+			require.Equal(t, 4, q.Allowed())
+		}
+	}
+}
+
 // BenchmarkUrgency measures push, pop and done with four waiting statements per account, by number of classes.
 func BenchmarkUrgency(b *testing.B) {
 	for _, classes := range []int{1, 3, 8} {
--- a/internal/admission/yield.go
+++ b/internal/admission/yield.go
@@ -119,5 +119,8 @@
 	if q.totalWork()-c.meanWork() <= budget {
 		return false
 	}
-	return q.transactionWork(budget)+min(q.urgentWork(c, budget), c.untilReserved(n.flow.cost())) > budget
+	if budget -= q.transactionWork(budget); c.untilReserved(n.flow.cost()) <= budget {
+		return false
+	}
+	return q.urgentWork(c, budget) > budget
 }
