Admission: property test of urgency under drawn loads

Cause: the property test of the queue draws too few statements for its estimates, so refusals and yields before the deadline were covered by fixed loads alone. Change: a test draws bursts of the three classes and a freeze of the server, and checks after each event that no slot is idle while a statement waits, that none that could be in time is refused while a slot is free, and that each has one result. The freeze test checks that statements yield.

--- a/internal/admission/load_test.go
+++ b/internal/admission/load_test.go
@@ -39,6 +39,7 @@
 	waiting        bool
 	started, ended time.Time // zero if it did not run
 	results        int
+	yielded        bool
 }
 
 // makeLoad returns the statements in order of arrival.
@@ -105,6 +106,8 @@
 	frozen, thawed time.Time
 	running        []admission.Ticket // by end
 	pushed         [len(loadClassNames)][]*loadStatement
+	check          func(now time.Time) // called after each event; nil for none
+	refused        func(now time.Time, t admission.Ticket)
 }
 
 func (r *loadRun) play(load []*loadStatement) {
@@ -154,6 +157,7 @@
 	r.pushed[st.class] = append(r.pushed[st.class], st)
 	if !st.waiting {
 		st.results++
+		r.observeRefusal(st.arrived, t)
 	}
 	r.dispatch(st.arrived)
 }
@@ -162,12 +166,13 @@
 	for {
 		t, result := r.queue.Pop(now)
 		if result == admission.None {
-			return
+			break
 		}
 		st := statementOf(t)
 		st.results++
-		st.waiting = false
+		st.waiting, st.yielded = false, t.Yielded
 		if result != admission.Admitted {
+			r.observeRefusal(now, t)
 			continue
 		}
 		st.started, st.ended = now, now.Add(st.work)
@@ -177,6 +182,15 @@
 		r.running = append(r.running, t)
 		slices.SortStableFunc(r.running, func(a, b admission.Ticket) int { return statementOf(a).ended.Compare(statementOf(b).ended) })
 	}
+	if r.check != nil {
+		r.check(now)
+	}
+}
+
+func (r *loadRun) observeRefusal(now time.Time, t admission.Ticket) {
+	if r.refused != nil {
+		r.refused(now, t)
+	}
 }
 
 // tally counts what callers get.
--- a/internal/admission/urgency_test.go
+++ b/internal/admission/urgency_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
@@ -43,12 +44,58 @@
 	for class := range 2 {
 		require.Greater(t, countLoad(played["urgency"], byClass(class)).share(), countLoad(played["present order"], byClass(class)).share()+0.15)
 	}
+	require.True(t, slices.ContainsFunc(played["urgency"], func(st *loadStatement) bool { return st.yielded }), "statements yield")
 	since := func(st *loadStatement) bool {
 		return st.class == 0 && !st.arrived.Before(start.Add(3200*time.Millisecond))
 	}
 	require.GreaterOrEqual(t, countLoad(played["urgency"], since).share(), 0.99, "from 200 ms after the answers on")
 }
 
+// Guards against idle slots while statements wait, against a refusal while a slot is free of a statement that the
+// slot could serve in time, and against lost or duplicated results, for any load of known service times.
+func TestUrgencyKeepsEveryStatement(t *testing.T) {
+	hopeless := 0
+	rapid.Check(t, func(t *rapid.T) {
+		q := admission.NewWith(admission.Settings{Slots: loadSlots, Fixed: true, MaxWaiting: 100, Urgency: true})
+		load := drawLoad(t)
+		r := &loadRun{queue: q, targets: rapid.Bool().Draw(t, "targets"), frozen: start.Add(time.Second)}
+		r.thawed = r.frozen.Add(ms(rapid.IntRange(0, 1000).Draw(t, "freeze")))
+		r.check = func(time.Time) { require.True(t, q.Waiting() == 0 || q.Running() == loadSlots, "an idle slot") }
+		r.refused = func(now time.Time, ticket admission.Ticket) {
+			switch class := loadClasses[statementOf(ticket).class]; {
+			case ticket.Yielded:
+				require.Equal(t, loadSlots, q.Running())
+			case q.Running() < loadSlots:
+				require.Less(t, ticket.Deadline.Sub(now), 2*class.work)
+			case now.Before(ticket.Deadline):
+				hopeless++
+			}
+		}
+		r.play(load)
+		for _, st := range load {
+			require.Equal(t, 1, st.results, "results of a statement")
+		}
+	})
+	require.Positive(t, hopeless, "the loads have refusals before the deadline")
+}
+
+// drawLoad returns a load after a calm time in which the queue learns the service times.
+func drawLoad(t *rapid.T) []*loadStatement {
+	load := makeLoad(rapid.Uint64().Draw(t, "seed"))
+	load = slices.DeleteFunc(load, func(st *loadStatement) bool { return st.arrived.After(start.Add(loadWarmUp)) })
+	at := start.Add(loadWarmUp)
+	for range rapid.IntRange(0, 4).Draw(t, "bursts") {
+		class, account := rapid.IntRange(0, 2).Draw(t, "class"), rapid.IntRange(0, 7).Draw(t, "account")
+		gap := time.Duration(rapid.IntRange(0, 2000).Draw(t, "gap")) * time.Microsecond
+		for range rapid.IntRange(1, 300).Draw(t, "length") {
+			at = at.Add(gap)
+			load = append(load, &loadStatement{class: class, account: account, arrived: at, work: loadClasses[class].work})
+			account = (account + 1) % loadAccounts
+		}
+	}
+	return load
+}
+
 // Guards against classes that starve while more urgent ones use all slots, and against minima that take more than
 // a tenth.
 func TestLowerClassesHaveAMinimum(t *testing.T) {
