--- a/internal/admission/wait_test.go
+++ b/internal/admission/wait_test.go
@@ -106,3 +106,33 @@
 		}
 	})
 }
+
+// TestWaitsByPriority guards against urgent statements that are refused on arrival because less urgent ones wait.
+func TestWaitsByPriority(t *testing.T) {
+	q := admission.NewWith(admission.Settings{Slots: 4, Fixed: true, Urgency: true, MaxWaiting: 1000})
+	now := start
+	for _, priority := range []uint8{0, 2} {
+		for range 32 {
+			ticket := admission.Ticket{Account: "a", Priority: priority}
+			_, result := q.Push(now, ticket)
+			require.Equal(t, admission.Waiting, result)
+			ticket, result = q.Pop(now)
+			require.Equal(t, admission.Admitted, result)
+			now = now.Add(ms(10))
+			q.Done(now, ticket, ms(10), false)
+		}
+	}
+	for range 204 {
+		_, result := q.Push(now, admission.Ticket{Account: "b", Priority: 2})
+		require.Equal(t, admission.Waiting, result)
+	}
+	for range 4 {
+		_, result := q.Pop(now)
+		require.Equal(t, admission.Admitted, result)
+	}
+	waits := q.Waits(now, "b")
+	require.Len(t, waits, 3)
+	require.Less(t, waits[0], ms(15))
+	require.Equal(t, waits[0], waits[1], "no statement of priority 1 was seen")
+	require.InDelta(t, 0.5, waits[2].Seconds(), 0.02, "200 statements of 10 ms in 4 slots")
+}
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -40,7 +40,7 @@
 func (e *execution) remaining() time.Duration { return e.deadline.Sub(e.now()) }
 
 func (e *execution) connRequest(pinned bool) connRequest {
-	return connRequest{account: e.permit.account.name, weight: e.permit.account.weight, read: !e.st.Writes(), pinned: pinned}
+	return connRequest{account: e.permit.account.name, weight: e.permit.account.weight, read: !e.st.Writes(), pinned: pinned, priority: e.permit.route.priority}
 }
 
 // pause waits before the next attempt, or until changed closes. It returns false if the deadline would pass, or if the
@@ -286,7 +286,7 @@
 			e.recordFailure(operation.Answer{Code: operation.Busy}, reasonPrimary)
 			return nil, floor, false
 		}
-		if m := g.readTarget(e.now(), floor, e.triedServers, e.permit.account.name); m != nil {
+		if m := g.readTarget(e.now(), floor, e.triedServers, e.connRequest(false)); m != nil {
 			return m, floor, true
 		}
 		e.triedServers = e.triedServers[:0]
--- a/internal/proxy/export_waits_test.go
+++ b/internal/proxy/export_waits_test.go
@@ -40,7 +40,7 @@
 
 // KnowsWaits reports whether the VM keeps a fresh report for the instance.
 func (z *ZoneVM) KnowsWaits() bool {
-	_, ok := z.group.members[0].stats.Waits.Latest(z.proxy.options.Now(), basePriority)
+	_, ok := z.group.members[0].stats.Waits.Latest(z.proxy.options.Now(), 0)
 	return ok
 }
 
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -310,7 +310,7 @@
 }
 
 // readTarget returns the instance to use for a read of a client account, or nil if there is none left to try.
-func (g *group) readTarget(now time.Time, floor position.Position, tried []string, account string) *member {
+func (g *group) readTarget(now time.Time, floor position.Position, tried []string, r connRequest) *member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastUsed = now
@@ -327,7 +327,7 @@
 			Slots: m.slots, Waiting: m.stats.Waiting(now), LastPosition: seen, PositionAge: ago, Failing: m.stats.Failing(),
 			Tried: slices.Contains(tried, string(m.id)),
 		})
-		m.stats.Expect(now, account, basePriority, &candidates[len(candidates)-1])
+		m.stats.Expect(now, r.account, int(r.priority), &candidates[len(candidates)-1])
 	}
 	if i := g.reader.Choose(floor, candidates); i >= 0 {
 		return members[i]
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -96,6 +96,8 @@
 	Capacity placement.Capacity
 	// Waits makes the owners of connections report how long statements wait, and the other entry VMs use it.
 	Waits bool
+	// Urgency orders the statements that wait for an instance by the priority of their routes.
+	Urgency bool
 	// Traffic counts what this VM exchanges with other VMs; nil for a Meter of its own.
 	Traffic *traffic.Meter
 }
@@ -394,7 +396,8 @@
 func (p *Proxy) newPool(g *group, m *wire.Member) *connpool.Pool {
 	return connpool.New(connpool.Options{
 		Group: g.name, Server: m.GetServer(), Address: m.GetAddress(), Dial: p.options.Server, Now: p.options.Now,
-		Slots: int(m.GetSlots()), Connections: fallbackConnections, Waits: p.options.Waits, Observe: p.metrics.observeStage,
+		Slots: int(m.GetSlots()), Connections: fallbackConnections, Observe: p.metrics.observeStage,
+		Waits: p.options.Waits, Urgency: p.options.Urgency, ObserveQueue: p.metrics.observeQueue,
 	})
 }
 
--- a/internal/proxy/waits.go
+++ b/internal/proxy/waits.go
@@ -12,15 +12,12 @@
 	"fireflyrudder.example/fireflyrudder/internal/placement"
 )
 
-// basePriority is the priority of all statements: queues report one wait for all.
-const basePriority = 0
-
 // waitReporter is a runner that knows how long further statements of its client account wait for a slot.
 type waitReporter interface{ Waits() []time.Duration }
 
 // expectWait records the wait that is expected when statements are sent. The caller holds the lock of the group.
 func (c *serverConn) expectWait(now time.Time) {
-	c.wait, c.waitKnown = c.member.stats.Waits.Expected(now, c.request.account, basePriority)
+	c.wait, c.waitKnown = c.member.stats.Waits.Expected(now, c.request.account, int(c.request.priority))
 }
 
 // recordWaits records the expected waits that came with the outcome of statements, and how long the instance took without
@@ -42,9 +39,9 @@
 	}
 }
 
-// shortestWait returns the shortest expected wait of a statement of a client account, and the age of that report. ok is
+// shortestWait returns the shortest expected wait of a statement of a request, and the age of that report. ok is
 // false if an instance that may run it has no fresh report: m, or any one if m is nil.
-func (g *group) shortestWait(now time.Time, account string, m *member) (wait, age time.Duration, ok bool) {
+func (g *group) shortestWait(now time.Time, r connRequest, m *member) (wait, age time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []*placement.Waits
@@ -53,7 +50,7 @@
 			all = append(all, &o.stats.Waits)
 		}
 	}
-	return placement.Shortest(now, all, account, basePriority)
+	return placement.Shortest(now, all, r.account, int(r.priority))
 }
 
 // cannotWait reports whether the statement would miss its deadline at each instance that may run it: m, or any one if m is
@@ -64,7 +61,7 @@
 		return false
 	}
 	now := e.now()
-	wait, age, ok := e.permit.route.group.shortestWait(now, e.permit.account.name, m)
+	wait, age, ok := e.permit.route.group.shortestWait(now, e.connRequest(false), m)
 	if !ok || wait <= e.deadline.Sub(now) {
 		return false
 	}
