Count any number of lost answers as free slots when later statements prove them lost

No read was hedged in the first seconds, since the allowance of hedges began empty. Change: no bound once twice as many later statements as the instance has slots were answered; hedges begin with their full allowance.

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -70,8 +70,8 @@
 			return nil, h.beginError(err)
 		}
 		h.counted = h.counted || h.pooled == nil
-		end := h.pool.holdSlot(t)
-		defer func() { end(h.broken) }()
+		hold := h.pool.holdSlot(t)
+		defer func() { hold.end(h.broken) }()
 	}
 	if h.pooled == nil {
 		if err := h.pool.acquire(ctx, h, values); err != nil {
--- a/internal/connpool/overdue.go
+++ b/internal/connpool/overdue.go
@@ -10,16 +10,21 @@
 
 // An instance that has run a statement has a free slot, also if the answer is lost. The queue would count that slot as taken
 // until the deadline of the statement: at 130 statements a second, 4% of lost answers take more slots than an instance has.
-// So a slot is counted as free once the answer is overdue. If the instance is slow instead, it gets at most twice the
-// statements that it runs at once, and answers those above its slots as busy.
+// So a slot is counted as free once the answer is overdue and later statements were answered. Without such answers the
+// instance may be slow or stuck: it gets at most twice the statements that it runs at once then.
+
+// provenBy is the number of statements for each slot that must have been answered since a statement was sent for its answer to
+// count as lost. A statement that is merely slow is outrun by about as many as run beside it.
+const provenBy = 2
 
 // slotHolds are the slots of an instance that statements in progress hold. It is safe for concurrent use.
 //
-// Invariant: at most as many slots as the instance has are freed before the answer of their statement.
+// Invariant: at most as many slots as the instance has are freed without proof that it answers others.
 type slotHolds struct {
-	mu    sync.Mutex
-	times placement.AnswerTimes // of statements that were answered, from the slot to the answer
-	freed int                   // slots of statements in progress that were freed because the answer is overdue
+	mu      sync.Mutex
+	times   placement.AnswerTimes // of statements that were answered, from the slot to the answer
+	answers int                   // statements that were answered
+	freed   int                   // slots of statements in progress that were freed without proof
 }
 
 // answered records the time from the slot to the answer of a statement.
@@ -27,69 +32,113 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.times.Observe(elapsed)
+	s.answers++
+}
+
+// begin returns the time after which the answer to a statement is overdue, and the number of answers so far.
+func (s *slotHolds) begin() (overdue time.Duration, answers int, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	overdue, ok = s.times.Overdue()
+	return overdue, s.answers, ok
 }
 
-// overdue returns the time after which a missing answer is overdue.
-func (s *slotHolds) overdue() (time.Duration, bool) {
+// proven reports whether so many statements were answered since there were a number of answers that a statement without an
+// answer has lost it.
+func (s *slotHolds) proven(slots, answers int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.times.Overdue()
+	return s.answers-answers >= provenBy*slots
 }
 
-// free reports whether the slot of a statement in progress may be freed, and counts it.
-func (s *slotHolds) free(most int) bool {
+// free reports whether a slot may be freed without proof, and counts it until ended is called.
+func (s *slotHolds) free(slots int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.freed >= most {
+	if s.freed >= slots {
 		return false
 	}
 	s.freed++
 	return true
 }
 
-// ended records the end of a statement whose slot was freed before.
+// ended records that a statement whose slot was freed without proof has ended, or that there is proof now.
 func (s *slotHolds) ended() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.freed--
 }
 
-// holdSlot returns the function that ends the use of the slot of an admitted ticket. failed means that the instance did not
-// answer. The slot is freed before if the answer is overdue.
-func (p *Pool) holdSlot(t *slots.Ticket) (end func(failed bool)) {
-	now := p.options.Now
-	entered := now()
-	var mu sync.Mutex
-	freed, done := false, false
-	release := func(failed bool) {
-		left := now()
-		p.slots.Release(left, t.Ticket, left.Sub(entered), failed)
+// slotHold is the slot of an admitted ticket. Its methods are called by the goroutine of the statement and by the timer.
+type slotHold struct {
+	pool    *Pool
+	ticket  *slots.Ticket
+	entered time.Time
+	answers int           // before the statement
+	overdue time.Duration // time after which the answer is overdue
+
+	mu      sync.Mutex
+	timer   *time.Timer // nil if the time of an answer is not known
+	freed   bool        // before the answer
+	counted bool        // as freed without proof
+	done    bool
+}
+
+// holdSlot begins the use of the slot of an admitted ticket. The slot is freed when the use ends, or before if the answer
+// is overdue.
+func (p *Pool) holdSlot(t *slots.Ticket) *slotHold {
+	h := &slotHold{pool: p, ticket: t, entered: p.options.Now()}
+	var ok bool
+	if h.overdue, h.answers, ok = p.holds.begin(); ok {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.timer = time.AfterFunc(h.overdue, h.expire)
+	}
+	return h
+}
+
+// expire frees the slot of a statement whose answer is overdue. It is called again until there is proof that the answer is
+// lost: otherwise statements without proof could use up the bound for all later ones.
+func (h *slotHold) expire() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	holds, slots := &h.pool.holds, h.pool.knownSlots
+	proven := holds.proven(slots, h.answers)
+	switch {
+	case h.done:
+		return
+	case proven && h.counted:
+		holds.ended()
+		h.counted = false
+	case !h.freed && (proven || holds.free(slots)):
+		h.freed, h.counted = true, !proven
+		h.release(true)
+	}
+	if !proven {
+		h.timer.Reset(h.overdue)
 	}
-	var timer *time.Timer
-	if after, ok := p.holds.overdue(); ok {
-		timer = time.AfterFunc(after, func() {
-			mu.Lock()
-			defer mu.Unlock()
-			if !done && p.holds.free(p.knownSlots) {
-				freed = true
-				release(true)
-			}
-		})
+}
+
+// end ends the use of the slot. failed means that the instance did not answer.
+func (h *slotHold) end(failed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.done = true
+	if h.timer != nil {
+		h.timer.Stop()
 	}
-	return func(failed bool) {
-		if timer != nil {
-			timer.Stop()
-		}
-		mu.Lock()
-		defer mu.Unlock()
-		done = true
-		if !failed {
-			p.holds.answered(now().Sub(entered))
-		}
-		if freed {
-			p.holds.ended()
-			return
-		}
-		release(failed)
+	if !failed {
+		h.pool.holds.answered(h.pool.options.Now().Sub(h.entered))
 	}
+	if h.counted {
+		h.pool.holds.ended()
+	}
+	if !h.freed {
+		h.release(failed)
+	}
+}
+
+func (h *slotHold) release(failed bool) {
+	left := h.pool.options.Now()
+	h.pool.slots.Release(left, h.ticket.Ticket, left.Sub(h.entered), failed)
 }
--- a/internal/placement/hedge.go
+++ b/internal/placement/hedge.go
@@ -13,14 +13,14 @@
 // or entry VMs that have just stopped answering: the next read avoids them, but those in progress would wait until
 // their deadline. It is not safe for concurrent use.
 type Hedge struct {
-	times  AnswerTimes
-	tokens float64 // hedges that may be sent now, at most maxHedges
+	times AnswerTimes
+	spent float64 // hedges that the answers since have not made up for, from 0 to maxHedges
 }
 
 // Answered records the time from sending a read to the first answer.
 func (h *Hedge) Answered(elapsed time.Duration) {
 	h.times.Observe(elapsed)
-	h.tokens = min(h.tokens+hedgeShare, maxHedges)
+	h.spent = max(h.spent-hedgeShare, 0)
 }
 
 // Delay returns the time without an answer after which a read may be sent again. ok is false if too little is known.
@@ -28,9 +28,9 @@
 
 // Spend reports whether a read may be sent again now, and counts it.
 func (h *Hedge) Spend() bool {
-	if h.tokens < 1 {
+	if h.spent+1 > maxHedges {
 		return false
 	}
-	h.tokens--
+	h.spent++
 	return true
 }
