Connection pool: take a unit for each statement sent to a cold instance

Cause: nothing counts what a pool sends, so a rate for a cold instance cannot be kept. New work takes its units before it queues, for the connection, session values, preparations and a transaction's next statements, and is refused with RefusedError otherwise; what is sent spends them. Without a gate nothing changes.

--- a/internal/connpool/ahead.go
+++ b/internal/connpool/ahead.go
@@ -21,7 +21,7 @@
 // It does not block. Accounts beyond the limit on connections share what is left, as statements need it.
 func (p *Pool) OpenAhead(now time.Time, accounts []string) {
 	running, waiting := p.slots.Load()
-	if waiting > 0 {
+	if waiting > 0 || p.cold(now) != nil {
 		return
 	}
 	p.mu.Lock()
--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -37,10 +37,14 @@
 // RefusedError reports that an instance refused a connection. No statement ran.
 type RefusedError struct {
 	Code operation.Code
+	Cold bool // it was refused on behalf of a cold instance; false if another entry VM reported the refusal
 }
 
 // Error implements error.
 func (e *RefusedError) Error() string {
+	if e.Cold {
+		return "lane: the backend server is cold and gets no more statements now; another one may take it"
+	}
 	return fmt.Sprintf("lane: the backend server refused the connection: %s; another one may take it", e.Code)
 }
 
--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -25,6 +25,7 @@
 	counted    bool        // the queue counts a connection for this Handle
 	state      operation.State
 	broken     bool
+	units      int // taken from the gate of a cold instance and not spent
 }
 
 // Broken reports whether the connection was lost.
@@ -51,6 +52,10 @@
 			defer cancel()
 		}
 	}
+	if err := h.takeUnits(values, statements...); err != nil {
+		return nil, err
+	}
+	defer h.settleUnits(true)
 	if operation.AnyNeedsSlot(statements) {
 		t := slots.NewTicket()
 		t.Ticket = admission.Ticket{
@@ -148,6 +153,7 @@
 		return nil, ErrQueueTimeout
 	}
 	h.pool.observeSent(sent)
+	h.sendUnits(len(statements))
 	answers, err := h.pooled.conn.Exchange(limit+AnswerGrace, statements...)
 	ended := h.pool.options.Now()
 	h.pool.observeEnd(ended, sent, len(answers) > 0)
@@ -181,7 +187,9 @@
 func (h *Handle) Release() {
 	switch {
 	case h.pooled == nil:
+		h.settleUnits(false)
 	case h.broken || h.state == operation.Idle:
+		h.settleUnits(false)
 		h.pool.put(h, !h.broken)
 	default:
 		go h.rollback()
@@ -189,6 +197,8 @@
 }
 
 func (h *Handle) rollback() {
+	h.sendUnits(1)
+	defer h.settleUnits(false)
 	answers, err := h.pooled.conn.Exchange(rollbackTimeout, operation.Statement{Kind: operation.Rollback})
 	h.pool.put(h, err == nil && answers[0].Code == operation.Done && answers[0].State == operation.Idle)
 }
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -108,6 +109,7 @@
 	stats            placement.InstanceStats // of the exchanges on connections of this VM, and of failed attempts to open one
 
 	proofFlight singleflight.Group
+	gate        atomic.Pointer[Gate] // what limits the statements while the instance is cold; nil for no limit
 }
 
 // idleConn is a connection that no Handle uses.
@@ -378,6 +380,7 @@
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	started := p.options.Now()
+	h.sendUnits(1)
 	conn, err := p.dial(ctx, h.account)
 	p.options.Observe(StageDial, p.options.Now().Sub(started))
 	p.mu.Lock()
--- a/internal/connpool/proof.go
+++ b/internal/connpool/proof.go
@@ -20,6 +20,9 @@
 func (h *Handle) Prove(ctx context.Context, l Limit, maxAge time.Duration) (Proof, error) {
 	p := h.pool
 	asked := p.options.Now()
+	if p.cold(asked) != nil {
+		maxAge = max(maxAge, coldProofAge)
+	}
 	if newest := p.newestProof(); asked.Sub(newest.Sent) <= maxAge {
 		return newest, nil
 	}
@@ -42,11 +45,15 @@
 	h := p.NewHandle(account, 1, true)
 	h.anyAccount = true
 	defer h.Release()
+	begin := operation.Statement{Kind: operation.Begin}
+	if err := h.takeUnits(nil, begin); err != nil {
+		return Proof{}, err
+	}
 	if err := p.acquire(ctx, h, nil); err != nil {
 		return Proof{}, err
 	}
 	sent := p.options.Now()
-	answers, err := h.exchange(l.Until, operation.Statement{Kind: operation.Begin})
+	answers, err := h.exchange(l.Until, begin)
 	if err != nil {
 		return Proof{}, err
 	}
