Cold instances: record their warm-up, and limit what entry VMs send to them

Cause: an instance that has just started, or is in service again after an evacuation, gets its full load at once. The control leader records cold_left_ms of an instance when it becomes cold or warm or stays cold for longer than recorded. Entry VMs limit cold instances: only the preferred owner with a valid lease sends; reads go elsewhere, and writes at a cold primary are refused with the reason cold.

--- a/internal/controlvm/export_test.go
+++ b/internal/controlvm/export_test.go
@@ -74,3 +74,25 @@
 	}
 	return sizes
 }
+
+// ColdRecord simulates what a control leader records of the warm-up of one instance.
+type ColdRecord struct {
+	Known   *wire.Member // as in the control log
+	Entries int          // written to the control log
+	warmth  *warmth
+}
+
+// ChangeLeader makes another control VM the leader.
+func (c *ColdRecord) ChangeLeader() { c.warmth = newWarmth() }
+
+// Announce handles an announcement at the leader. Its entry is lost if the leader fails before it is durable.
+func (c *ColdRecord) Announce(now time.Time, m *wire.Member, lost bool) {
+	if sameMember(m, c.Known) && c.warmth.matches(now, m, c.Known) {
+		return
+	}
+	c.warmth.record(now, m)
+	if !lost {
+		c.Known = m
+		c.Entries++
+	}
+}
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -24,6 +24,7 @@
 	configuredIndex uint64                 // index of the control state at the last configure
 	registrations   map[lease.EntryID]*wire.Registration
 	announced       *announced
+	warmth          *warmth
 
 	policy    failover.Policy
 	version   uint64            // version of the configuration last passed to the policy
@@ -41,7 +42,7 @@
 	d := &leadership{
 		term:     term,
 		issuer:   lease.NewIssuer(now, state.Configuration(), state.Registrations()),
-		removing: map[lease.EntryID]bool{}, announced: newAnnounced(),
+		removing: map[lease.EntryID]bool{}, announced: newAnnounced(), warmth: newWarmth(),
 
 		policy: vm.newPolicy(),
 	}
--- a/internal/controlvm/publish.go
+++ b/internal/controlvm/publish.go
@@ -183,9 +183,11 @@
 		Server: failover.ServerID(m.GetServer()), Group: failover.GroupID(a.GetGroup()), Address: m.GetAddress(), Zone: m.GetZone(),
 		Role: role, ShuttingDown: m.GetLeaving(),
 	}})
-	if ok && group == a.GetGroup() && sameMember(m, known) {
+	m = vm.warmUpMember(a.GetGroup(), m)
+	if ok && group == a.GetGroup() && sameMember(m, known) && vm.leadership.warmth.matches(now, m, known) {
 		return nil
 	}
+	vm.leadership.warmth.record(now, m)
 	if ok && known.GetLeaving() && known.GetBorn() == m.GetBorn() && m.GetLeaving() {
 		m = proto.CloneOf(m)
 		m.Left = known.GetLeft()
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -204,9 +204,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	all := ownership.Of(string(m.id))
+	all, most := ownership.Of(string(m.id)), maxOwners
+	if m.isCold(now) {
+		most = 1 // the others send nothing to it
+	}
 	out := make([]placement.EntryVM, 0, maxOwners)
-	for _, e := range all[:min(len(all), maxOwners)] {
+	for _, e := range all[:min(len(all), most)] {
 		if !now.Before(m.avoidUntil[e.Address]) {
 			out = append(out, e)
 		}
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -29,7 +29,8 @@
 	attempts       int
 	triedServers   []string // instances that did not run the statement
 	lastAnswer     operation.Answer
-	lastReason     string // why the last attempt did not run
+	lastReason     string        // why the last attempt did not run
+	coldRetry      time.Duration // when to come back, if lastReason is reasonCold
 }
 
 func (e *execution) now() time.Time { return e.session.proxy.options.Now() }
@@ -77,7 +78,7 @@
 	}
 	t := &e.permit.trace
 	detail := fmt.Sprintf("the statement did not run; come back in %s (group %s, server %s asked last, %d tries)",
-		retryAfter(reason), e.permit.route.group.name, t.lastServer, t.attempts)
+		e.retryAfter(reason), e.permit.route.group.name, t.lastServer, t.attempts)
 	return e.session.proxy.refuse(e.st.ID, code, reason, detail)
 }
 
@@ -164,6 +165,8 @@
 	switch {
 	case len(answers) > 0 && answers[len(answers)-1].Code.NotRun():
 		e.recordNotRun(m, answers[len(answers)-1])
+	case m.isColdRefusal(e.now(), err):
+		e.recordCold(m)
 	case errors.As(err, &refused):
 		e.recordFailure(operation.Answer{Code: refused.Code}, reasonFull)
 		e.triedServers = append(e.triedServers, string(m.id))
@@ -204,6 +207,9 @@
 // primary leaves and has no successor yet: nobody knows when there will be one.
 func (e *execution) awaitPrimary(ctx context.Context) (*member, bool) {
 	for {
+		if e.lastReason == reasonCold {
+			return nil, false // no other instance could run it
+		}
 		m, wait, changed := e.permit.route.group.primaryTarget(e.now(), true)
 		if m != nil {
 			return m, true
@@ -284,6 +290,10 @@
 		if m := g.readTarget(e.now(), floor, e.triedServers); m != nil {
 			return m, floor, true
 		}
+		if g.onlyCold(e.now()) {
+			e.refuseCold()
+			return nil, floor, false
+		}
 		e.triedServers = e.triedServers[:0]
 		if !e.pause(ctx, maxBackoff/4, nil) {
 			return nil, floor, false
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -39,6 +39,8 @@
 	slots      int
 	leaving    bool
 	leftAt     time.Time // when it began to leave; zero if it does not
+	cold       *coldGate // limits the statements while it is cold; nil if the group has no limit
+	coldRecord coldRecord
 }
 
 // group is the state of a database group on this VM. It is safe for concurrent use.
@@ -53,6 +55,7 @@
 	proofKeeper func(now time.Time) string       // address of the keeper, or "" if that is this VM
 	forward     *forward.Client
 	proofFlight singleflight.Group
+	newGate     func() *coldGate
 
 	mu            sync.Mutex
 	members       []*member            // in the order of the view
@@ -67,6 +70,7 @@
 	lastUsed      time.Time
 	recentAccount string        // client account served last
 	viewChanged   chan struct{} // closed and replaced when the view changes
+	warmUp        warmUpRules
 
 	revision uint64 // of the view applied last; accessed only by the event loop
 }
@@ -75,8 +79,8 @@
 	keeper := newZoneKeeper("proofs of "+name, proofKeeperVMs)
 	return &group{
 		name: name, now: p.options.Now, wall: p.options.Wall, leaveLimit: p.options.LeaveLimit, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward,
-		proofKeeper: func(now time.Time) string { return keeper.address(now, p) },
-		finder:      placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
+		proofKeeper: func(now time.Time) string { return keeper.address(now, p) }, newGate: p.newColdGate,
+		finder: placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
 	}
 }
 
@@ -120,6 +124,7 @@
 			next.leftAt = g.leftAt(now, w)
 		}
 		next.pool.EndAt(g.lastWork(next))
+		g.applyCold(now, m, next, w)
 		members = append(members, next)
 	}
 	for _, m := range g.members {
@@ -316,7 +321,7 @@
 	candidates := make([]placement.Candidate, 0, len(g.members))
 	members := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
-		if m.leaving {
+		if m.leaving || !m.cold.takesReads(now) {
 			continue
 		}
 		seen, ago := m.stats.LastPosition(now)
--- a/internal/proxy/proofs.go
+++ b/internal/proxy/proofs.go
@@ -167,6 +167,9 @@
 	defer h.Release()
 	sent := g.now()
 	proof, err := h.Prove(ctx, connpool.Limit{Until: sent.Add(proofTimeout)}, sharedProofAge)
+	if err != nil && m.isColdRefusal(sent, err) || proof.Sent.Before(sent) && m.isCold(sent) {
+		time.Sleep(emptyPause) // the next attempt would end as soon as this one
+	}
 	switch {
 	case err != nil:
 		g.recordPrimaryAnswer(m, sent, nil, err)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -91,6 +91,9 @@
 	// Wall is the clock with which control VMs state when an instance began to leave; nil if they do not.
 	Wall  func() time.Time
 	Drain Drain
+	// ColdOverrun and ColdSlack bound the statements that arrive at a cold instance within any one second: the rate of its
+	// group times ColdOverrun plus ColdSlack.
+	ColdOverrun, ColdSlack float64
 	// Traffic counts what this VM exchanges with other VMs; nil for a Meter of its own.
 	Traffic *traffic.Meter
 }
@@ -215,6 +218,7 @@
 	for _, g := range p.groups {
 		w, _ := p.state.Group(g.name)
 		g.setConnectionLimits(now, p.options.Process, ownership, connectionLimits(int(w.GetConnections()), accounts))
+		g.updateColdOwners(now, p.options.Process, ownership)
 	}
 }
 
@@ -270,12 +274,15 @@
 		p.metrics.versions.Add(1)
 		log.WithFields(log.Fields{"event": "configuration", "version": p.state.Version(), "before": before, "routes": len(c.GetRoutes())}).Info("configuration applied")
 	}
+	p.updateWarmUp(now, c)
 	p.applyViews(now, c)
 	if u.GetEntered() > 0 {
 		p.updateEntryVMs()
 	}
-	p.updateConnectionLimits(now)
+	lease := p.leases.Until()
 	p.leases.SetApplied(p.state.Version())
+	p.restartColdOwnership(now, lease)
+	p.updateConnectionLimits(now)
 }
 
 // logLimitChanges logs the client accounts whose limits differ from the former configuration.
@@ -382,9 +389,11 @@
 
 // leaseGranted stores a configuration lease.
 func (p *Proxy) leaseGranted(now time.Time, granted renewal.ConfigLease) {
+	lease := p.leases.Until()
 	if p.leases.Add(now, granted, p.state.Version()) {
 		p.control.ReopenStreams()
 	}
+	p.restartColdOwnership(now, lease)
 }
 
 // hasLease reports whether the configuration may be used: its lease, extended by LeaseGrace, has not expired.
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -15,6 +15,7 @@
 	reasonKey     = "key"     // unknown key
 	reasonRate    = "rate"    // the client account is above its rate
 	reasonPrimary = "primary" // no instance leads the group
+	reasonCold    = "cold"    // the instance has just started and gets no more statements now
 	reasonLag     = "lag"     // no instance has reached the position that the session must see
 	reasonFull    = "full"    // the instance accepts no more connections or statements
 	reasonLink    = "link"    // the instance did not answer
