--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -94,6 +94,8 @@
 	// ColdOverrun and ColdSlack bound the statements that arrive at a cold instance within any one second: the rate of its
 	// group times ColdOverrun plus ColdSlack.
 	ColdOverrun, ColdSlack float64
+	// Regions are the regions of the availability zones; empty if they are not known.
+	Regions map[string]string
 	// Traffic counts what this VM exchanges with other VMs; nil for a Meter of its own.
 	Traffic *traffic.Meter
 }
