Home regions: statements run only in the regions of their route and client account

Cause: allowed_regions of routes and tenants was not read, so statements ran in any region. Change: the platform decodes allowed_regions and zones.*; instances outside the homes are no candidates for reads, and a primary outside refuses writes and current reads at once with the reason home and the regions. An entry VM of another region than the instance is not used as the owner of its connections.

--- a/internal/proxy/cold.go
+++ b/internal/proxy/cold.go
@@ -210,13 +210,13 @@
 	return retryAfter(reason)
 }
 
-// onlyCold reports whether every instance that may take reads is cold.
-func (g *group) onlyCold(now time.Time) bool {
+// onlyCold reports whether every allowed instance that may take reads is cold.
+func (g *group) onlyCold(now time.Time, allowed func(*member) bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	found := false
 	for _, m := range g.members {
-		if m.leaving {
+		if m.leaving || !allowed(m) {
 			continue
 		}
 		if !m.isCold(now) {
--- a/internal/proxy/conn.go
+++ b/internal/proxy/conn.go
@@ -210,7 +210,7 @@
 	}
 	out := make([]placement.EntryVM, 0, maxOwners)
 	for _, e := range all[:min(len(all), most)] {
-		if !now.Before(m.avoidUntil[e.Address]) {
+		if !now.Before(m.avoidUntil[e.Address]) && g.sameRegion(e.Zone, m.zone) {
 			out = append(out, e)
 		}
 	}
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -79,6 +79,9 @@
 	t := &e.permit.trace
 	detail := fmt.Sprintf("the statement did not run; come back in %s (group %s, server %s asked last, %d tries)",
 		e.retryAfter(reason), e.permit.route.group.name, t.lastServer, t.attempts)
+	if reason == reasonHome {
+		detail = e.homeDetail()
+	}
 	return e.session.proxy.refuse(e.st.ID, code, reason, detail)
 }
 
@@ -211,6 +214,10 @@
 			return nil, false // no other instance could run it
 		}
 		m, wait, changed := e.permit.route.group.primaryTarget(e.now(), true)
+		if m != nil && !e.runsAt(m) {
+			e.refuseHome("primary")
+			return nil, false
+		}
 		if m != nil {
 			return m, true
 		}
@@ -278,6 +285,10 @@
 func (e *execution) awaitReadTarget(ctx context.Context) (*member, position.Position, bool) {
 	g := e.permit.route.group
 	for {
+		if g.allOutside(e.runsAt) {
+			e.refuseHome("instance")
+			return nil, position.Position{}, false
+		}
 		started := e.now()
 		floor, ok := g.floor(ctx, e.permit.account.name, e.permit.route.maxStaleness, e.session.floor)
 		took := e.now().Sub(started)
@@ -287,10 +298,10 @@
 			e.recordFailure(operation.Answer{Code: operation.Busy}, reasonPrimary)
 			return nil, floor, false
 		}
-		if m := g.readTarget(e.now(), floor, e.triedServers); m != nil {
+		if m := g.readTarget(e.now(), floor, e.triedServers, e.runsAt); m != nil {
 			return m, floor, true
 		}
-		if g.onlyCold(e.now()) {
+		if g.onlyCold(e.now(), e.runsAt) {
 			e.refuseCold()
 			return nil, floor, false
 		}
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -56,6 +56,7 @@
 	forward     *forward.Client
 	proofFlight singleflight.Group
 	newGate     func() *coldGate
+	regions     map[string]string // see Options.Regions
 
 	mu            sync.Mutex
 	members       []*member            // in the order of the view
@@ -79,7 +80,7 @@
 	keeper := newZoneKeeper("proofs of "+name, proofKeeperVMs)
 	return &group{
 		name: name, now: p.options.Now, wall: p.options.Wall, leaveLimit: p.options.LeaveLimit, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward,
-		proofKeeper: func(now time.Time) string { return keeper.address(now, p) }, newGate: p.newColdGate,
+		proofKeeper: func(now time.Time) string { return keeper.address(now, p) }, newGate: p.newColdGate, regions: p.options.Regions,
 		finder: placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
 	}
 }
@@ -313,15 +314,15 @@
 	g.finder.MarkUnreachable(g.now(), placement.ServerID(server))
 }
 
-// readTarget returns the instance to use for a read, or nil if there is none left to try.
-func (g *group) readTarget(now time.Time, floor position.Position, tried []string) *member {
+// readTarget returns the instance to use for a read among those that are allowed, or nil if there is none left to try.
+func (g *group) readTarget(now time.Time, floor position.Position, tried []string, allowed func(*member) bool) *member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastUsed = now
 	candidates := make([]placement.Candidate, 0, len(g.members))
 	members := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
-		if m.leaving || !m.cold.takesReads(now) {
+		if m.leaving || !m.cold.takesReads(now) || !allowed(m) {
 			continue
 		}
 		seen, ago := m.stats.LastPosition(now)
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -15,6 +15,7 @@
 	reasonKey     = "key"     // unknown key
 	reasonRate    = "rate"    // the client account is above its rate
 	reasonPrimary = "primary" // no instance leads the group
+	reasonHome    = "home"    // no instance is in a region in which the statement may run
 	reasonCold    = "cold"    // the instance has just started and gets no more statements now
 	reasonLag     = "lag"     // no instance has reached the position that the session must see
 	reasonFull    = "full"    // the instance accepts no more connections or statements
@@ -30,7 +31,7 @@
 // retryAfter returns the recommended time before a caller retries.
 func retryAfter(reason string) time.Duration {
 	switch reason {
-	case reasonPrimary, reasonLink:
+	case reasonPrimary, reasonLink, reasonHome:
 		return time.Second
 	case reasonLag:
 		return 500 * time.Millisecond
--- a/internal/proxy/snapshot.go
+++ b/internal/proxy/snapshot.go
@@ -28,14 +28,16 @@
 	timeout       time.Duration
 	targetLatency time.Duration // 0 if none is configured
 	public        bool          // open to callers without a key
+	homes         []string      // regions in which its statements may run; empty for all
 }
 
 // account is a client account.
 type account struct {
 	name   string
 	weight float64
-	rate   float64 // operations per second, over all entry VMs
-	burst  float64 // operations admitted at once, over all entry VMs
+	rate   float64  // operations per second, over all entry VMs
+	burst  float64  // operations admitted at once, over all entry VMs
+	homes  []string // regions in which its statements may run; empty for all
 }
 
 func newConfigSnapshot(c *wire.Configuration, groups map[string]*group) *configSnapshot {
@@ -47,10 +49,13 @@
 		t.routes[r.GetName()] = &route{
 			name: r.GetName(), group: groups[r.GetGroup()], public: r.GetOpen(),
 			maxStaleness: milliseconds(r.GetAge(), 0), targetLatency: milliseconds(r.GetTarget(), 0), timeout: milliseconds(r.GetTimeout(), defaultTimeout),
+			homes: r.GetHomes(),
 		}
 	}
 	for _, a := range c.GetAccounts() {
-		t.accounts[a.GetName()] = &account{name: a.GetName(), weight: float64(max(a.GetWeight(), 1)), rate: a.GetRate(), burst: a.GetBurst()}
+		t.accounts[a.GetName()] = &account{
+			name: a.GetName(), weight: float64(max(a.GetWeight(), 1)), rate: a.GetRate(), burst: a.GetBurst(), homes: a.GetHomes(),
+		}
 		for _, k := range a.GetKeys() {
 			t.keys[[sha256.Size]byte(k.GetDigest())] = a.GetName()
 		}
