Connection pool: check again before work that has waited goes to a cold instance

Cause: a statement that was admitted while its instance was warm, or by the former owner, got a slot later and was sent. Change: new work is checked again when it has a connection. Result: TestWorkThatWaitedIsNotSentToAColdInstance passes; without the check the statement is sent.

--- a/internal/connpool/cold.go
+++ b/internal/connpool/cold.go
@@ -20,6 +20,8 @@
 type Gate interface {
 	// Cold reports whether there is a limit now.
 	Cold(now time.Time) bool
+	// Usable reports whether new work with units may still be sent. It may not after a change of the owner.
+	Usable(now time.Time) bool
 	// Take takes units for new work: need for its first statements and reserve for those that follow. If it returns false the
 	// work must not begin.
 	Take(now time.Time, need, reserve int) (units int, ok bool)
@@ -72,6 +74,22 @@
 	return nil
 }
 
+// confirmUnits checks again before new work is sent, since it may have waited for a slot: the instance may have become cold or
+// have another owner.
+func (h *Handle) confirmUnits(values map[string]string, statements ...operation.Statement) error {
+	now := h.pool.options.Now()
+	gate := h.pool.cold(now)
+	switch {
+	case gate == nil || h.state != operation.Idle:
+		return nil
+	case h.units == 0:
+		return h.takeUnits(values, statements...)
+	case !gate.Usable(now):
+		return &RefusedError{Code: operation.Busy, Cold: true}
+	}
+	return nil
+}
+
 // sendUnits spends the units of n statements that are about to be sent.
 func (h *Handle) sendUnits(n int) {
 	if g := h.pool.gate.Load(); g != nil {
--- a/internal/connpool/cold_test.go
+++ b/internal/connpool/cold_test.go
@@ -28,6 +28,40 @@
 
 func (c openConn) Close() {}
 
+// TestWorkThatWaitedIsNotSentToAColdInstance guards against statements that were admitted while the instance was warm, or by its
+// former owner, and got a slot later.
+func TestWorkThatWaitedIsNotSentToAColdInstance(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sent := 0
+	l := warmup.New(1.5, 5)
+	var atDial func()
+	p := connpool.New(connpool.Options{
+		Server: "i", Now: func() time.Time { return now }, Slots: 8, Connections: 40,
+		Dial: func(context.Context, connpool.Target) (connpool.Conn, error) { atDial(); return openConn{&sent}, nil },
+	})
+	p.SetGate(l)
+	read := operation.Statement{Kind: operation.Read}
+	var refused *connpool.RefusedError
+	for account, change := range map[string]func(){
+		"cold":  func() { l.SetCold(now, 1000*time.Hour, 1000*time.Hour, 20) },
+		"owner": func() { l.SetOwned(now, false) },
+	} {
+		l.SetOwned(now.Add(-time.Minute), true)
+		l.SetCold(now, 0, 0, 0)
+		if account == "owner" {
+			l.SetCold(now, 1000*time.Hour, 1000*time.Hour, 20)
+			now = now.Add(time.Minute)
+		}
+		atDial = change
+		h := p.NewHandle(account, 1, true)
+		_, err := h.Run(t.Context(), connpool.Limit{Until: now.Add(time.Second)}, nil, read)
+		require.ErrorAs(t, err, &refused, account)
+		h.Release()
+		require.Zero(t, sent)
+		now = now.Add(time.Minute)
+	}
+}
+
 // TestColdInstanceGetsEachStatementCounted guards against statements that are sent without a unit of the rate of a cold
 // instance: new connections, session values and the ends of transactions; and against held back ends of transactions.
 func TestColdInstanceGetsEachStatementCounted(t *testing.T) {
--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -80,6 +80,9 @@
 			return nil, ErrClosed
 		}
 	}
+	if err := h.confirmUnits(values, statements...); err != nil {
+		return nil, err
+	}
 	if err := h.adjust(until, values); err != nil {
 		return nil, err
 	}
--- a/internal/proxy/cold.go
+++ b/internal/proxy/cold.go
@@ -53,6 +53,11 @@
 	return c.Limiter.Take(now, need, reserve)
 }
 
+// Usable implements connpool.Gate.
+func (c *coldGate) Usable(now time.Time) bool {
+	return c.Limiter.Usable(now) && (!c.Cold(now) || c.leased(now))
+}
+
 // takesReads reports whether a read may be sent to the instance. At another entry VM than the owner a refusal shows that it may
 // not.
 func (c *coldGate) takesReads(now time.Time) bool {
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -84,6 +84,13 @@
 	return l.cold(now)
 }
 
+// Usable reports whether units that were taken may be spent on new work.
+func (l *Limiter) Usable(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.cold(now) || l.usable(now)
+}
+
 // Rate returns the statements a second that the instance may get, over all entry VMs.
 func (l *Limiter) Rate(now time.Time) float64 {
 	l.mu.Lock()
