Merge: cold instances and home regions

A cold instance that takes reads prevents an early refusal by reports of waits; one that takes none does not count. Hedged reads run only at instances that the homes allow.

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -26,6 +26,7 @@
 	counted    bool        // the queue counts a connection for this Handle
 	state      operation.State
 	broken     bool
+	units      int // taken from the gate of a cold instance and not spent
 }
 
 // Waits returns the expected waits of further statements of the client account; see Pool.Waits.
@@ -60,6 +61,10 @@
 			defer cancel()
 		}
 	}
+	if err := h.takeUnits(values, statements...); err != nil {
+		return nil, err
+	}
+	defer h.settleUnits(true)
 	if operation.AnyNeedsSlot(statements) {
 		t := slots.NewTicket()
 		t.Ticket = admission.Ticket{
@@ -82,6 +87,9 @@
 			return nil, ErrClosed
 		}
 	}
+	if err := h.confirmUnits(values, statements...); err != nil {
+		return nil, err
+	}
 	if err := h.adjust(until, values); err != nil {
 		return nil, err
 	}
@@ -155,6 +163,7 @@
 		return nil, ErrQueueTimeout
 	}
 	h.pool.observeSent(sent)
+	h.sendUnits(len(statements))
 	answers, err := h.pooled.conn.Exchange(limit+AnswerGrace, statements...)
 	ended := h.pool.options.Now()
 	h.pool.observeEnd(ended, sent, len(answers) > 0)
@@ -188,7 +197,9 @@
 func (h *Handle) Release() {
 	switch {
 	case h.pooled == nil:
+		h.settleUnits(false)
 	case h.broken || h.state == operation.Idle:
+		h.settleUnits(false)
 		h.pool.put(h, !h.broken)
 	default:
 		go h.rollback()
@@ -196,6 +207,8 @@
 }
 
 func (h *Handle) rollback() {
+	h.sendUnits(1)
+	defer h.settleUnits(false)
 	answers, err := h.pooled.conn.Exchange(rollbackTimeout, operation.Statement{Kind: operation.Rollback})
 	h.pool.put(h, err == nil && answers[0].Code == operation.Done && answers[0].State == operation.Idle)
 }
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -31,7 +31,8 @@
 	lastAnswer     operation.Answer
 	lastReason     string        // why the last attempt did not run
 	reported       string        // on which report a refusal is based; empty for none
-	retryAfter     time.Duration // stated in the refusal; 0 for that of the reason
+	waitRetry      time.Duration // when to come back according to a report; 0 without one
+	coldRetry      time.Duration // when to come back, if lastReason is reasonCold
 }
 
 func (e *execution) now() time.Time { return e.session.proxy.options.Now() }
@@ -80,6 +81,9 @@
 	t := &e.permit.trace
 	detail := fmt.Sprintf("the statement did not run; come back in %s (group %s, server %s asked last, %d tries)",
 		e.comeBack(reason), e.permit.route.group.name, t.lastServer, t.attempts) + e.reported
+	if reason == reasonHome {
+		detail = e.homeDetail()
+	}
 	return e.session.proxy.refuse(e.st.ID, code, reason, detail)
 }
 
@@ -166,6 +170,8 @@
 	switch {
 	case len(answers) > 0 && answers[len(answers)-1].Code.NotRun():
 		e.recordNotRun(m, answers[len(answers)-1])
+	case m.isColdRefusal(e.now(), err):
+		e.recordCold(m)
 	case errors.As(err, &refused):
 		e.recordFailure(operation.Answer{Code: refused.Code}, reasonFull)
 		e.triedServers = append(e.triedServers, string(m.id))
@@ -206,7 +212,14 @@
 // primary leaves and has no successor yet: nobody knows when there will be one.
 func (e *execution) awaitPrimary(ctx context.Context) (*member, bool) {
 	for {
+		if e.lastReason == reasonCold {
+			return nil, false // no other instance could run it
+		}
 		m, wait, changed := e.permit.route.group.primaryTarget(e.now(), true)
+		if m != nil && !e.runsAt(m) {
+			e.refuseHome("primary")
+			return nil, false
+		}
 		if m != nil {
 			return m, !e.cannotWait(m)
 		}
@@ -274,6 +287,10 @@
 func (e *execution) awaitReadTarget(ctx context.Context) (*member, position.Position, bool) {
 	g := e.permit.route.group
 	for {
+		if g.allOutside(e.runsAt) {
+			e.refuseHome("instance")
+			return nil, position.Position{}, false
+		}
 		if e.cannotWait(nil) {
 			return nil, position.Position{}, false
 		}
@@ -286,9 +303,13 @@
 			e.recordFailure(operation.Answer{Code: operation.Busy}, reasonPrimary)
 			return nil, floor, false
 		}
-		if m := g.readTarget(e.now(), floor, e.triedServers, e.connRequest(false)); m != nil {
+		if m := g.readTarget(e.now(), floor, e.triedServers, e.connRequest(false), e.runsAt); m != nil {
 			return m, floor, true
 		}
+		if g.onlyCold(e.now(), e.runsAt) {
+			e.refuseCold()
+			return nil, floor, false
+		}
 		e.triedServers = e.triedServers[:0]
 		if !e.pause(ctx, maxBackoff/4, nil) {
 			return nil, floor, false
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -39,6 +39,8 @@
 	slots      int
 	leaving    bool
 	leftAt     time.Time // when it began to leave; zero if it does not
+	cold       *coldGate // limits the statements while it is cold; nil if the group has no limit
+	coldRecord coldRecord
 }
 
 // group is the state of a database group on this VM. It is safe for concurrent use.
@@ -54,6 +56,8 @@
 	forward     *forward.Client
 	waits       bool // see Options.Waits
 	proofFlight singleflight.Group
+	newGate     func() *coldGate
+	regions     map[string]string // see Options.Regions
 
 	mu            sync.Mutex
 	members       []*member            // in the order of the view
@@ -68,6 +72,7 @@
 	lastUsed      time.Time
 	recentAccount string        // client account served last
 	viewChanged   chan struct{} // closed and replaced when the view changes
+	warmUp        warmUpRules
 
 	revision uint64 // of the view applied last; accessed only by the event loop
 }
@@ -76,8 +81,8 @@
 	keeper := newZoneKeeper("proofs of "+name, proofKeeperVMs)
 	return &group{
 		name: name, now: p.options.Now, wall: p.options.Wall, leaveLimit: p.options.LeaveLimit, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward, waits: p.options.Waits,
-		proofKeeper: func(now time.Time) string { return keeper.address(now, p) },
-		finder:      placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
+		proofKeeper: func(now time.Time) string { return keeper.address(now, p) }, newGate: p.newColdGate, regions: p.options.Regions,
+		finder: placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
 	}
 }
 
@@ -121,6 +126,7 @@
 			next.leftAt = g.leftAt(now, w)
 		}
 		next.pool.EndAt(g.lastWork(next))
+		g.applyCold(now, m, next, w)
 		members = append(members, next)
 	}
 	for _, m := range g.members {
@@ -309,15 +315,15 @@
 	g.finder.MarkUnreachable(g.now(), placement.ServerID(server))
 }
 
-// readTarget returns the instance to use for a read of a client account, or nil if there is none left to try.
-func (g *group) readTarget(now time.Time, floor position.Position, tried []string, r connRequest) *member {
+// readTarget returns the instance to use for a read among those that are allowed, or nil if there is none left to try.
+func (g *group) readTarget(now time.Time, floor position.Position, tried []string, r connRequest, allowed func(*member) bool) *member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastUsed = now
 	candidates := make([]placement.Candidate, 0, len(g.members))
 	members := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
-		if m.leaving {
+		if m.leaving || !m.cold.takesReads(now) || !allowed(m) {
 			continue
 		}
 		seen, ago := m.stats.LastPosition(now)
--- a/internal/proxy/waits.go
+++ b/internal/proxy/waits.go
@@ -41,12 +41,16 @@
 
 // shortestWait returns the shortest expected wait of a statement of a request, and the age of that report. ok is
 // false if an instance that may run it has no fresh report: m, or any one if m is nil.
-func (g *group) shortestWait(now time.Time, r connRequest, m *member) (wait, age time.Duration, ok bool) {
+func (g *group) shortestWait(now time.Time, r connRequest, m *member, allowed func(*member) bool) (wait, age time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []*placement.Waits
 	for _, o := range g.members {
-		if m == nil && !o.leaving || m != nil && o.id == m.id {
+		switch {
+		case m != nil && o.id != m.id || m == nil && (o.leaving || !allowed(o)):
+		case o.isCold(now) && o.cold.takesReads(now):
+			return 0, 0, false // it may take the statement whatever waits elsewhere
+		case !o.isCold(now):
 			all = append(all, &o.stats.Waits)
 		}
 	}
@@ -61,12 +65,12 @@
 		return false
 	}
 	now := e.now()
-	wait, age, ok := e.permit.route.group.shortestWait(now, e.connRequest(false), m)
+	wait, age, ok := e.permit.route.group.shortestWait(now, e.connRequest(false), m, e.runsAt)
 	if !ok || wait <= e.deadline.Sub(now) {
 		return false
 	}
 	e.recordFailure(operation.Answer{Code: operation.Busy}, reasonLate)
-	e.retryAfter = placement.RetryAfter(wait, rand.Float64())
+	e.waitRetry = placement.RetryAfter(wait, rand.Float64())
 	e.reported = fmt.Sprintf("; the shortest wait is %s, as reported %s ago", wait.Round(time.Millisecond), age.Round(time.Millisecond))
 	p.metrics.early.Add(ageBucket(age), 1)
 	return true
@@ -74,8 +78,11 @@
 
 // comeBack returns when the caller of a statement that did not run should send it again.
 func (e *execution) comeBack(reason string) time.Duration {
-	if e.retryAfter > 0 {
-		return e.retryAfter.Round(time.Millisecond)
+	switch {
+	case e.waitRetry > 0:
+		return e.waitRetry.Round(time.Millisecond)
+	case reason == reasonCold:
+		return e.coldRetry.Round(time.Millisecond)
 	}
 	return retryAfter(reason)
 }
