Entry VMs send nothing to evacuated availability zones

Cause: a member whose zone is evacuated got work like any other one.

Change: from the moment the view is applied it gets no new reads, writes or transactions, and what waits in its queue is returned as not run. Writes wait for another primary; when no member outside evacuated zones may lead, they are refused at once (reason evacuated).

--- a/internal/connpool/ahead.go
+++ b/internal/connpool/ahead.go
@@ -27,7 +27,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, account := range accounts {
-		if running+p.ahead.opening >= max(p.knownSlots/2, 1) || p.closed || p.open >= p.maxOpen() || now.Before(p.ahead.after) {
+		if running+p.ahead.opening >= max(p.knownSlots/2, 1) || p.closed || p.evacuation.evacuated || p.open >= p.maxOpen() || now.Before(p.ahead.after) {
 			return
 		}
 		if p.ahead.served[account] {
@@ -55,7 +55,7 @@
 		delete(p.ahead.served, account)
 		return
 	}
-	if p.closed || p.open > p.limit {
+	if p.closed || p.evacuation.evacuated || p.open > p.limit {
 		conn.Close()
 		p.open--
 		return
--- a/internal/connpool/end.go
+++ b/internal/connpool/end.go
@@ -22,8 +22,11 @@
 	return limited && left <= 0
 }
 
-// beginError returns the error of work that was not sent: ErrClosed if the pool takes no new work any more.
+// beginError returns the error of work that was not sent: ErrEvacuated or ErrClosed if the pool takes none any more.
 func (h *Handle) beginError(err error) error {
+	if evacuated := h.pool.evacuationError(h.pool.options.Now(), h.pooled == nil); evacuated != nil {
+		return evacuated
+	}
 	if h.pooled == nil && h.pool.ended(h.pool.options.Now()) {
 		return ErrClosed
 	}
--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -52,11 +52,13 @@
 		}
 	}
 	if operation.AnyNeedsSlot(statements) {
+		waits, release := h.pool.untilEvacuated(ctx, h.pooled == nil)
+		defer release()
 		t := slots.NewTicket()
 		t.Ticket = admission.Ticket{
 			Account: admission.AccountID(h.account), Weight: h.weight, Read: h.read, InTransaction: h.pooled != nil, Deadline: until, Target: l.Target,
 		}
-		if err := h.pool.admit(ctx, t); err != nil {
+		if err := h.pool.admit(waits, t); err != nil {
 			return nil, h.beginError(err)
 		}
 		h.counted = h.counted || h.pooled == nil
@@ -74,6 +76,12 @@
 		if h.pool.ended(now()) {
 			return nil, ErrClosed
 		}
+		if err := h.pool.evacuationError(now(), true); err != nil {
+			return nil, err
+		}
+	}
+	if err := h.pool.evacuationError(now(), false); err != nil {
+		return nil, err
 	}
 	if err := h.adjust(until, values); err != nil {
 		return nil, err
@@ -147,6 +155,9 @@
 	if limit <= 0 {
 		return nil, ErrQueueTimeout
 	}
+	if err := h.pool.evacuationError(sent, false); err != nil {
+		return nil, err
+	}
 	h.pool.observeSent(sent)
 	answers, err := h.pooled.conn.Exchange(limit+AnswerGrace, statements...)
 	ended := h.pool.options.Now()
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -103,6 +103,7 @@
 	waiting          []chan struct{} // one for each Handle that waits for a connection, first come first served
 	closed           bool
 	endAt            time.Time // no new work is sent from this time on; zero for none
+	evacuation       evacuation
 	ahead            ahead
 	proof            Proof                   // latest one, with the log position only
 	stats            placement.InstanceStats // of the exchanges on connections of this VM, and of failed attempts to open one
@@ -127,7 +128,7 @@
 	}
 	return &Pool{
 		options: o, slots: slots.New(admission.Settings{Slots: n + inFlightMargin, Fixed: true, Connections: max(o.Connections, 1)}),
-		knownSlots: n, inUse: map[*Handle]struct{}{}, limit: max(o.Connections, 1), ahead: ahead{served: map[string]bool{}},
+		knownSlots: n, inUse: map[*Handle]struct{}{}, limit: max(o.Connections, 1), evacuation: newEvacuation(), ahead: ahead{served: map[string]bool{}},
 	}
 }
 
@@ -270,6 +271,10 @@
 			p.mu.Unlock()
 			return ErrClosed
 		}
+		if p.refusesAll(p.options.Now()) || p.evacuation.evacuated && !h.anyAccount {
+			p.mu.Unlock()
+			return ErrEvacuated
+		}
 		if best := p.bestMatch(h, values); best >= 0 {
 			h.pooled = p.idle[best].pooled
 			p.idle = append(p.idle[:best], p.idle[best+1:]...)
@@ -420,13 +425,13 @@
 }
 
 // put returns the connection of h to the idle list, or closes it if it is unhealthy, above the limit, or the
-// pool is closed.
+// pool is closed or evacuated.
 func (p *Pool) put(h *Handle, healthy bool) {
 	defer h.releaseAdmission()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.inUse, h)
-	if healthy && !p.closed && p.open <= p.limit {
+	if healthy && !p.closed && p.open <= p.limit && !p.refusesAll(p.options.Now()) {
 		p.idle = append(p.idle, &idleConn{pooled: h.pooled, since: p.options.Now()})
 	} else {
 		h.pooled.conn.Close()
--- a/internal/proxy/dump.go
+++ b/internal/proxy/dump.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,17 +19,19 @@
 	Leased   bool                 `json:"leased"`
 	Draining bool                 `json:"draining"`
 	Sessions int                  `json:"sessions"`
-	Entries  int                  `json:"entries"` // entry VMs that this one knows
+	Entries  int                  `json:"entries"`   // entry VMs that this one knows
+	Zones    []string             `json:"evacuated"` // evacuated availability zones with members of the groups, sorted
 	Groups   map[string]dumpGroup `json:"groups"`
 }
 
 // dumpGroup is the state of a group.
 type dumpGroup struct {
-	Primary string                   `json:"primary"`
-	Term    uint64                   `json:"term"`
-	Proof   string                   `json:"proof"` // log position of the newest proof
-	Age     time.Duration            `json:"age"`   // of that proof
-	Pools   map[string]connpool.Load `json:"lanes"`
+	Primary   string                   `json:"primary"`
+	Term      uint64                   `json:"term"`
+	Proof     string                   `json:"proof"` // log position of the newest proof
+	Age       time.Duration            `json:"age"`   // of that proof
+	Pools     map[string]connpool.Load `json:"lanes"`
+	Evacuated []string                 `json:"evacuated"` // members
 }
 
 // Console returns the description of this entry VM for the console.
@@ -40,7 +44,7 @@
 	err := p.inbox.Do(ctx, func(now time.Time) {
 		d = dump{
 			Identity: p.identity, Version: p.state.Version(), Leased: p.hasLease(now), Draining: p.stopStarted.Load() != nil,
-			Sessions: p.sessionCount(), Entries: len(*p.entries.Load()), Groups: map[string]dumpGroup{},
+			Sessions: p.sessionCount(), Entries: len(*p.entries.Load()), Groups: map[string]dumpGroup{}, Zones: slices.Sorted(maps.Keys(p.evacuations)),
 		}
 		for name, g := range p.groups {
 			d.Groups[name] = g.dump(now)
@@ -52,7 +56,7 @@
 func (g *group) dump(now time.Time) dumpGroup {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	d := dumpGroup{Primary: g.primary, Term: g.term, Pools: map[string]connpool.Load{}}
+	d := dumpGroup{Primary: g.primary, Term: g.term, Pools: map[string]connpool.Load{}, Evacuated: g.evacuatedIDs()}
 	if sent, at, ok := g.proofs.Newest(); ok {
 		d.Proof, d.Age = at.String(), now.Sub(sent)
 	}
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -76,8 +76,8 @@
 		reason = reasonLate
 	}
 	t := &e.permit.trace
-	detail := fmt.Sprintf("the statement did not run; come back in %s (group %s, server %s asked last, %d tries)",
-		retryAfter(reason), e.permit.route.group.name, t.lastServer, t.attempts)
+	detail := fmt.Sprintf("the statement did not run%s; come back in %s (group %s, server %s asked last, %d tries)",
+		cause(reason), retryAfter(reason), e.permit.route.group.name, t.lastServer, t.attempts)
 	return e.session.proxy.refuse(e.st.ID, code, reason, detail)
 }
 
@@ -167,6 +167,10 @@
 	case errors.As(err, &refused):
 		e.recordFailure(operation.Answer{Code: refused.Code}, reasonFull)
 		e.triedServers = append(e.triedServers, string(m.id))
+	case errors.Is(err, connpool.ErrEvacuated):
+		// The view that this VM applied meanwhile leaves the instance out of the next choice.
+		e.recordFailure(operation.Answer{Code: operation.Busy}, reasonEvacuated)
+		return e.pause(ctx, 0, nil)
 	case errors.Is(err, connpool.ErrClosed):
 		// The entry VM that owned the connections shuts down; retry with another one at once.
 		e.recordFailure(operation.Answer{Code: operation.Busy}, reasonLeft)
@@ -201,15 +205,16 @@
 }
 
 // awaitPrimary waits for an instance to use as the primary. It returns false if the deadline would pass, or at once if the
-// primary leaves and has no successor yet: nobody knows when there will be one.
+// primary leaves and has no successor yet, or if all members are evacuated: nobody knows when there will be one.
 func (e *execution) awaitPrimary(ctx context.Context) (*member, bool) {
 	for {
-		m, wait, changed := e.permit.route.group.primaryTarget(e.now(), true)
+		g := e.permit.route.group
+		m, wait, changed := g.primaryTarget(e.now(), true)
 		if m != nil {
 			return m, true
 		}
-		e.recordFailure(operation.Answer{Code: operation.Busy}, reasonPrimary)
-		if e.permit.route.group.primaryIsLeaving(e.now()) || !e.pause(ctx, wait, changed) {
+		e.recordFailure(operation.Answer{Code: operation.Busy}, g.missingPrimaryReason())
+		if g.allEvacuated() || g.primaryIsLeaving(e.now()) || !e.pause(ctx, wait, changed) {
 			return nil, false
 		}
 	}
@@ -272,6 +277,10 @@
 func (e *execution) awaitReadTarget(ctx context.Context) (*member, position.Position, bool) {
 	g := e.permit.route.group
 	for {
+		if g.allEvacuated() {
+			e.recordFailure(operation.Answer{Code: operation.Busy}, reasonEvacuated)
+			return nil, position.Position{}, false
+		}
 		started := e.now()
 		floor, ok := g.floor(ctx, e.permit.account.name, e.permit.route.maxStaleness, e.session.floor)
 		took := e.now().Sub(started)
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -39,20 +39,25 @@
 	slots      int
 	leaving    bool
 	leftAt     time.Time // when it began to leave; zero if it does not
+	evacuated  bool      // its availability zone is evacuated; it gets no new work
+	workUntil  time.Time // end of open transactions there while it is evacuated
 }
 
 // group is the state of a database group on this VM. It is safe for concurrent use.
 type group struct {
-	name        string
-	now         func() time.Time
-	wall        func() time.Time
-	leaveLimit  time.Duration // see Options.LeaveLimit
-	zoneRTT     func(zone string) time.Duration
-	owner       func(g *group, m *member) string // see Proxy.owner
-	keeper      *zoneKeeper                      // of the proofs
-	proofKeeper func(now time.Time) string       // address of the keeper, or "" if that is this VM
-	forward     *forward.Client
-	proofFlight singleflight.Group
+	name       string
+	now        func() time.Time
+	wall       func() time.Time
+	leaveLimit time.Duration // see Options.LeaveLimit
+	contact    *contact
+	// transactionTime is how long open transactions may continue after an evacuation was learned of.
+	transactionTime time.Duration
+	zoneRTT         func(zone string) time.Duration
+	owner           func(g *group, m *member) string // see Proxy.owner
+	keeper          *zoneKeeper                      // of the proofs
+	proofKeeper     func(now time.Time) string       // address of the keeper, or "" if that is this VM
+	forward         *forward.Client
+	proofFlight     singleflight.Group
 
 	mu            sync.Mutex
 	members       []*member            // in the order of the view
@@ -76,7 +81,8 @@
 	return &group{
 		name: name, now: p.options.Now, wall: p.options.Wall, leaveLimit: p.options.LeaveLimit, zoneRTT: p.zoneRTT, owner: p.owner, keeper: keeper, forward: p.forward,
 		proofKeeper: func(now time.Time) string { return keeper.address(now, p) },
-		finder:      placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
+		contact:     &p.contact, transactionTime: p.options.EvacuateTime / 2,
+		finder: placement.NewFinder(), reader: placement.NewReadBalancer(rand.Uint64()), viewChanged: make(chan struct{}),
 	}
 }
 
@@ -120,6 +126,7 @@
 			next.leftAt = g.leftAt(now, w)
 		}
 		next.pool.EndAt(g.lastWork(next))
+		g.updateEvacuation(now, w, next)
 		members = append(members, next)
 	}
 	for _, m := range g.members {
@@ -214,7 +221,7 @@
 	defer g.mu.Unlock()
 	var owned []*connpool.Pool
 	for _, m := range g.members {
-		if owners := ownership.Of(string(m.id)); !m.leaving && len(owners) > 0 && owners[0].ID == ownID {
+		if owners := ownership.Of(string(m.id)); !m.leaving && !m.evacuated && len(owners) > 0 && owners[0].ID == ownID {
 			owned = append(owned, m.pool)
 		}
 	}
@@ -245,7 +252,8 @@
 
 // primaryTarget returns the instance to use as the primary. If there is none, wait is the time after which to
 // try again, unless changed closes before. With fresh set it is for new work: it returns none during a planned switchover, and
-// no instance that has been leaving for too long.
+// no instance that has been leaving for too long or is evacuated. Otherwise it returns none that is past the limit of an
+// evacuation.
 func (g *group) primaryTarget(now time.Time, fresh bool) (m *member, wait time.Duration, changed <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -253,25 +261,27 @@
 	if g.switching && fresh {
 		return nil, switchoverRetry, g.viewChanged
 	}
-	ids := g.ids
-	if fresh {
-		ids = g.idsForWork(now)
+	if m := g.evacuatedPrimary(); m != nil && (fresh || m.pastEvacuation(now)) {
+		return nil, switchoverRetry, g.viewChanged
 	}
-	id, wait, ok := g.finder.Primary(now, ids)
+	id, wait, ok := g.finder.Primary(now, g.idsForWork(now, fresh))
 	if !ok {
 		return nil, wait, g.viewChanged
 	}
 	return g.find(id), 0, g.viewChanged
 }
 
-// idsForWork returns the ids of the members that take new work. The caller holds the lock.
-func (g *group) idsForWork(now time.Time) []placement.ServerID {
-	if !slices.ContainsFunc(g.members, func(m *member) bool { return !g.takesWork(now, m) }) {
+// idsForWork returns the ids of the members that take new work, or that take requests for proofs. The caller holds the lock.
+func (g *group) idsForWork(now time.Time, fresh bool) []placement.ServerID {
+	refuses := func(m *member) bool {
+		return fresh && (m.evacuated || !g.takesWork(now, m)) || m.pastEvacuation(now)
+	}
+	if !slices.ContainsFunc(g.members, refuses) {
 		return g.ids
 	}
 	var ids []placement.ServerID
 	for _, m := range g.members {
-		if g.takesWork(now, m) {
+		if !refuses(m) {
 			ids = append(ids, m.id)
 		}
 	}
@@ -316,7 +326,7 @@
 	candidates := make([]placement.Candidate, 0, len(g.members))
 	members := make([]*member, 0, len(g.members))
 	for _, m := range g.members {
-		if m.leaving {
+		if m.leaving || m.evacuated {
 			continue
 		}
 		seen, ago := m.stats.LastPosition(now)
--- a/internal/proxy/host.go
+++ b/internal/proxy/host.go
@@ -56,6 +56,7 @@
 	m := h.proxy.metrics
 	if ok {
 		m.renewals.Add(1)
+		h.proxy.contact.renewed(h.proxy.options.Now())
 	} else {
 		m.unrenewed.Add(1)
 	}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -26,6 +26,7 @@
 	disconnected *expvar.Int          // operations admitted while no control group was reachable
 	slow         *expvar.Int          // operations above the latency target of their route
 	idle         *expvar.Int          // transactions ended because they were idle
+	evacuated    *expvar.Int          // transactions ended because the zone of their instance is evacuated
 	outcomes     *expvar.Map          // answers by code
 	reasons      *expvar.Map          // refusals by reason
 	waits        *histogram.Histogram // waits for rate credits
@@ -46,7 +47,7 @@
 	named := map[string]**expvar.Int{
 		"sessions": &m.sessions, "opened": &m.opened, "refused": &m.refused, "versions": &m.versions,
 		"renewals": &m.renewals, "unrenewed": &m.unrenewed, "retries": &m.retries, "replica": &m.replica,
-		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "slow": &m.slow, "alone": &m.disconnected,
+		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "evacuated": &m.evacuated, "slow": &m.slow, "alone": &m.disconnected,
 	}
 	for name, counter := range named {
 		*counter = new(expvar.Int)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -88,6 +88,9 @@
 	LeaseGrace time.Duration
 	// LeaveLimit is how long new work may go to an instance after it announced that it leaves; 0 for no limit.
 	LeaveLimit time.Duration
+	// EvacuateTime is how long after the order the instances of an evacuated availability zone may get statements; 0 for
+	// DefaultEvacuateTime.
+	EvacuateTime time.Duration
 	// Wall is the clock with which control VMs state when an instance began to leave; nil if they do not.
 	Wall  func() time.Time
 	Drain Drain
@@ -119,6 +122,8 @@
 	stopStarted   atomic.Pointer[time.Time]         // start of the planned stop; nil before
 	statements    context.Context                   // ends when statements must not wait any longer, because the VM stops
 	interrupt     context.CancelFunc                // ends statements
+	contact       contact
+	endedByZone   zoneCounts // transactions that evacuations ended since they were last logged
 
 	mu       sync.Mutex
 	sessions map[*Session]struct{}
@@ -127,6 +132,8 @@
 	state  *controlstate.State
 	groups map[string]*group
 	warm   warmUp
+
+	evacuations evacuations
 }
 
 // New returns a Proxy. Run starts it.
@@ -134,8 +141,9 @@
 	p := &Proxy{
 		options: o, identity: renewal.NewIdentity(),
 		eventLoopDone: make(chan struct{}), viewsReady: make(chan struct{}), metrics: newMetrics(),
-		sessions: map[*Session]struct{}{}, state: controlstate.New(), groups: map[string]*group{},
+		sessions: map[*Session]struct{}{}, state: controlstate.New(), groups: map[string]*group{}, evacuations: evacuations{},
 	}
+	p.options.EvacuateTime = cmp.Or(o.EvacuateTime, DefaultEvacuateTime)
 	if p.options.Traffic == nil {
 		p.options.Traffic = traffic.NewMeter()
 	}
@@ -239,6 +247,7 @@
 	for _, s := range p.openSessions() {
 		s.expireIdle(now, idle)
 	}
+	p.enforceEvacuations(now)
 	if busy || p.warm.pendingWork() {
 		return tickInterval
 	}
@@ -340,6 +349,7 @@
 		}).Info("view changed")
 		p.control.RenewNow()
 	}
+	p.updateEvacuations()
 	p.publishPools()
 }
 
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -24,12 +24,14 @@
 	reasonStop    = "stop"    // the entry VM shuts down
 	reasonGone    = "gone"    // the caller left before the statement began
 	reasonSyntax  = "syntax"  // the statement cannot be parsed
+	// the availability zone of the instance is evacuated
+	reasonEvacuated = "evacuated"
 )
 
 // retryAfter returns the recommended time before a caller retries.
 func retryAfter(reason string) time.Duration {
 	switch reason {
-	case reasonPrimary, reasonLink:
+	case reasonPrimary, reasonLink, reasonEvacuated:
 		return time.Second
 	case reasonLag:
 		return 500 * time.Millisecond
@@ -37,6 +39,14 @@
 	return 100 * time.Millisecond
 }
 
+// cause returns the cause of a refusal that its reason alone explains, for the text of the answer.
+func cause(reason string) string {
+	if reason == reasonEvacuated {
+		return ": the availability zone is evacuated"
+	}
+	return ""
+}
+
 // refuse counts and logs a refusal by this VM and returns the answer.
 func (p *Proxy) refuse(id string, code operation.Code, reason, detail string) operation.Answer {
 	p.metrics.reasons.Add(reason, 1)
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -47,6 +47,8 @@
 	tx          *transaction      // nil while none is open
 	failed      bool              // the transaction failed and was rolled back at the instance
 	abortReason string            // why the transaction failed
+	// abortUnreported is set if the transaction was rolled back between two statements, so that no answer has said so yet.
+	abortUnreported bool
 }
 
 // preparedStatement is a statement that a session prepared.
@@ -130,6 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.handle(ctx, st)
+	s.endAfterStatement(s.proxy.options.Now(), &a)
 	s.endForStop(s.proxy.phase(s.proxy.options.Now()))
 	s.proxy.metrics.outcomes.Add(a.Code.String(), 1)
 	return a
@@ -210,6 +213,9 @@
 
 // handleFailed handles a statement after the transaction has failed: only Commit and Rollback end it.
 func (s *Session) handleFailed(st operation.Statement) operation.Answer {
+	if s.abortUnreported {
+		return s.reportAbort(&st)
+	}
 	switch st.Kind {
 	case operation.Rollback:
 		s.failed = false
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -31,6 +31,9 @@
 		s.fail("a transaction is open already")
 		return operation.Answer{Code: operation.Malformed, Detail: s.abortReason, State: operation.Failed}
 	}
+	if refusal := s.refuseEvacuated(arrived, &st); refusal != nil {
+		return *refusal
+	}
 	if refusal := s.refuseWithdrawnKey(&st); refusal != nil {
 		return *refusal
 	}
@@ -158,7 +161,7 @@
 	if isUnreachable(err) {
 		e.permit.route.group.recordUnreachable(s.tx.conn.Server())
 	} else {
-		reason = reasonLate
+		reason = connLossReason(err)
 	}
 	s.fail("the transaction is rolled back: " + err.Error())
 	if e.st.Kind != operation.Commit {
