Failover replaces evacuated primaries

Cause: failover did not know evacuated members.

Change: PlatformCoordinator replaces an evacuated primary in a planned switchover, as one that shuts down, by a member that is neither evacuated nor leaving; without one that answers the primary stays and no term is raised. Evacuated members are never ordered in a switchover and come last in a failover; they count as replicas that may be fenced. Coordinator switches away from an evacuated primary as from a retired one, without dismissal.

--- a/internal/failover/coordinator_test.go
+++ b/internal/failover/coordinator_test.go
@@ -312,6 +312,11 @@
 			"retire": func(t *rapid.T) {
 				s.apply(configurationChange(s.state, &wire.Edit{Edit: &wire.Edit_RetireServer{RetireServer: some(t).id}}))
 			},
+			"evacuate": func(t *rapid.T) {
+				x := some(t)
+				s.evacuations.servers[x.id] = !s.evacuations.servers[x.id]
+				s.notify()
+			},
 			"restore": func(t *rapid.T) {
 				s.apply(configurationChange(s.state, &wire.Edit{Edit: &wire.Edit_RestoreServer{RestoreServer: some(t).id}}))
 			},
@@ -321,6 +326,7 @@
 			s.apply(configurationChange(s.state, &wire.Edit{Edit: &wire.Edit_RestoreServer{RestoreServer: x.id}}))
 		}
 		s.loss, s.jitter = 0, 0
+		clear(s.evacuations.servers)
 		s.resume()
 		s.run(10 * time.Second)
 		s.awaitWrites()
--- a/internal/failover/group.go
+++ b/internal/failover/group.go
@@ -50,7 +50,7 @@
 	change         membershipChange
 	majorityJoined time.Time // when a majority of the first members had been admitted
 	reportsPruned  time.Time // when entryReports was last pruned
-	lastSwitchover time.Time // last planned switchover away from a retired primary
+	lastSwitchover time.Time // last planned switchover away from a retired or evacuated primary
 }
 
 // entryReport is the report of an entry VM on the primary.
@@ -70,6 +70,7 @@
 	reportedAt time.Time // when the report was received
 	calls      map[Function]callState
 	retired    time.Time // when its retirement was first observed; zero if it is not retired
+	evacuated  bool      // its availability zone is evacuated; it stays a member and a replica
 }
 
 // callState is the state of the last call of a function.
@@ -122,6 +123,7 @@
 	for _, m := range v.GetMembers() {
 		s := g.server(ServerID(m.GetServer()))
 		s.setRetired(now, m.GetRetired())
+		s.evacuated = m.GetEvacuated()
 		if s.address == "" {
 			s.address, s.zone = m.GetAddress(), m.GetZone()
 		}
@@ -278,6 +280,9 @@
 		g.raiseTerm(now, wire.Phase_PHASE_RAISING, reason)
 		return
 	}
+	if g.evacuatePrimary(now) {
+		return
+	}
 	g.redirectReplicas(now)
 	g.tickMembershipChange(now)
 }
--- a/internal/failover/platform.go
+++ b/internal/failover/platform.go
@@ -107,6 +107,7 @@
 	reportedPrimary time.Time // when it last reported so
 	lastHeard       time.Time // last announcement or status response
 	shutdownSince   time.Time // when it first reported its shutdown; zero if it does not shut down
+	evacuatedSince  time.Time // when it was first seen to be evacuated; zero if it is not
 	lastProbe       time.Time
 	unansweredSince time.Time // first probe without a response since the last response; zero if none
 	lag             time.Duration
@@ -277,6 +278,7 @@
 	former := g.view
 	g.view = v
 	g.updateDepartures()
+	g.updateEvacuations(now)
 	switch {
 	case v.GetPhase() == wire.Phase_PHASE_STEADY:
 		if former.GetTerm() != v.GetTerm() || former.GetPhase() != v.GetPhase() {
--- a/internal/failover/platform_promotion.go
+++ b/internal/failover/platform_promotion.go
@@ -74,34 +74,41 @@
 	return ""
 }
 
-// prepareSuccessor finds a successor for a primary that shuts down and then starts a switchover.
+// prepareSuccessor finds a successor for a primary that shuts down or is evacuated, and then starts a switchover.
 func (g *platformGroup) prepareSuccessor(now time.Time, s *instance) {
-	if s.shutdownSince.IsZero() {
+	since, reason := s.replacedSince()
+	if since.IsZero() || g.pausesEvacuation(now, s) {
 		return
 	}
 	ready := false
-	others, answered := 0, 0
+	others, candidates, answered := 0, 0, 0
 	for _, m := range g.view.GetMembers() {
 		id := ServerID(m.GetServer())
 		replica := g.server(id)
 		if string(id) == g.view.GetPrimary() || !replica.shutdownSince.IsZero() {
 			continue
 		}
-		others++
-		if now.Sub(replica.lastProbe) >= primaryProbeInterval {
-			g.requestStatus(now, m)
-		}
-		answers := !g.unfencing[id] && replica.lastHeard.After(s.shutdownSince) && replica.unansweredSince.IsZero() && replica.lastProbe.After(s.shutdownSince)
+		answers := g.answersSince(now, since, m)
 		if answers {
 			answered++
 		}
+		if !g.mayFollow(id) {
+			continue
+		}
+		others++
+		if answers && !now.Before(replica.barredUntil) {
+			candidates++
+		}
 		ready = ready || answers && replica.lag <= maxSuccessorLag
 	}
 	if g.syncReplicas() > 0 && (answered < g.requiredReplicas() || now.Sub(g.steadySince) < syncSwitchoverPause) {
 		return // a switchover would end without a successor
 	}
-	if others > 0 && (ready || now.Sub(s.shutdownSince) >= maxShutdownWait) {
-		g.raiseTerm(now, wire.Phase_PHASE_SWITCHING, "the primary shuts down")
+	if s.shutdownSince.IsZero() && candidates == 0 {
+		return // an evacuated primary can wait until a replica answers; one that shuts down cannot
+	}
+	if others > 0 && (ready || now.Sub(since) >= maxShutdownWait) {
+		g.raiseTerm(now, wire.Phase_PHASE_SWITCHING, reason)
 	}
 }
 
@@ -225,14 +232,14 @@
 }
 
 // mayStay reports whether a member that answered as the primary may stay it: it does not shut down, and the voters reached it
-// or no other member answers. With synchronous replicas it may although it shuts down, since a switchover replaces it then,
-// and once no successor was found within maxSuccessorSearch.
+// or no other member answers; if it is evacuated, no other member may take its place. With synchronous replicas it may although it shuts down or is evacuated, since a switchover
+// replaces it then, and once no successor was found within maxSuccessorSearch.
 func (g *platformGroup) mayStay(now time.Time, a *attempt, id ServerID) bool {
 	avoided := id == g.avoided && len(a.answers) > 1
 	if g.syncReplicas() > 0 {
 		return !avoided || now.Sub(a.started) >= maxSuccessorSearch
 	}
-	return !avoided && g.server(id).shutdownSince.IsZero()
+	return !avoided && g.server(id).shutdownSince.IsZero() && (!g.evacuated(id) || g.mayStayEvacuated(now, a, id))
 }
 
 // advanceSwitchover orders a promotion once a replica has the whole log of the primary, or maxWriteHold is over.
@@ -273,7 +280,7 @@
 }
 
 // successor returns the best replica among those that answered: the lowest rank, then the longest log.
-// Replicas that the platform refused lately are not chosen.
+// Replicas that the platform refused lately are not chosen, nor are evacuated ones in a planned switchover.
 func (g *platformGroup) successor(now time.Time, a *attempt, old ServerID) ServerID {
 	var best ServerID
 	ids := make([]ServerID, 0, len(a.answers))
@@ -282,7 +289,7 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		if id == old || g.member(id) == nil || now.Before(g.server(id).barredUntil) {
+		if id == old || g.member(id) == nil || now.Before(g.server(id).barredUntil) || a.planned && g.evacuated(id) {
 			continue
 		}
 		if best == "" || g.prefers(a, id, best) {
@@ -303,9 +310,11 @@
 }
 
 // rank orders candidates: 0 for those without a known problem, 1 for the avoided one, 2 for those that shut
-// down.
+// down, 3 for those that are evacuated.
 func (g *platformGroup) rank(id ServerID) int {
 	switch {
+	case g.evacuated(id):
+		return 3
 	case !g.server(id).shutdownSince.IsZero():
 		return 2
 	case id == g.avoided:
--- a/internal/failover/platform_sync.go
+++ b/internal/failover/platform_sync.go
@@ -152,9 +152,10 @@
 }
 
 // orderDecided orders the server that the view names, unless a member came or restarted while the decision became durable: it
-// is not fenced.
+// is not fenced. A server that was evacuated meanwhile is not ordered in a switchover.
 func (g *platformGroup) orderDecided(now time.Time, v *wire.View) {
-	if g.decision.term == v.GetTerm() && !slices.Equal(g.decision.members, v.GetMembers()) {
+	changed := !slices.Equal(g.decision.members, v.GetMembers()) || g.attempt.planned && g.evacuated(ServerID(v.GetOrdered()))
+	if g.decision.term == v.GetTerm() && changed {
 		g.proposeTerm(now, wire.Phase_PHASE_RAISING, "", "the members changed")
 		return
 	}
@@ -276,7 +277,7 @@
 // then acknowledged with this replica or not at all, so it has each one once it has what the fenced ones have.
 func (g *platformGroup) advanceSyncSwitchover(now time.Time, a *attempt) {
 	waited := now.Sub(a.started)
-	if waited >= maxSyncSwitchover {
+	if waited >= maxSyncSwitchover || a.receiving != "" && g.evacuated(a.receiving) {
 		g.raiseTerm(now, wire.Phase_PHASE_RAISING, "no replica has what the others have")
 		return
 	}
--- a/internal/failover/platform_sync_test.go
+++ b/internal/failover/platform_sync_test.go
@@ -95,6 +95,8 @@
 	born      uint64
 	promoted  int
 	later     []scheduled
+
+	evacuations *evacuations
 }
 
 // scheduled is an event that is due later.
@@ -106,7 +108,7 @@
 func newSyncSimulation(t *testing.T, seed uint64) *syncSimulation {
 	s := &syncSimulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1000, 0), policy: failover.NewPlatformCoordinator(),
-		state: controlstate.New(), leader: "i0", term: 3,
+		state: controlstate.New(), leader: "i0", term: 3, evacuations: newEvacuations(),
 	}
 	members := 2 + s.random.IntN(4)
 	s.sync = 1 + s.random.IntN(min(2, members-1))
@@ -140,7 +142,7 @@
 	s.state.Apply(s.index, e)
 	s.step(failover.ConfigurationApplied{Groups: s.state.Configuration().GetGroups()})
 	if s.view().GetRevision() != before {
-		s.step(failover.ViewApplied{View: s.view()})
+		s.applyView()
 	}
 }
 
@@ -166,6 +168,8 @@
 		}
 	}
 	if c.Function == failover.Promote {
+		planned := s.view().GetPhase() == wire.Phase_PHASE_SWITCHING
+		require.False(s.t, planned && s.evacuations.servers[c.Address], "an evacuated member is ordered in a switchover")
 		if s.silent {
 			s.after(c.Timeout(), func() { answer(failover.Report{}, errors.New("no answer")) })
 			if s.random.IntN(2) == 0 {
@@ -281,7 +285,7 @@
 // fail makes something fail or heal.
 func (s *syncSimulation) fail() {
 	i := s.instances[s.random.IntN(len(s.instances))]
-	kind := s.random.IntN(9)
+	kind := s.random.IntN(10)
 	s.note("failure %d %s, leader %s, view %s %s term %d", kind, i.id, s.leader, s.view().GetPrimary(), s.view().GetPhase(), s.view().GetTerm())
 	switch kind {
 	case 0:
@@ -303,7 +307,10 @@
 	case 8:
 		s.policy = failover.NewPlatformCoordinator()
 		s.step(failover.ConfigurationApplied{Groups: s.state.Configuration().GetGroups()})
-		s.step(failover.ViewApplied{View: s.view()})
+		s.applyView()
+	case 9:
+		s.evacuations.servers[i.address] = !s.evacuations.servers[i.address]
+		s.applyView()
 	}
 }
 
@@ -407,7 +414,7 @@
 // TestNoPromotionLosesAcknowledgedCommits guards against promotions that lose commits which the configured number of replicas
 // had received, with any replica deaf, busy, gone or leaving, orders carried out late and other control VMs taking over.
 func TestNoPromotionLosesAcknowledgedCommits(t *testing.T) {
-	promoted := 0
+	promoted, evacuated := 0, 0
 	for seed := range uint64(150) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			s := newSyncSimulation(t, seed)
@@ -417,6 +424,8 @@
 			for _, i := range s.instances {
 				i.deaf, i.busy, i.cut = false, false, false
 			}
+			clear(s.evacuations.servers)
+			s.applyView()
 			s.run(25*time.Second, false)
 			for _, i := range s.instances {
 				s.note("%+v", i)
@@ -427,8 +436,13 @@
 			before := s.acked
 			s.run(time.Second, false)
 			require.Greater(t, s.acked, before, "commits are acknowledged again")
+			if !slices.ContainsFunc(s.instances, func(i *syncInstance) bool { return i.leaving || !i.up }) {
+				s.requireEvacuation()
+				evacuated++
+			}
 			promoted += s.promoted
 		})
 	}
 	require.Greater(t, promoted, 300, "promotions in all runs")
+	require.Greater(t, evacuated, 30, "evacuations of the primary of a whole group")
 }
--- a/internal/failover/platform_test.go
+++ b/internal/failover/platform_test.go
@@ -26,6 +26,8 @@
 	busy             map[string]bool // states a lower bound of its position
 	noStatus         map[string]bool // answers without its status
 	unansweredOrders int             // number of orders that get no response
+	refusedOrders    int             // number of orders that the platform refuses
+	evacuations      *evacuations
 	shuttingDown     map[string]bool
 	staleRole        bool            // a new primary still reports that it is a replica
 	votes            map[string]bool // whether an entry VM reaches the instance a as the primary
@@ -38,7 +40,7 @@
 	s := &platformHarness{
 		t: t, policy: failover.NewPlatformCoordinator(), state: controlstate.New(), now: time.Unix(1000, 0), primary: "a",
 		offsets: map[string]position.Offset{"a": 10, "b": 9, "c": 10}, unreachable: map[string]bool{}, busy: map[string]bool{}, noStatus: map[string]bool{}, shuttingDown: map[string]bool{},
-		votes: map[string]bool{"e1": true, "e2": true, "e3": true}, silent: 1000, members: []string{"a", "b", "c"},
+		votes: map[string]bool{"e1": true, "e2": true, "e3": true}, silent: 1000, members: []string{"a", "b", "c"}, evacuations: newEvacuations(),
 	}
 	s.apply(&wire.Entry{Entry: &wire.Entry_Publish{Publish: &wire.Configuration{Version: 1, Groups: []*wire.Group{{Name: "g"}}}}})
 	for _, id := range s.members {
@@ -53,7 +55,7 @@
 	s.state.Apply(s.index, e)
 	s.step(failover.ConfigurationApplied{Groups: s.state.Configuration().GetGroups()})
 	for _, v := range s.state.Views() {
-		s.step(failover.ViewApplied{View: v})
+		s.step(failover.ViewApplied{View: s.evacuations.mark(v)})
 	}
 }
 
@@ -88,6 +90,11 @@
 			err = errors.New("no answer")
 			break
 		}
+		if s.refusedOrders > 0 {
+			s.refusedOrders--
+			err = errors.Mark(errors.New("conflict"), failover.ErrRefused)
+			break
+		}
 		s.primary = id
 	case s.unreachable[id]:
 		err = errors.New("not reached")
--- a/internal/failover/promotion.go
+++ b/internal/failover/promotion.go
@@ -46,7 +46,7 @@
 	g.raiseTerm(now, wire.Phase_PHASE_RAISING, g.reason)
 }
 
-// startSwitchover starts a planned switchover to a member that is not retired.
+// startSwitchover starts a planned switchover to a member that is neither retired nor evacuated.
 func (g *group) startSwitchover(now time.Time, target ServerID) {
 	if g.stage != steady || g.primary() == "" {
 		return
@@ -55,7 +55,7 @@
 		target = g.successor(now)
 	}
 	s, ok := g.servers[target]
-	if !ok || !g.member(target) || target == g.primary() || !s.retired.IsZero() || !s.recentlyHeard(now) {
+	if !ok || !g.member(target) || target == g.primary() || s.rank() > 0 || !s.recentlyHeard(now) {
 		return
 	}
 	g.target, g.formerPrimary, g.catchUpPolls = target, g.primary(), 0
@@ -66,7 +66,7 @@
 func (g *group) successor(now time.Time) ServerID {
 	var best *server
 	for _, s := range g.members {
-		if s.id == g.primary() || !s.retired.IsZero() || !s.recentlyHeard(now) || s.report.Term != g.primaryTerm() {
+		if s.id == g.primary() || s.rank() > 0 || !s.recentlyHeard(now) || s.report.Term != g.primaryTerm() {
 			continue
 		}
 		if best == nil || best.report.lastPosition().Less(s.report.lastPosition()) {
@@ -81,6 +81,11 @@
 
 // drain waits until the target has the whole log of the former primary, while entry VMs queue writes.
 func (g *group) drain(now time.Time) {
+	g.replaceTarget(now)
+	if g.target == "" {
+		g.fence(now)
+		return
+	}
 	former, target := g.servers[g.formerPrimary], g.servers[g.target]
 	waited := now.Sub(g.stageStarted)
 	if waited >= maxDrain {
@@ -139,7 +144,7 @@
 }
 
 // choosePrimary calls the member with the most advanced log to promote, once a majority has promised. Among
-// equal logs, the target of a switchover is preferred, then members that are not retired, then the lowest name.
+// equal logs, the target of a switchover is preferred, then members that are neither retired nor evacuated, then the lowest name.
 func (g *group) choosePrimary(now time.Time) {
 	var best *server
 	promised := 0
@@ -176,7 +181,7 @@
 	if s.id == g.target || best.id == g.target {
 		return s.id == g.target
 	}
-	return s.retired.IsZero() && !best.retired.IsZero()
+	return s.rank() < best.rank()
 }
 
 // retryPromotion repeats calls to the candidate, and raises a new term if the candidate does not respond. No
--- a/internal/failover/simulation_test.go
+++ b/internal/failover/simulation_test.go
@@ -123,12 +123,13 @@
 	gap         time.Duration // longest time between two acknowledgements since it was reset
 	primaries   map[position.Term]string
 	raised      int
+	evacuations *evacuations
 }
 
 func newSimulation(t require.TestingT, seed uint64, members, servers int) *simulation {
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 2)), now: epoch, state: controlstate.New(), view: &wire.View{},
-		lastStatus: map[string]time.Time{}, acked: map[int]bool{}, primaries: map[position.Term]string{}, leader: 1,
+		lastStatus: map[string]time.Time{}, acked: map[int]bool{}, primaries: map[position.Term]string{}, leader: 1, evacuations: newEvacuations(),
 	}
 	s.coordinator = failover.New("leader-1")
 	s.apply(configurationChange(s.state, &wire.Edit{Edit: &wire.Edit_PutGroup{PutGroup: &wire.Group{
@@ -335,7 +336,7 @@
 	c := s.state.Configuration()
 	s.step(failover.ConfigurationApplied{Groups: c.GetGroups(), Retired: c.GetRetired()})
 	for _, v := range s.state.Views() {
-		s.step(failover.ViewApplied{View: v})
+		s.step(failover.ViewApplied{View: s.evacuations.mark(v)})
 	}
 }
 
