Entry VMs of the PostgreSQL side send no new work to evacuated servers

Cause: a server whose availability zone is evacuated got work like any other.

Change: it gets no new work, like a retired one, but goes on confirming commits as a replica, because it stays a member.

Result: TestEvacuatedPrimaryGetsNoWrites and TestEvacuatedServerOnlyConfirms fail if the mark is ignored; the latter also fails if evacuated servers are treated as leaving ones for confirmations. Both pass with the change.

--- a/internal/entryvm/dump.go
+++ b/internal/entryvm/dump.go
@@ -42,8 +42,8 @@
 	Position string        `json:"position"`
 	History  string        `json:"history"`
 	Alive    bool          `json:"alive"`
-	Retired  bool          `json:"retired"`
-	Age      float64       `json:"age"` // of the data, in seconds; negative: unknown
+	Retired  bool          `json:"retired"` // or evacuated
+	Age      float64       `json:"age"`     // of the data, in seconds; negative: unknown
 	Pool     backend.Usage `json:"pool"`
 }
 
--- a/internal/entryvm/eventloop.go
+++ b/internal/entryvm/eventloop.go
@@ -234,7 +234,7 @@
 	for _, m := range v.GetMembers() {
 		id := watermark.ServerID(m.GetServer())
 		present[id] = true
-		g.retired[m.GetServer()] = m.GetRetired() || retired[m.GetServer()]
+		g.retired[m.GetServer()] = m.GetRetired() || m.GetEvacuated() || retired[m.GetServer()]
 		if s, ok := g.servers[id]; ok && (s.address != m.GetAddress() || s.slotLimit != int(max(c.GetSlots(), 1))) {
 			vm.closeServer(s)
 			delete(g.servers, id)
@@ -259,7 +259,7 @@
 	var leaving []watermark.ServerID
 	for _, m := range v.GetMembers() {
 		members = append(members, watermark.ServerID(m.GetServer()))
-		if g.retired[m.GetServer()] {
+		if m.GetRetired() || retired[m.GetServer()] { // an evacuated replica goes on confirming commits
 			leaving = append(leaving, watermark.ServerID(m.GetServer()))
 		}
 	}
--- a/internal/entryvm/group.go
+++ b/internal/entryvm/group.go
@@ -33,8 +33,8 @@
 	router        *router // shared with session goroutines
 	watermarks    *watermark.Group
 	view          *wire.View
-	members       uint32 // number of members in the configuration
-	retired       map[string]bool
+	members       uint32          // number of members in the configuration
+	retired       map[string]bool // members that get no new work: retired, or in an evacuated availability zone
 	servers       map[watermark.ServerID]*server
 	floors        map[watermark.WaitID]chan position.Position
 	confirmations map[watermark.WaitID]chan watermark.CommitResolved
@@ -56,7 +56,7 @@
 // serverState is the published state of one backend server. It is immutable.
 type serverState struct {
 	*server
-	retired bool
+	retired bool // or evacuated
 	member  watermark.Member
 }
 
@@ -144,7 +144,7 @@
 	case s.phase != wire.Phase_PHASE_STEADY || s.primary == nil:
 		return nil, "the group has no primary"
 	case s.primary.retired:
-		return nil, "the primary is retired"
+		return nil, "the primary is retired, or its availability zone is evacuated"
 	case s.primary.member.Promised > s.term:
 		return nil, "the primary is fenced"
 	case !s.primary.alive(now):
@@ -162,7 +162,7 @@
 	return s.primary, ""
 }
 
-// isRetired reports whether a server is retired, so that it gets no new work, or is no longer a member.
+// isRetired reports whether a server is retired or evacuated, so that it gets no new work, or is no longer a member.
 func (s *groupState) isRetired(id watermark.ServerID) bool {
 	for i := range s.servers {
 		if s.servers[i].id == id {
--- a/internal/entryvm/harness_test.go
+++ b/internal/entryvm/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/protobuf/proto"
 
 	"fireflyrudder.example/fireflyrudder/internal/backend"
 	"fireflyrudder.example/fireflyrudder/internal/caller"
@@ -35,7 +36,8 @@
 	issuer      *lease.Issuer
 	index       uint64
 	watchers    map[chan struct{}]bool
-	unavailable bool // Renew fails
+	unavailable bool            // Renew fails
+	evacuated   map[string]bool // servers that updates mark as evacuated
 	departed    []string
 	updateDelay atomic.Int64 // delay of updates to entry VMs, in nanoseconds
 	address     string
@@ -130,6 +132,12 @@
 		if !ok {
 			u = c.state.FullUpdate(r.Groups)
 		}
+		u = proto.CloneOf(u)
+		for _, v := range u.GetViews() {
+			for _, m := range v.GetMembers() {
+				m.Evacuated = m.Evacuated || c.evacuated[m.GetServer()]
+			}
+		}
 		c.mu.Unlock()
 		if err := stream.Send(u); err != nil {
 			return err
--- a/internal/entryvm/rules_test.go
+++ b/internal/entryvm/rules_test.go
@@ -113,6 +113,32 @@
 	}
 }
 
+// Guards against new requests on a server whose availability zone is evacuated, and against an evacuated replica that confirms
+// no commits any more: it stays a member.
+func TestEvacuatedServerOnlyConfirms(t *testing.T) {
+	cl := newCluster(t, 3, nil)
+	cl.control.evacuated = map[string]bool{"b": true, "c": true}
+	c := cl.startEntry(nil).connect(t, nil)
+	createClaimTable(t, c)
+	exec(t, c, "INSERT INTO claim (id, owner) VALUES (1, 'a')")
+	cl.servers[0].Hooks().SetServiceTime(10 * time.Millisecond) // replicas would be preferred
+	cl.servers[1].Hooks().SetServiceTime(time.Minute)
+	cl.servers[2].Hooks().SetServiceTime(time.Minute)
+	for range 50 {
+		require.Equal(t, 1, queryInt(t, c, "SELECT count(*) FROM claim"))
+	}
+}
+
+// Guards against writes on a primary whose availability zone is evacuated.
+func TestEvacuatedPrimaryGetsNoWrites(t *testing.T) {
+	cl := newCluster(t, 3, nil)
+	cl.control.evacuated = map[string]bool{"a": true}
+	c := cl.startEntry(nil).connect(t, nil)
+	_, err := c.Exec(background, "CREATE TABLE claim (id int PRIMARY KEY, owner text)")
+	require.Contains(t, []string{"FR002", "FR003", "FR005"}, sqlState(err), "%v", err)
+	require.ErrorContains(t, err, "evacuated")
+}
+
 // Guards against an entry VM that serves requests without a configuration lease.
 func TestNoLeaseRefuses(t *testing.T) {
 	cl := newCluster(t, 3, nil)
