--- a/internal/proxy/evacuation_test.go
+++ b/internal/proxy/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -259,9 +260,25 @@
 	regular := []time.Time{at(0), at(500), at(1000), at(1500), at(2000), at(2500)}
 	require.Equal(t, at(2600), proxy.ContactAfter(at(2600), regular...))
 	require.Equal(t, at(2500), proxy.ContactAfter(at(6000), regular...), "no Renew has been answered yet")
-	regained := append(regular, at(6000))
+	regained := slices.Concat(regular, []time.Time{at(6000)})
 	require.Equal(t, at(2500), proxy.ContactAfter(at(6100), regained...), "the update was late")
-	require.Equal(t, at(8100), proxy.ContactAfter(at(8100), append(regained, at(7000), at(8000))...))
+	require.Equal(t, at(8100), proxy.ContactAfter(at(8100), slices.Concat(regained, []time.Time{at(7000), at(8000)})...))
+}
+
+// TestCutOffVMAppliesEvacuationLate guards against an entry VM that regains contact after an evacuation began and lets its
+// transactions go on for as long as if it had just been ordered.
+func TestCutOffVMAppliesEvacuationLate(t *testing.T) {
+	s := newSite(t, 1, 2*time.Second, "a")
+	c := s.open(s.vms[0], "g0")
+	require.Equal(t, operation.Done, c.Handle(t.Context(), begin).Code)
+	require.Equal(t, operation.Done, c.Handle(t.Context(), write).Code)
+	s.control.cut.Store(true)
+	time.Sleep(2 * time.Second)
+	require.Equal(t, operation.Done, c.Handle(t.Context(), write).Code, "it serves without contact")
+	s.control.cut.Store(false)
+	applied := s.evacuate(true, "a")
+	require.Equal(t, operation.Aborted, c.Handle(t.Context(), write).Code)
+	require.Empty(t, s.reached("a", applied.Add(5*time.Millisecond), time.Now()))
 }
 
 // TestDumpShowsEvacuation guards against an operator who cannot tell that a zone is empty.
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -24,7 +24,7 @@
 	reasonStop    = "stop"    // the entry VM shuts down
 	reasonGone    = "gone"    // the caller left before the statement began
 	reasonSyntax  = "syntax"  // the statement cannot be parsed
-	// the availability zone of the instance is evacuated
+	// reasonEvacuated: the availability zone of the instance is evacuated.
 	reasonEvacuated = "evacuated"
 )
 
--- a/internal/proxy/site_test.go
+++ b/internal/proxy/site_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,13 +20,19 @@
 )
 
 // leaseControl is a control group that grants configuration leases only.
-type leaseControl struct{ wire.ControlClient }
+type leaseControl struct {
+	wire.ControlClient
+	cut atomic.Bool // it does not answer
+}
 
-func (leaseControl) Renew(_ context.Context, r *wire.RenewRequest, _ ...grpc.CallOption) (*wire.RenewReply, error) {
+func (c *leaseControl) Renew(_ context.Context, r *wire.RenewRequest, _ ...grpc.CallOption) (*wire.RenewReply, error) {
+	if c.cut.Load() {
+		return nil, context.DeadlineExceeded
+	}
 	return &wire.RenewReply{Leader: true, Sequence: r.GetSequence(), Lease: 2500, Term: 1, Members: 1, Version: r.GetVersion()}, nil
 }
 
-func (leaseControl) Watch(ctx context.Context, _ *wire.WatchRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[wire.Update], error) {
+func (*leaseControl) Watch(ctx context.Context, _ *wire.WatchRequest, _ ...grpc.CallOption) (grpc.ServerStreamingClient[wire.Update], error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
@@ -40,6 +47,7 @@
 	evacuated map[string]bool   // by zone
 	revision  uint64
 	work      time.Duration // of a statement that needs a slot
+	control   leaseControl
 	arrivals  []arrival
 	vms       []*proxy.SiteVM
 	entries   []*wire.Registration
@@ -74,7 +82,7 @@
 	require.NoError(s.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	s.t.Cleanup(stop)
-	vm := proxy.StartSiteVM(ctx, l, zone, s.dial, leaseControl{}, evacuateTime)
+	vm := proxy.StartSiteVM(ctx, l, zone, s.dial, &s.control, evacuateTime)
 	s.vms = append(s.vms, vm)
 	address := l.Addr().String()
 	s.entries = append(s.entries, &wire.Registration{Entry: address, Process: address, Forward: address, Zone: zone})
