--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -66,12 +66,14 @@
 	}
 	defer h.settleUnits(true)
 	if operation.AnyNeedsSlot(statements) {
+		waits, release := h.pool.untilEvacuated(ctx, h.pooled == nil)
+		defer release()
 		t := slots.NewTicket()
 		t.Ticket = admission.Ticket{
 			Account: admission.AccountID(h.account), Weight: h.weight, Read: h.read, InTransaction: h.pooled != nil, Deadline: until, Target: l.Target,
 			Priority: h.priority,
 		}
-		if err := h.pool.admit(ctx, t); err != nil {
+		if err := h.pool.admit(waits, t); err != nil {
 			return nil, h.beginError(err)
 		}
 		h.counted = h.counted || h.pooled == nil
@@ -86,6 +88,12 @@
 		if h.pool.ended(now()) {
 			return nil, ErrClosed
 		}
+		if err := h.pool.evacuationError(now(), true); err != nil {
+			return nil, err
+		}
+	}
+	if err := h.pool.evacuationError(now(), false); err != nil {
+		return nil, err
 	}
 	if err := h.confirmUnits(values, statements...); err != nil {
 		return nil, err
@@ -162,6 +170,9 @@
 	if limit <= 0 {
 		return nil, ErrQueueTimeout
 	}
+	if err := h.pool.evacuationError(sent, false); err != nil {
+		return nil, err
+	}
 	h.pool.observeSent(sent)
 	h.sendUnits(len(statements))
 	answers, err := h.pooled.conn.Exchange(limit+AnswerGrace, statements...)
--- a/internal/proxy/cold.go
+++ b/internal/proxy/cold.go
@@ -213,7 +213,7 @@
 	defer g.mu.Unlock()
 	found := false
 	for _, m := range g.members {
-		if m.leaving || !allowed(m) {
+		if m.leaving || m.evacuated || !allowed(m) {
 			continue
 		}
 		if !m.isCold(now) {
--- a/internal/proxy/cold_test.go
+++ b/internal/proxy/cold_test.go
@@ -17,8 +17,6 @@
 	coldStart = 8 * time.Second
 )
 
-var read, write = operation.Statement{Kind: operation.Read, Text: "read"}, operation.Statement{Kind: operation.Write, Text: "write"}
-
 // coldConfiguration has a route for reads up to 1.5 s old and one for current data.
 func coldConfiguration(rate float64) *wire.Configuration {
 	return &wire.Configuration{
--- a/internal/proxy/homes.go
+++ b/internal/proxy/homes.go
@@ -48,7 +48,7 @@
 	outside := false
 	for _, m := range g.members {
 		switch {
-		case m.leaving:
+		case m.leaving || m.evacuated:
 		case allowed(m):
 			return false
 		default:
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -30,6 +30,7 @@
 	slow         *expvar.Int          // operations above the latency target of their route
 	idle         *expvar.Int          // transactions ended because they were idle
 	moves        *expvar.Int          // instances whose connections moved to another owner
+	evacuated    *expvar.Int          // transactions ended because the zone of their instance is evacuated
 	outcomes     *expvar.Map          // answers by code
 	reasons      *expvar.Map          // refusals by reason
 	early        *expvar.Map          // statements refused by reports of expected waits, by the age of the report
@@ -52,7 +53,7 @@
 	named := map[string]**expvar.Int{
 		"sessions": &m.sessions, "opened": &m.opened, "refused": &m.refused, "versions": &m.versions,
 		"renewals": &m.renewals, "unrenewed": &m.unrenewed, "retries": &m.retries, "replica": &m.replica,
-		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "slow": &m.slow, "alone": &m.disconnected,
+		"primary": &m.primary, "writes": &m.writes, "commits": &m.commits, "idle": &m.idle, "evacuated": &m.evacuated, "slow": &m.slow, "alone": &m.disconnected,
 		"moves": &m.moves, "pooled": &m.handedOver, "hedged": &m.hedged, "hedgewins": &m.hedgeWins,
 	}
 	for name, counter := range named {
--- a/internal/proxy/waits.go
+++ b/internal/proxy/waits.go
@@ -47,7 +47,7 @@
 	var all []*placement.Waits
 	for _, o := range g.members {
 		switch {
-		case m != nil && o.id != m.id || m == nil && (o.leaving || !allowed(o)):
+		case m != nil && o.id != m.id || m == nil && (o.leaving || o.evacuated || !allowed(o)):
 		case o.isCold(now) && o.cold.takesReads(now):
 			return 0, 0, false // it may take the statement whatever waits elsewhere
 		case !o.isCold(now):
