Detect lost answers by the statements that outrun them

Change: a slot counts as free after the usual time if twice as many later statements as the instance has slots were answered; hedges begin after twice the usual time and 20 ms.

--- a/internal/connpool/overdue.go
+++ b/internal/connpool/overdue.go
@@ -10,8 +10,12 @@
 
 // An instance that has run a statement has a free slot, also if the answer is lost. The queue would count that slot as taken
 // until the deadline of the statement: at 130 statements a second, 4% of lost answers take more slots than an instance has.
-// So a slot is counted as free once the answer is overdue and later statements were answered. Without such answers the
-// instance may be slow or stuck: it gets at most twice the statements that it runs at once then.
+// So a slot is counted as free once the statement takes longer than usual and many later ones were answered. Without such
+// answers the instance may be slow or stuck: its slots are counted as free when the answers are overdue, and at most as many
+// as it has.
+
+// minRecheck bounds how often a statement without an answer is looked at.
+const minRecheck = 20 * time.Millisecond
 
 // provenBy is the number of statements for each slot that must have been answered since a statement was sent for its answer to
 // count as lost. A statement that is merely slow is outrun by about as many as run beside it.
@@ -35,12 +39,14 @@
 	s.answers++
 }
 
-// begin returns the time after which the answer to a statement is overdue, and the number of answers so far.
-func (s *slotHolds) begin() (overdue time.Duration, answers int, ok bool) {
+// begin returns the time after which a statement takes longer than usual, that after which its answer is overdue, and the
+// number of answers so far.
+func (s *slotHolds) begin() (usual, overdue time.Duration, answers int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	usual, _ = s.times.Usual()
 	overdue, ok = s.times.Overdue()
-	return overdue, s.answers, ok
+	return max(usual, minRecheck), overdue, s.answers, ok
 }
 
 // proven reports whether so many statements were answered since there were a number of answers that a statement without an
@@ -75,6 +81,7 @@
 	ticket  *slots.Ticket
 	entered time.Time
 	answers int           // before the statement
+	usual   time.Duration // time within which most statements are answered
 	overdue time.Duration // time after which the answer is overdue
 
 	mu      sync.Mutex
@@ -85,20 +92,20 @@
 }
 
 // holdSlot begins the use of the slot of an admitted ticket. The slot is freed when the use ends, or before if the answer
-// is overdue.
+// seems to be lost.
 func (p *Pool) holdSlot(t *slots.Ticket) *slotHold {
 	h := &slotHold{pool: p, ticket: t, entered: p.options.Now()}
 	var ok bool
-	if h.overdue, h.answers, ok = p.holds.begin(); ok {
+	if h.usual, h.overdue, h.answers, ok = p.holds.begin(); ok {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.timer = time.AfterFunc(h.overdue, h.expire)
+		h.timer = time.AfterFunc(h.usual, h.expire)
 	}
 	return h
 }
 
-// expire frees the slot of a statement whose answer is overdue. It is called again until there is proof that the answer is
-// lost: otherwise statements without proof could use up the bound for all later ones.
+// expire frees the slot of a statement whose answer seems to be lost. It is called again until there is proof of that:
+// otherwise statements without proof could use up the bound for all later ones.
 func (h *slotHold) expire() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -110,15 +117,18 @@
 	case proven && h.counted:
 		holds.ended()
 		h.counted = false
-	case !h.freed && (proven || holds.free(slots)):
+	case !h.freed && (proven || h.isOverdue() && holds.free(slots)):
 		h.freed, h.counted = true, !proven
 		h.release(true)
 	}
 	if !proven {
-		h.timer.Reset(h.overdue)
+		h.timer.Reset(h.usual)
 	}
 }
 
+// isOverdue reports whether the answer is overdue.
+func (h *slotHold) isOverdue() bool { return h.pool.options.Now().Sub(h.entered) >= h.overdue }
+
 // end ends the use of the slot. failed means that the instance did not answer.
 func (h *slotHold) end(failed bool) {
 	h.mu.Lock()
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -94,7 +94,7 @@
 //
 // Invariants: at most limit connections are open or being opened, unless the limit was lowered; each is used by
 // one Handle at a time. At most the slots of the instance plus inFlightMargin statements of this VM are in
-// progress there.
+// progress there, beside those whose answers seem to be lost; see slotHolds.
 type Pool struct {
 	options    Options
 	slots      *slots.Slots
--- a/internal/placement/answertimes.go
+++ b/internal/placement/answertimes.go
@@ -11,7 +11,7 @@
 	// minAnswerSamples is the number of answers before the first estimate.
 	minAnswerSamples = 16
 	// overdueFactor and overdueMargin give the time after which an answer is overdue from the usual time of an answer.
-	overdueFactor = 3
+	overdueFactor = 2
 	overdueMargin = 20 * time.Millisecond
 	// minOverdue is above the time in which a network repairs most losses within a zone.
 	minOverdue = 60 * time.Millisecond
@@ -35,14 +35,22 @@
 	if a.count < minAnswerSamples {
 		return 0, false
 	}
-	return max(overdueFactor*a.usual()+overdueMargin, minOverdue), true
+	return max(overdueFactor*a.quantile()+overdueMargin, minOverdue), true
 }
 
-// usual returns the time within which nine of ten answers came. Up to a tenth of the answers may be late without a longer
+// Usual returns the time within which nine of ten answers come. ok is false if too little is known.
+func (a *AnswerTimes) Usual() (within time.Duration, ok bool) {
+	return a.quantile(), a.count >= minAnswerSamples
+}
+
+// quantile returns the time within which nine of ten answers came. Up to a tenth of the answers may be late without a longer
 // estimate: with a quantile near the largest, a few repeated statements would delay the next ones.
-func (a *AnswerTimes) usual() time.Duration {
+func (a *AnswerTimes) quantile() time.Duration {
 	sorted := a.samples
 	known := sorted[:min(a.count, answerSamples)]
+	if len(known) == 0 {
+		return 0
+	}
 	slices.Sort(known)
 	return known[len(known)*9/10]
 }
