Statements that yield to a refused one learn it at once

A more urgent statement could be refused after others had yielded to it. Push then delivered no results, so the callers of those waited, also beyond their deadlines, until another statement ended.

--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -60,11 +60,11 @@
 	defer s.mu.Unlock()
 	t.Tag = t
 	handle, result := s.queue.Push(now, t.Ticket)
+	t.handle = handle
+	s.dispatch(now) // also after a refusal: others may have yielded
 	if result != admission.Waiting {
 		return result
 	}
-	t.handle = handle
-	s.dispatch(now)
 	select {
 	case result = <-t.ready:
 		return result
