Only answers prove that an instance answers

Failed attempts to open a connection, and statements that were not sent, counted as answers. They freed the slots of any number of statements at an instance that is stuck, and made the times of answers wrong.

--- a/internal/connpool/handle_test.go
+++ b/internal/connpool/handle_test.go
@@ -195,3 +195,40 @@
 }
 
 func (lostAnswers) Close() {}
+
+// TestFailedDialsProveNothing guards against failed attempts to connect that count as answers: they would show that a stuck
+// instance answers others, so that the slots of any number of statements there are freed.
+func TestFailedDialsProveNothing(t *testing.T) {
+	i := &instance{}
+	lost := make(chan struct{})
+	dial := func(ctx context.Context, target connpool.Target) (connpool.Conn, error) {
+		switch target.Account {
+		case "lost":
+			return lostAnswers{lost}, nil
+		case "refused":
+			return nil, context.DeadlineExceeded
+		}
+		return i.dial(ctx, target)
+	}
+	l := connpool.New(connpool.Options{Server: "i", Dial: dial, Now: time.Now, Slots: 2, Connections: 16})
+	run := func(account string) error {
+		h := l.NewHandle(account, 1, true)
+		defer h.Release()
+		_, err := h.Run(t.Context(), connpool.Limit{Until: time.Now().Add(time.Minute)}, nil, operation.Statement{Kind: operation.Read})
+		return err
+	}
+	for range 20 {
+		require.NoError(t, run("a"))
+	}
+	var stuck sync.WaitGroup
+	for range 3 {
+		stuck.Go(func() { _ = run("lost") })
+	}
+	require.Eventually(t, func() bool { return l.Load().Running == 3 }, time.Minute, time.Millisecond)
+	for range 8 {
+		require.ErrorIs(t, run("refused"), connpool.ErrUnreachable)
+	}
+	require.Never(t, func() bool { return l.Load().Running == 0 }, 300*time.Millisecond, 10*time.Millisecond)
+	close(lost)
+	stuck.Wait()
+}
--- a/internal/connpool/overdue.go
+++ b/internal/connpool/overdue.go
@@ -129,15 +129,16 @@
 // isOverdue reports whether the answer is overdue.
 func (h *slotHold) isOverdue() bool { return h.pool.options.Now().Sub(h.entered) >= h.overdue }
 
-// end ends the use of the slot. failed means that the instance did not answer.
-func (h *slotHold) end(failed bool) {
+// end ends the use of the slot. answered means that the instance answered a statement, failed that the connection was lost.
+// Neither holds if no statement was sent, such as without a connection.
+func (h *slotHold) end(answered, failed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.done = true
 	if h.timer != nil {
 		h.timer.Stop()
 	}
-	if !failed {
+	if answered && !failed {
 		h.pool.holds.answered(h.pool.options.Now().Sub(h.entered))
 	}
 	if h.counted {
