--- a/internal/connpool/handle_test.go
+++ b/internal/connpool/handle_test.go
@@ -232,3 +232,25 @@
 	close(lost)
 	stuck.Wait()
 }
+
+// TestCanceledDialIsNoFailure guards against an instance that counts as silent because a caller left while a connection was
+// opened, as the slower one of two reads does.
+func TestCanceledDialIsNoFailure(t *testing.T) {
+	dialing := make(chan struct{})
+	dial := func(ctx context.Context, _ connpool.Target) (connpool.Conn, error) {
+		close(dialing)
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	l := connpool.New(connpool.Options{Server: "i", Dial: dial, Now: time.Now, Slots: 2, Connections: 2})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-dialing
+		cancel()
+	}()
+	h := l.NewHandle("a", 1, true)
+	defer h.Release()
+	_, err := h.Run(ctx, connpool.Limit{Until: time.Now().Add(time.Minute)}, nil, operation.Statement{Kind: operation.Read})
+	require.NotErrorIs(t, err, connpool.ErrUnreachable)
+	require.Zero(t, l.Silence(time.Now().Add(time.Second)))
+}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -239,6 +239,14 @@
 	}
 }
 
+// observeCanceled records that an attempt to open a connection ended because its caller left, which says nothing about the
+// instance.
+func (p *Pool) observeCanceled(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Refused(now)
+}
+
 func (p *Pool) closeAllIdle() {
 	for len(p.idle) > 0 {
 		p.closeIdleAt(0)
@@ -412,6 +420,10 @@
 	started := o.Now()
 	p.observeSent(started)
 	conn, err := o.Dial(ctx, Target{Group: o.Group, Server: o.Server, Address: o.Address, Account: account})
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		p.observeCanceled(o.Now())
+		return nil, errors.CombineErrors(ErrQueueTimeout, err)
+	}
 	var refused *RefusedError
 	p.observeEnd(o.Now(), started, err == nil || errors.As(err, &refused))
 	switch {
