An answer does not wait for the credit of its second read

The counter of second reads that were answered first counted other ones. The connection of a read is released before its result is delivered, so that the next statement of the session finds it idle.

--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -249,9 +249,9 @@
 	return opened
 }
 
-// HedgedRead reads at the first of some instances and returns the one that answered, and how many reads were sent twice. The
-// answers of earlier reads took 10 ms.
-func HedgedRead(ctx context.Context, dial connpool.Dialer, servers ...string) (answered string, hedged int64) {
+// HedgedRead reads at the first of some instances and returns the one that answered, how many reads were sent twice, and
+// how many of the second ones were answered first. The answers of earlier reads took 10 ms.
+func HedgedRead(ctx context.Context, dial connpool.Dialer, servers ...string) (answered string, hedged, wins int64) {
 	p := New(Options{Now: time.Now, Controls: func() []string { return nil }})
 	g := newGroup("group", p)
 	for _, name := range servers {
@@ -268,9 +268,9 @@
 	}
 	r := e.readHedged(ctx, g.members[0], e.st)
 	if !r.ran() {
-		return "", p.metrics.hedged.Value()
+		return "", p.metrics.hedged.Value(), p.metrics.hedgeWins.Value()
 	}
-	return string(r.member.id), p.metrics.hedged.Value()
+	return string(r.member.id), p.metrics.hedged.Value(), p.metrics.hedgeWins.Value()
 }
 
 // EntryVMs applies an update and returns the entry VMs that may own connections then.
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -94,20 +94,30 @@
 // hedge sends a read that m has not answered once more and awaits the results.
 func (e *execution) hedge(ctx context.Context, m *member, results chan readResult, statements []operation.Statement) readResult {
 	p := e.session.proxy
-	if !p.hedges.spend() || !p.takeHedgeCredit(ctx, e.permit.account) {
+	if !p.hedges.spend() {
 		return <-results
 	}
+	granted, account := make(chan bool, 1), e.permit.account
+	go func() { granted <- p.takeHedgeCredit(ctx, account) }()
+	select {
+	case r := <-results: // the answer does not wait for the credit
+		return r
+	case ok := <-granted:
+		if !ok {
+			return <-results
+		}
+	}
 	p.metrics.hedged.Add(1)
+	again := e.now()
 	e.startRead(ctx, e.hedgeTarget(m, statements), results, statements)
-	first := <-results
-	if first.ran() {
-		return first
+	r := <-results
+	if !r.ran() {
+		r = <-results
 	}
-	second := <-results
-	if second.ran() {
+	if r.ran() && !r.sent.Before(again) {
 		p.metrics.hedgeWins.Add(1)
 	}
-	return second
+	return r
 }
 
 // hedgeTarget returns the instance for a read that m has not answered. Current data is read only at the primary.
@@ -129,8 +139,8 @@
 	values, sent := maps.Clone(e.session.values), e.now()
 	go func() {
 		h := g.newConn(m, request)
-		defer h.Release()
 		answers, err := h.Run(ctx, limit, values, statements...)
+		h.Release() // first, since the next statement of the session may use the connection
 		results <- readResult{m, sent, answers, err, len(statements)}
 	}()
 }
--- a/internal/proxy/hedge_test.go
+++ b/internal/proxy/hedge_test.go
@@ -51,15 +51,18 @@
 		}
 		return &primary{}, nil
 	}
-	answered, hedged := proxy.HedgedRead(t.Context(), dial, "lost", "idle")
+	answered, hedged, wins := proxy.HedgedRead(t.Context(), dial, "lost", "idle")
 	require.Equal(t, "idle", answered)
 	require.EqualValues(t, 1, hedged)
-	answered, hedged = proxy.HedgedRead(t.Context(), dial, "idle", "lost")
+	require.EqualValues(t, 1, wins, "the second read was answered first")
+	answered, hedged, wins = proxy.HedgedRead(t.Context(), dial, "idle", "lost")
 	require.Equal(t, "idle", answered)
 	require.Zero(t, hedged)
+	require.Zero(t, wins)
 	time.AfterFunc(200*time.Millisecond, stop)
-	answered, _ = proxy.HedgedRead(t.Context(), dial, "lost")
+	answered, _, wins = proxy.HedgedRead(t.Context(), dial, "lost")
 	require.Empty(t, answered, "there is no other instance")
+	require.Zero(t, wins)
 }
 
 // TestLostAnswerOfTheOnlyInstance guards against a read that waits until its deadline for a lost answer of the only instance
@@ -67,7 +70,8 @@
 func TestLostAnswerOfTheOnlyInstance(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	answered, hedged := proxy.HedgedRead(t.Context(), (&once{ctx: ctx}).dial, "only")
+	answered, hedged, wins := proxy.HedgedRead(t.Context(), (&once{ctx: ctx}).dial, "only")
 	require.Equal(t, "only", answered)
 	require.EqualValues(t, 1, hedged)
+	require.EqualValues(t, 1, wins, "the second read was answered first")
 }
