--- a/internal/proxy/hedge_test.go
+++ b/internal/proxy/hedge_test.go
@@ -51,15 +51,18 @@
 		}
 		return &primary{}, nil
 	}
-	answered, hedged := proxy.HedgedRead(t.Context(), dial, "lost", "idle")
+	answered, hedged, wins := proxy.HedgedRead(t.Context(), dial, "lost", "idle")
 	require.Equal(t, "idle", answered)
 	require.EqualValues(t, 1, hedged)
-	answered, hedged = proxy.HedgedRead(t.Context(), dial, "idle", "lost")
+	require.EqualValues(t, 1, wins, "the second read was answered first")
+	answered, hedged, wins = proxy.HedgedRead(t.Context(), dial, "idle", "lost")
 	require.Equal(t, "idle", answered)
 	require.Zero(t, hedged)
+	require.Zero(t, wins)
 	time.AfterFunc(200*time.Millisecond, stop)
-	answered, _ = proxy.HedgedRead(t.Context(), dial, "lost")
+	answered, _, wins = proxy.HedgedRead(t.Context(), dial, "lost")
 	require.Empty(t, answered, "there is no other instance")
+	require.Zero(t, wins)
 }
 
 // TestLostAnswerOfTheOnlyInstance guards against a read that waits until its deadline for a lost answer of the only instance
@@ -67,7 +70,37 @@
 func TestLostAnswerOfTheOnlyInstance(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
-	answered, hedged := proxy.HedgedRead(t.Context(), (&once{ctx: ctx}).dial, "only")
+	answered, hedged, wins := proxy.HedgedRead(t.Context(), (&once{ctx: ctx}).dial, "only")
 	require.Equal(t, "only", answered)
 	require.EqualValues(t, 1, hedged)
+	require.EqualValues(t, 1, wins, "the second read was answered first")
+}
+
+// lagging is a connection to an instance whose log is behind the position that a read must see.
+type lagging struct{}
+
+func (lagging) Exchange(time.Duration, ...operation.Statement) ([]operation.Answer, error) {
+	return []operation.Answer{{Code: operation.Lagging}}, nil
+}
+
+func (lagging) Close() {}
+
+// TestSecondReadThatDoesNotRun guards against a read that waits until its deadline for a lost answer, because the instance of
+// the second read refused it at once, although a third one is idle.
+func TestSecondReadThatDoesNotRun(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	time.AfterFunc(2*time.Second, stop)
+	var others atomic.Int32
+	dial := func(_ context.Context, target connpool.Target) (connpool.Conn, error) {
+		switch {
+		case target.Server == "lost":
+			return silent{ctx}, nil
+		case others.Add(1) == 1:
+			return lagging{}, nil
+		}
+		return &primary{}, nil
+	}
+	answered, _, _ := proxy.HedgedRead(t.Context(), dial, "lost", "b", "c")
+	require.Contains(t, []string{"b", "c"}, answered)
 }
