Bound the slots freed before an answer, and try a third instance for an overdue read

Change: at most as many slots as the instance has are freed before answers, whatever the proof. TestLostAnswersFreeTheirSlots demanded unbounded frees; it now demands that lost answers free slots and that no more than twice the slots and one are in progress. hedge tries up to two instances.

--- a/internal/connpool/handle_test.go
+++ b/internal/connpool/handle_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -144,17 +145,19 @@
 }
 
 // TestLostAnswersFreeTheirSlots guards against statements that wait although the instance is idle, because the answers of
-// earlier ones were lost and their slots count as taken until their deadlines.
+// earlier ones were lost and their slots count as taken until their deadlines, and against more than twice the statements
+// that an instance runs at once, since those without an answer may be slow.
 func TestLostAnswersFreeTheirSlots(t *testing.T) {
+	const slots, margin = 2, 1
 	i := &instance{}
-	lost := make(chan struct{})
+	answers := lostAnswers{until: make(chan struct{}), inProgress: &atomic.Int32{}}
 	dial := func(ctx context.Context, target connpool.Target) (connpool.Conn, error) {
 		if target.Account == "lost" {
-			return lostAnswers{lost}, nil
+			return answers, nil
 		}
 		return i.dial(ctx, target)
 	}
-	l := connpool.New(connpool.Options{Server: "i", Dial: dial, Now: time.Now, Slots: 2, Connections: 16})
+	l := connpool.New(connpool.Options{Server: "i", Dial: dial, Now: time.Now, Slots: slots, Connections: 16})
 	run := func(account string) error {
 		h := l.NewHandle(account, 1, true)
 		defer h.Release()
@@ -165,31 +168,32 @@
 		require.NoError(t, run("a"))
 	}
 	var waiting sync.WaitGroup
-	for range 3 {
-		waiting.Go(func() { _ = run("lost") })
-	}
-	require.Eventually(t, func() bool { return l.Load().Running == 3 }, 10*time.Second, time.Millisecond)
-	require.NoError(t, run("a"))
-	for range 5 {
-		waiting.Go(func() { _ = run("lost") }) // more than the instance has slots
-		for range 8 {
-			require.NoError(t, run("a"))
+	lose := func(n int) {
+		for range n {
+			waiting.Go(func() { _ = run("lost") })
 		}
 	}
-	select {
-	case <-lost:
-		require.Fail(t, "the answers came")
-	default:
-	}
-	close(lost)
+	lose(slots + margin)
+	require.Eventually(t, func() bool { return answers.inProgress.Load() == slots+margin }, 10*time.Second, time.Millisecond)
+	require.NoError(t, run("a"))
+	lose(8)
+	require.Eventually(t, func() bool { return answers.inProgress.Load() == 2*slots+margin }, 10*time.Second, time.Millisecond)
+	time.Sleep(300 * time.Millisecond)
+	require.EqualValues(t, 2*slots+margin, answers.inProgress.Load())
+	close(answers.until)
 	waiting.Wait()
 	require.Zero(t, l.Load().Running)
 }
 
 // lostAnswers is a connection whose answers do not come until the channel closes.
-type lostAnswers struct{ until chan struct{} }
+type lostAnswers struct {
+	until      chan struct{}
+	inProgress *atomic.Int32
+}
 
 func (c lostAnswers) Exchange(_ time.Duration, statements ...operation.Statement) ([]operation.Answer, error) {
+	c.inProgress.Add(1)
+	defer c.inProgress.Add(-1)
 	<-c.until
 	return make([]operation.Answer, len(statements)), nil
 }
@@ -204,7 +208,7 @@
 	dial := func(ctx context.Context, target connpool.Target) (connpool.Conn, error) {
 		switch target.Account {
 		case "lost":
-			return lostAnswers{lost}, nil
+			return lostAnswers{lost, &atomic.Int32{}}, nil
 		case "refused":
 			return nil, context.DeadlineExceeded
 		}
--- a/internal/connpool/overdue.go
+++ b/internal/connpool/overdue.go
@@ -10,25 +10,24 @@
 
 // An instance that has run a statement has a free slot, also if the answer is lost. The queue would count that slot as taken
 // until the deadline of the statement: at 130 statements a second, 4% of lost answers take more slots than an instance has.
-// So a slot is counted as free once the statement takes longer than usual and many later ones were answered. Without such
-// answers the instance may be slow or stuck: its slots are counted as free when the answers are overdue, and at most as many
-// as it has.
+// So a slot is counted as free once the answer is overdue, or once the statement takes longer than usual and many later ones
+// were answered. The instance may be slow or stuck instead, so it gets at most twice the statements that it runs at once.
 
-// minRecheck bounds how often a statement without an answer is looked at.
-const minRecheck = 20 * time.Millisecond
+// minUsual bounds the time after which a statement may be taken for one whose answer is lost.
+const minUsual = 20 * time.Millisecond
 
-// provenBy is the number of statements for each slot that must have been answered since a statement was sent for its answer to
-// count as lost. A statement that is merely slow is outrun by about as many as run beside it.
-const provenBy = 2
+// outrunBy is the number of statements for each slot that must have been answered since a statement was sent for its answer to
+// count as lost before it is overdue. A statement that is merely slow is outrun by about as many as run beside it.
+const outrunBy = 2
 
 // slotHolds are the slots of an instance that statements in progress hold. It is safe for concurrent use.
 //
-// Invariant: at most as many slots as the instance has are freed without proof that it answers others.
+// Invariant: at most as many slots as the instance has are freed before the answers of their statements.
 type slotHolds struct {
 	mu      sync.Mutex
 	times   placement.AnswerTimes // of statements that were answered, from the slot to the answer
 	answers int                   // statements that were answered
-	freed   int                   // slots of statements in progress that were freed without proof
+	freed   int                   // slots of statements in progress that were freed
 }
 
 // answered records the time from the slot to the answer of a statement.
@@ -46,29 +45,22 @@
 	defer s.mu.Unlock()
 	usual, _ = s.times.Usual()
 	overdue, ok = s.times.Overdue()
-	return max(usual, minRecheck), overdue, s.answers, ok
+	return max(usual, minUsual), overdue, s.answers, ok
 }
 
-// proven reports whether so many statements were answered since there were a number of answers that a statement without an
-// answer has lost it.
-func (s *slotHolds) proven(slots, answers int) bool {
+// free reports whether a slot may be freed before the answer, and counts it until ended is called. It may be if the answer is
+// overdue, or if the statement was outrun since there were a number of answers.
+func (s *slotHolds) free(slots, answers int, overdue bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.answers-answers >= provenBy*slots
-}
-
-// free reports whether a slot may be freed without proof, and counts it until ended is called.
-func (s *slotHolds) free(slots int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.freed >= slots {
+	if s.freed >= slots || !overdue && s.answers-answers < outrunBy*slots {
 		return false
 	}
 	s.freed++
 	return true
 }
 
-// ended records that a statement whose slot was freed without proof has ended, or that there is proof now.
+// ended records the end of a statement whose slot was freed before.
 func (s *slotHolds) ended() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,11 +76,10 @@
 	usual   time.Duration // time within which most statements are answered
 	overdue time.Duration // time after which the answer is overdue
 
-	mu      sync.Mutex
-	timer   *time.Timer // nil if the time of an answer is not known
-	freed   bool        // before the answer
-	counted bool        // as freed without proof
-	done    bool
+	mu    sync.Mutex
+	timer *time.Timer // nil if the time of an answer is not known
+	freed bool        // before the answer
+	done  bool
 }
 
 // holdSlot begins the use of the slot of an admitted ticket. The slot is freed when the use ends, or before if the answer
@@ -104,24 +95,16 @@
 	return h
 }
 
-// expire frees the slot of a statement whose answer seems to be lost. It is called again until there is proof of that:
-// otherwise statements without proof could use up the bound for all later ones.
+// expire frees the slot of a statement whose answer seems to be lost. If that is not possible yet, it is tried again.
 func (h *slotHold) expire() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	holds, slots := &h.pool.holds, h.pool.knownSlots
-	proven := holds.proven(slots, h.answers)
 	switch {
 	case h.done:
-		return
-	case proven && h.counted:
-		holds.ended()
-		h.counted = false
-	case !h.freed && (proven || h.isOverdue() && holds.free(slots)):
-		h.freed, h.counted = true, !proven
+	case h.pool.holds.free(h.pool.knownSlots, h.answers, h.isOverdue()):
+		h.freed = true
 		h.release(true)
-	}
-	if !proven {
+	default:
 		h.timer.Reset(h.usual)
 	}
 }
@@ -141,12 +124,11 @@
 	if answered && !failed {
 		h.pool.holds.answered(h.pool.options.Now().Sub(h.entered))
 	}
-	if h.counted {
+	if h.freed {
 		h.pool.holds.ended()
+		return
 	}
-	if !h.freed {
-		h.release(failed)
-	}
+	h.release(failed)
 }
 
 func (h *slotHold) release(failed bool) {
--- a/internal/proxy/hedge.go
+++ b/internal/proxy/hedge.go
@@ -14,6 +14,9 @@
 	"fireflyrudder.example/fireflyrudder/internal/placement"
 )
 
+// maxSecondReads is the number of instances to which one overdue read is sent, one after the other if they do not run it.
+const maxSecondReads = 2
+
 // hedgeCreditTimeout bounds the wait for the credit of a read that is sent a second time.
 const hedgeCreditTimeout = 30 * time.Millisecond
 
@@ -52,7 +55,7 @@
 
 // ran reports whether the instance ran the read.
 func (r *readResult) ran() bool {
-	return len(r.answers) == r.count && !r.answers[r.count-1].Code.NotRun()
+	return r.count > 0 && len(r.answers) == r.count && !r.answers[r.count-1].Code.NotRun()
 }
 
 // readHedged runs a read, which is the last of the statements, at an instance. If its answer is overdue, it runs at another
@@ -61,7 +64,7 @@
 func (e *execution) readHedged(ctx context.Context, m *member, statements ...operation.Statement) readResult {
 	p := e.session.proxy
 	sent := e.now()
-	results := make(chan readResult, 2)
+	results := make(chan readResult, 1+maxSecondReads)
 	e.startRead(ctx, m, results, statements)
 	r, answered := e.awaitRead(results)
 	if !answered {
@@ -91,41 +94,62 @@
 	}
 }
 
-// hedge sends a read that m has not answered once more and awaits the results.
+// hedge sends a read that m has not answered once more and awaits the results. If the second instance does not run it, another
+// one is tried.
 func (e *execution) hedge(ctx context.Context, m *member, results chan readResult, statements []operation.Statement) readResult {
-	p := e.session.proxy
-	if !p.hedges.spend() {
-		return <-results
-	}
-	granted, account := make(chan bool, 1), e.permit.account
-	go func() { granted <- p.takeHedgeCredit(ctx, account) }()
-	select {
-	case r := <-results: // the answer does not wait for the credit
-		return r
-	case ok := <-granted:
-		if !ok {
-			return <-results
+	again, pending := e.now(), 1
+	tried := append(slices.Clone(e.triedServers), string(m.id))
+	var last readResult
+	for range maxSecondReads {
+		first, granted := e.grantHedge(ctx, results)
+		if first != nil {
+			last = *first
+			pending--
+		}
+		if !granted {
+			break
+		}
+		target := e.hedgeTarget(m, tried, statements)
+		tried = append(tried, string(target.id))
+		e.session.proxy.metrics.hedged.Add(1)
+		e.startRead(ctx, target, results, statements)
+		last = <-results // one of two: pending stays as it is
+		if last.ran() || last.sent.Before(again) {
+			break // m has answered, or the read has run
 		}
 	}
-	p.metrics.hedged.Add(1)
-	again := e.now()
-	e.startRead(ctx, e.hedgeTarget(m, statements), results, statements)
-	r := <-results
-	if !r.ran() {
-		r = <-results
+	for ; pending > 0 && !last.ran(); pending-- {
+		last = <-results
 	}
-	if r.ran() && !r.sent.Before(again) {
-		p.metrics.hedgeWins.Add(1)
+	if last.ran() && !last.sent.Before(again) {
+		e.session.proxy.metrics.hedgeWins.Add(1)
+	}
+	return last
+}
+
+// grantHedge takes the allowance and the credit for sending a read once more. A result that comes meanwhile is returned: it does
+// not wait for the credit.
+func (e *execution) grantHedge(ctx context.Context, results <-chan readResult) (first *readResult, granted bool) {
+	p, account := e.session.proxy, e.permit.account
+	if !p.hedges.spend() {
+		return nil, false
+	}
+	credit := make(chan bool, 1)
+	go func() { credit <- p.takeHedgeCredit(ctx, account) }()
+	select {
+	case r := <-results:
+		return &r, false
+	case granted = <-credit:
+		return nil, granted
 	}
-	return r
 }
 
-// hedgeTarget returns the instance for a read that m has not answered. Current data is read only at the primary.
-func (e *execution) hedgeTarget(m *member, statements []operation.Statement) *member {
+// hedgeTarget returns the instance for a read that m has not answered and others, which were tried, have not run. Current data
+// is read only at the primary.
+func (e *execution) hedgeTarget(m *member, tried []string, statements []operation.Statement) *member {
 	if len(statements) > 1 {
 		return m
 	}
-	tried := append(slices.Clone(e.triedServers), string(m.id))
 	if other := e.permit.route.group.readTarget(e.now(), statements[0].After, tried, e.connRequest(false), e.runsAt); other != nil {
 		return other
 	}
--- a/internal/proxy/waits_test.go
+++ b/internal/proxy/waits_test.go
@@ -22,7 +22,7 @@
 	for _, kind := range []operation.Kind{operation.Write, operation.Read} {
 		a := vm.Run(t.Context(), "account", operation.Statement{ID: "1", Kind: kind}, time.Second)
 		require.Equal(t, operation.Busy, a.Code)
-		require.Regexp(t, `did not run; come back in 1(\.\d+)?s .*; the shortest wait is (2|1.99)`, a.Detail)
+		require.Regexp(t, `did not run; come back in 1(\.\d+)?s .*; the shortest wait is (2|1\.[789]\d*)s`, a.Detail)
 	}
 	require.Equal(t, operation.Busy, vm.RunAged(t.Context(), "account", time.Minute, time.Second).Code)
 	require.Zero(t, i.opened.Load(), "nothing was sent")
