Count only statements with an answer as proof that an instance answers

A statement that was not sent, for example because no connection could be opened, counted as an answer. With a fast refusal of new connections, 12 statements were in progress at an instance with 2 slots.

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -49,7 +49,7 @@
 // Run runs statements one after the other, up to the first whose answer is not Done, on a connection with the
 // given session values. It waits for a slot and a connection until the deadline. If it returns an error, the
 // answers are those of the statements that completed before it.
-func (h *Handle) Run(ctx context.Context, l Limit, values map[string]string, statements ...operation.Statement) ([]operation.Answer, error) {
+func (h *Handle) Run(ctx context.Context, l Limit, values map[string]string, statements ...operation.Statement) (answers []operation.Answer, err error) {
 	now := h.pool.options.Now
 	until := l.Until
 	ctx, cancel := context.WithTimeout(ctx, max(until.Sub(now()), 0))
@@ -78,7 +78,7 @@
 		}
 		h.counted = h.counted || h.pooled == nil
 		hold := h.pool.holdSlot(t)
-		defer func() { hold.end(h.broken) }()
+		defer func() { hold.end(h.broken, len(answers) > 0) }()
 	}
 	if h.pooled == nil {
 		if err := h.pool.acquire(ctx, h, values); err != nil {
--- a/internal/connpool/overdue.go
+++ b/internal/connpool/overdue.go
@@ -129,15 +129,16 @@
 // isOverdue reports whether the answer is overdue.
 func (h *slotHold) isOverdue() bool { return h.pool.options.Now().Sub(h.entered) >= h.overdue }
 
-// end ends the use of the slot. failed means that the instance did not answer.
-func (h *slotHold) end(failed bool) {
+// end ends the use of the slot. failed means that the instance did not answer, answered that it did; neither is the case if
+// nothing was sent.
+func (h *slotHold) end(failed, answered bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.done = true
 	if h.timer != nil {
 		h.timer.Stop()
 	}
-	if !failed {
+	if !failed && answered {
 		h.pool.holds.answered(h.pool.options.Now().Sub(h.entered))
 	}
 	if h.counted {
