Keep an evacuated primary that answers in a failover

After a refused order to promote, the failover chose the next replica at once, although the evacuated primary answered and no switchover held writes until that replica had caught up: its commits were lost.

--- a/internal/failover/platform_evacuation.go
+++ b/internal/failover/platform_evacuation.go
@@ -40,17 +40,6 @@
 	return g.server(id).shutdownSince.IsZero() && !g.evacuated(id)
 }
 
-// mayStayEvacuated reports whether an evacuated member that answered as the primary may stay it: no member that answered may
-// take its place now.
-func (g *platformGroup) mayStayEvacuated(now time.Time, a *attempt, id ServerID) bool {
-	for other := range a.answers {
-		if other != id && g.member(other) != nil && g.mayFollow(other) && !now.Before(g.server(other).barredUntil) {
-			return false
-		}
-	}
-	return true
-}
-
 // pausesEvacuation reports whether a switchover away from an evacuated primary that does not shut down must wait, because the
 // last one began a moment ago.
 func (g *platformGroup) pausesEvacuation(now time.Time, s *instance) bool {
--- a/internal/failover/platform_promotion.go
+++ b/internal/failover/platform_promotion.go
@@ -232,14 +232,15 @@
 }
 
 // mayStay reports whether a member that answered as the primary may stay it: it does not shut down, and the voters reached it
-// or no other member answers; if it is evacuated, no other member may take its place. With synchronous replicas it may although it shuts down or is evacuated, since a switchover
-// replaces it then, and once no successor was found within maxSuccessorSearch.
+// or no other member answers. With synchronous replicas it may although it shuts down, since a switchover replaces it then,
+// and once no successor was found within maxSuccessorSearch. An evacuated one may stay: a switchover replaces it, which waits
+// for the replica, whereas a failover would lose the commits that the replica lacks.
 func (g *platformGroup) mayStay(now time.Time, a *attempt, id ServerID) bool {
 	avoided := id == g.avoided && len(a.answers) > 1
 	if g.syncReplicas() > 0 {
 		return !avoided || now.Sub(a.started) >= maxSuccessorSearch
 	}
-	return !avoided && g.server(id).shutdownSince.IsZero() && (!g.evacuated(id) || g.mayStayEvacuated(now, a, id))
+	return !avoided && g.server(id).shutdownSince.IsZero()
 }
 
 // advanceSwitchover orders a promotion once a replica has the whole log of the primary, or maxWriteHold is over.
