Do not count canceled attempts to connect as failures of the instance

The answer to a hedged read ends the other attempt. If that was opening a connection, the instance counted as failing, and reads avoided it until its next answer.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -216,6 +216,13 @@
 	p.stats.Failed(now)
 }
 
+// observeCanceled records that an attempt to open a connection was given up, which says nothing about the instance.
+func (p *Pool) observeCanceled(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stats.Refused(now)
+}
+
 // CloseConnections closes every connection, so that statements in progress fail at once instead of waiting for
 // an answer.
 func (p *Pool) CloseConnections() {
@@ -412,6 +419,11 @@
 	started := o.Now()
 	p.observeSent(started)
 	conn, err := o.Dial(ctx, Target{Group: o.Group, Server: o.Server, Address: o.Address, Account: account})
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		// The caller needs no connection any more, for example because another instance has answered its read.
+		p.observeCanceled(o.Now())
+		return nil, ErrQueueTimeout
+	}
 	var refused *RefusedError
 	p.observeEnd(o.Now(), started, err == nil || errors.As(err, &refused))
 	switch {
