Count an answer as lost only after its statement was sent

The slot of a statement whose connection was still being opened was freed once others had been answered: 10 connections were opened at once to an instance with 2 slots.

--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -65,6 +65,7 @@
 		return nil, err
 	}
 	defer h.settleUnits(true)
+	var hold *slotHold
 	if operation.AnyNeedsSlot(statements) {
 		t := slots.NewTicket()
 		t.Ticket = admission.Ticket{
@@ -75,7 +76,7 @@
 			return nil, h.beginError(err)
 		}
 		h.counted = h.counted || h.pooled == nil
-		hold := h.pool.holdSlot(t)
+		hold = h.pool.holdSlot(t)
 		defer func() { hold.end(h.broken, len(answers) > 0) }()
 	}
 	if h.pooled == nil {
@@ -96,6 +97,7 @@
 	if err := h.confirmUnits(values, statements...); err != nil {
 		return nil, err
 	}
+	hold.begin()
 	if err := h.adjust(until, values); err != nil {
 		return nil, err
 	}
--- a/internal/connpool/overdue.go
+++ b/internal/connpool/overdue.go
@@ -26,12 +26,12 @@
 // Invariant: at most as many slots as the instance has are freed without proof that it answers others.
 type slotHolds struct {
 	mu      sync.Mutex
-	times   placement.AnswerTimes // of statements that were answered, from the slot to the answer
+	times   placement.AnswerTimes // of statements that were answered, from sending to the answer
 	answers int                   // statements that were answered
 	freed   int                   // slots of statements in progress that were freed without proof
 }
 
-// answered records the time from the slot to the answer of a statement.
+// answered records the time from sending a statement to its answer.
 func (s *slotHolds) answered(elapsed time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,7 +80,8 @@
 	pool    *Pool
 	ticket  *slots.Ticket
 	entered time.Time
-	answers int           // before the statement
+	sent    time.Time     // not before the statement had a connection; zero if it has none
+	answers int           // before the statement was sent
 	usual   time.Duration // time within which most statements are answered
 	overdue time.Duration // time after which the answer is overdue
 
@@ -91,17 +92,24 @@
 	done    bool
 }
 
-// holdSlot begins the use of the slot of an admitted ticket. The slot is freed when the use ends, or before if the answer
-// seems to be lost.
+// holdSlot begins the use of the slot of an admitted ticket.
 func (p *Pool) holdSlot(t *slots.Ticket) *slotHold {
-	h := &slotHold{pool: p, ticket: t, entered: p.options.Now()}
+	return &slotHold{pool: p, ticket: t, entered: p.options.Now()}
+}
+
+// begin records that the statement is about to be sent. From now on the slot is freed before the use ends if the answer seems to
+// be lost; a connection that is still being opened needs its slot however long that takes.
+func (h *slotHold) begin() {
+	if h == nil {
+		return // the statement needs no slot
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sent = h.pool.options.Now()
 	var ok bool
-	if h.usual, h.overdue, h.answers, ok = p.holds.begin(); ok {
-		h.mu.Lock()
-		defer h.mu.Unlock()
+	if h.usual, h.overdue, h.answers, ok = h.pool.holds.begin(); ok {
 		h.timer = time.AfterFunc(h.usual, h.expire)
 	}
-	return h
 }
 
 // expire frees the slot of a statement whose answer seems to be lost. It is called again until there is proof of that:
@@ -127,7 +135,7 @@
 }
 
 // isOverdue reports whether the answer is overdue.
-func (h *slotHold) isOverdue() bool { return h.pool.options.Now().Sub(h.entered) >= h.overdue }
+func (h *slotHold) isOverdue() bool { return h.pool.options.Now().Sub(h.sent) >= h.overdue }
 
 // end ends the use of the slot. failed means that the instance did not answer, answered that it did; neither is the case if
 // nothing was sent.
@@ -139,7 +147,7 @@
 		h.timer.Stop()
 	}
 	if !failed && answered {
-		h.pool.holds.answered(h.pool.options.Now().Sub(h.entered))
+		h.pool.holds.answered(h.pool.options.Now().Sub(h.sent))
 	}
 	if h.counted {
 		h.pool.holds.ended()
--- a/internal/connpool/overdue_zones_test.go
+++ b/internal/connpool/overdue_zones_test.go
@@ -81,3 +81,44 @@
 	const margin = 1 // of the slots of the pool
 	require.LessOrEqual(t, load.Open-load.Idle, slots+margin+slots, "in progress, with those whose slots are freed without proof")
 }
+
+// TestSlotsOfConnectionsBeingOpened guards against statements whose connection is still being opened and that count as lost: the
+// instance then opens many connections at once, and runs their statements beyond its slots.
+func TestSlotsOfConnectionsBeingOpened(t *testing.T) {
+	const slots, margin = 2, 1
+	var opening, most atomic.Int32
+	i := &instance{}
+	dial := func(ctx context.Context, target connpool.Target) (connpool.Conn, error) {
+		if target.Account == "fast" {
+			return i.dial(ctx, target)
+		}
+		n := opening.Add(1)
+		defer opening.Add(-1)
+		for now := most.Load(); n > now && !most.CompareAndSwap(now, n); now = most.Load() {
+		}
+		time.Sleep(300 * time.Millisecond)
+		return i.dial(ctx, target)
+	}
+	p := connpool.New(connpool.Options{Server: "i", Dial: dial, Now: time.Now, Slots: slots, Connections: 100})
+	run := func(account string) error {
+		h := p.NewHandle(account, 1, true)
+		defer h.Release()
+		_, err := h.Run(t.Context(), connpool.Limit{Until: time.Now().Add(3 * time.Second)}, nil, operation.Statement{Kind: operation.Read})
+		return err
+	}
+	for range 32 {
+		require.NoError(t, run("fast"))
+	}
+	done := make(chan error, 12)
+	for n := range 12 {
+		go func() { done <- run(string(rune('a' + n))) }()
+		for range 10 {
+			go func() { _ = run("fast") }()
+			time.Sleep(3 * time.Millisecond)
+		}
+	}
+	for range 12 {
+		require.NoError(t, <-done)
+	}
+	require.LessOrEqual(t, int(most.Load()), slots+margin)
+}
