--- a/internal/placement/answertimes.go
+++ b/internal/placement/answertimes.go
@@ -15,8 +15,8 @@
 	overdueMargin = 20 * time.Millisecond
 	// minOverdue is above the time in which a network repairs most losses within a zone.
 	minOverdue = 60 * time.Millisecond
-	// quantileInterval is the number of answers after which the usual time is estimated again. Sorting the samples takes 2 us,
-	// and each statement asks for the estimate.
+	// quantileInterval is the number of answers after which the usual time is estimated again. Sorting the samples twice for
+	// each statement took 2 us.
 	quantileInterval = 8
 )
 
