--- a/internal/connpool/handle.go
+++ b/internal/connpool/handle.go
@@ -65,19 +65,18 @@
 		return nil, err
 	}
 	defer h.settleUnits(true)
+	var hold *slotHold
 	if operation.AnyNeedsSlot(statements) {
-		waits, release := h.pool.untilEvacuated(ctx, h.pooled == nil)
-		defer release()
 		t := slots.NewTicket()
 		t.Ticket = admission.Ticket{
 			Account: admission.AccountID(h.account), Weight: h.weight, Read: h.read, InTransaction: h.pooled != nil, Deadline: until, Target: l.Target,
 			Priority: h.priority,
 		}
-		if err := h.pool.admit(waits, t); err != nil {
+		if err := h.pool.admit(ctx, t); err != nil {
 			return nil, h.beginError(err)
 		}
 		h.counted = h.counted || h.pooled == nil
-		hold := h.pool.holdSlot(t)
+		hold = h.pool.holdSlot(t)
 		defer func() { hold.end(len(answers) > 0, h.broken) }()
 	}
 	if h.pooled == nil {
@@ -98,6 +97,7 @@
 	if err := h.confirmUnits(values, statements...); err != nil {
 		return nil, err
 	}
+	hold.begin()
 	if err := h.adjust(until, values); err != nil {
 		return nil, err
 	}
--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -13,7 +13,6 @@
 	"fireflyrudder.example/fireflyrudder/internal/operation"
 	"fireflyrudder.example/fireflyrudder/internal/placement"
 	"fireflyrudder.example/fireflyrudder/internal/slots"
-	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
 
 // Errors of Handle.Run. After ErrConnectionLost and ErrAnswerTimeout it is unknown whether the statement
@@ -183,39 +182,6 @@
 	return p.slots.Waits(p.options.Now(), admission.AccountID(account))
 }
 
-// Silence returns for how long the instance has left statements on the connections of this VM unanswered; 0 if it
-// answers.
-func (p *Pool) Silence(now time.Time) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.stats.Silence(now)
-}
-
-// Observed reports whether the connections of this VM show if the instance answers, as of the period before now.
-func (p *Pool) Observed(now time.Time, period time.Duration) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.stats.Observed(now, period)
-}
-
-// observeSent records that statements are sent to the instance, or a connection is opened.
-func (p *Pool) observeSent(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.stats.Sent(now)
-}
-
-// observeEnd records whether the instance answered.
-func (p *Pool) observeEnd(now, sent time.Time, answered bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if answered {
-		p.stats.Answered(now, sent, position.Position{}, false)
-		return
-	}
-	p.stats.Failed(now)
-}
-
 // CloseConnections closes every connection, so that statements in progress fail at once instead of waiting for
 // an answer.
 func (p *Pool) CloseConnections() {
@@ -239,14 +205,6 @@
 	}
 }
 
-// observeCanceled records that an attempt to open a connection ended because its caller left, which says nothing about the
-// instance.
-func (p *Pool) observeCanceled(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.stats.Refused(now)
-}
-
 func (p *Pool) closeAllIdle() {
 	for len(p.idle) > 0 {
 		p.closeIdleAt(0)
@@ -421,6 +379,7 @@
 	p.observeSent(started)
 	conn, err := o.Dial(ctx, Target{Group: o.Group, Server: o.Server, Address: o.Address, Account: account})
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		// The caller needs no connection any more, for example because another instance has answered its read.
 		p.observeCanceled(o.Now())
 		return nil, errors.CombineErrors(ErrQueueTimeout, err)
 	}
