--- a/internal/proxy/export_test.go
+++ b/internal/proxy/export_test.go
@@ -249,30 +249,6 @@
 	return opened
 }
 
-// HedgedRead reads at the first of some instances and returns the one that answered, how many reads were sent twice, and
-// how many of the second ones were answered first. The answers of earlier reads took 10 ms.
-func HedgedRead(ctx context.Context, dial connpool.Dialer, servers ...string) (answered string, hedged, wins int64) {
-	p := New(Options{Now: time.Now, Controls: func() []string { return nil }})
-	g := newGroup("group", p)
-	for _, name := range servers {
-		pool := connpool.New(connpool.Options{Server: name, Dial: dial, Now: time.Now, Slots: 2, Connections: 2})
-		g.members = append(g.members, &member{id: placement.ServerID(name), pool: pool, stats: placement.NewInstanceStats(initialLatency)})
-	}
-	for range 64 {
-		p.hedges.answered(10 * time.Millisecond)
-	}
-	now := time.Now()
-	e := &execution{
-		session: OpenSession(p), st: operation.Statement{ID: "1", Kind: operation.Read}, deadline: now.Add(10 * time.Second), targetDeadline: now.Add(time.Second),
-		permit: &permit{route: &route{group: g, maxStaleness: time.Second}, account: &account{name: publicAccount, weight: 1}},
-	}
-	r := e.readHedged(ctx, g.members[0], e.st)
-	if !r.ran() {
-		return "", p.metrics.hedged.Value(), p.metrics.hedgeWins.Value()
-	}
-	return string(r.member.id), p.metrics.hedged.Value(), p.metrics.hedgeWins.Value()
-}
-
 // EntryVMs applies an update and returns the entry VMs that may own connections then.
 func EntryVMs(p *Proxy, u *wire.Update) []placement.EntryVM {
 	p.applyUpdate(p.options.Now(), u)
