--- a/review/lab2/cmd/cluster.go
+++ b/review/lab2/cmd/cluster.go
@@ -18,14 +18,16 @@
 	workTime     = 4 * time.Millisecond  // that a read, write or commit takes
 	instanceSlot = 3
 	maxConns     = 23
-	normalLag    = 8 * time.Millisecond
-	drainTime    = 7 * time.Second // that an instance serves after the acknowledgement of its shutdown
+	transit      = 3 * time.Millisecond // of a commit to a replica
+	normalLag    = 8 * time.Millisecond // until a replica applies a commit
+	drainTime    = 7 * time.Second      // that an instance serves after the acknowledgement of its shutdown
 )
 
 // cluster is one service: a primary and its replicas, which share one log. Each replica has a prefix of it.
 type cluster struct {
 	site *site
 	name string
+	sync bool // a commit is acknowledged once one replica has received it
 
 	mu        sync.Mutex
 	term      int
@@ -39,7 +41,7 @@
 type entry struct {
 	term   int
 	at     time.Time
-	acked  bool // its client has the answer
+	acked  bool // a replica has it, where that is promised, and the answer is sent
 	writes []string
 }
 
@@ -55,7 +57,10 @@
 
 	// guarded by the cluster
 	lag      time.Duration // until a commit is applied
-	applied  int           // commits of the log; of a replica
+	received int           // commits of the log
+	applied  int           // commits that it has received
+	deaf     bool          // it receives nothing
+	paused   bool          // it receives nothing until RESUME, a promotion or its restart
 	down     bool
 	draining bool
 	left     time.Time // when its announcement that it leaves was acknowledged; zero before
@@ -64,8 +69,8 @@
 }
 
 // startCluster starts a service whose log has some commits already.
-func startCluster(s *site, name string, first, commits int) (*cluster, error) {
-	c := &cluster{site: s, name: name, term: 1, instances: map[string]*instance{}}
+func startCluster(s *site, name string, first, commits int, sync bool) (*cluster, error) {
+	c := &cluster{site: s, name: name, sync: sync, term: 1, instances: map[string]*instance{}}
 	for range commits {
 		c.log = append(c.log, entry{term: 1, acked: true})
 	}
@@ -87,7 +92,12 @@
 
 // startInstance starts an instance. It does not announce itself yet.
 func (c *cluster) startInstance(ip, zone string) (*instance, error) {
-	l, err := net.Listen("tcp", ip+":0")
+	return c.startInstanceAt(ip+":0", zone)
+}
+
+// startInstanceAt starts an instance at an address. It does not announce itself yet.
+func (c *cluster) startInstanceAt(address, zone string) (*instance, error) {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -95,7 +105,7 @@
 	defer c.mu.Unlock()
 	i := &instance{
 		cluster: c, id: fmt.Sprintf("i-%s-%d", c.name, len(c.order)+1), zone: zone, address: l.Addr().String(), listener: l,
-		slots: make(chan struct{}, instanceSlot), born: time.Now().UnixMilli(), lag: normalLag, applied: len(c.log), conns: map[net.Conn]struct{}{},
+		slots: make(chan struct{}, instanceSlot), born: time.Now().UnixMilli(), lag: normalLag, received: len(c.log), applied: len(c.log), conns: map[net.Conn]struct{}{},
 	}
 	c.instances[i.id] = i
 	c.order = append(c.order, i.id)
@@ -150,11 +160,15 @@
 	if i == nil || i.down || c.primary == id {
 		return
 	}
+	c.checkPromoted(i)
+	c.log = c.log[:i.received]
 	c.term++
 	c.primary = id
 	c.site.record.printf("service %s: %s leads term %d from %d on", c.name, id, c.term, len(c.log))
 	for _, other := range c.instances {
-		other.applied = min(other.applied, len(c.log))
+		other.paused = false
+		other.received = min(other.received, len(c.log))
+		other.applied = min(other.applied, other.received)
 	}
 	for _, other := range c.instances {
 		if !other.down {
@@ -163,17 +177,36 @@
 	}
 }
 
-// replicate applies commits at the replicas.
+// checkPromoted checks that an instance which is promoted has all acknowledged commits, where that was promised. The caller
+// holds the lock.
+func (c *cluster) checkPromoted(i *instance) {
+	for n := i.received; c.sync && n < len(c.log); n++ {
+		if c.log[n].acked {
+			c.site.record.breakRule("LOST: %s is promoted in %s with %d commits and lacks the acknowledged commit %v at %d.%d",
+				i.id, c.name, i.received, c.log[n].writes, c.log[n].term, n+1)
+		}
+	}
+}
+
+// replicate passes commits to the replicas, which apply them later.
 func (c *cluster) replicate() {
 	for range time.Tick(time.Millisecond) {
-		c.mu.Lock()
-		now := time.Now()
-		for _, i := range c.instances {
-			for i.applied < len(c.log) && (i.id == c.primary || now.Sub(c.log[i.applied].at) >= i.lag) {
-				i.applied++
-			}
+		c.replicateOnce(time.Now())
+	}
+}
+
+func (c *cluster) replicateOnce(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	source := c.instances[c.primary]
+	for _, i := range c.instances {
+		hears := !i.down && !i.deaf && !i.paused && !source.down
+		for i == source && i.received < len(c.log) || hears && i.received < len(c.log) && now.Sub(c.log[i.received].at) >= transit {
+			i.received++
+		}
+		for i.applied < i.received && (i == source || now.Sub(c.log[i.applied].at) >= i.lag) {
+			i.applied++
 		}
-		c.mu.Unlock()
 	}
 }
 
@@ -235,6 +268,30 @@
 	i.stop()
 }
 
+// crash ends the instance at once and starts it again after some time, at the same address and under the same id. Its log is kept
+// or lost.
+func (i *instance) crash(down time.Duration, keeps bool) error {
+	i.stop()
+	c := i.cluster
+	c.site.record.printf("instance %s crashes", i.id)
+	time.Sleep(down)
+	l, err := net.Listen("tcp", i.address)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	i.listener, i.down, i.paused, i.deaf = l, false, false, false
+	i.born, i.sequence = time.Now().UnixMilli(), 0
+	if !keeps {
+		i.received, i.applied = 0, 0
+	}
+	c.site.record.printf("instance %s is back with %d commits", i.id, i.received)
+	c.mu.Unlock()
+	go i.accept()
+	go i.announce()
+	return nil
+}
+
 // stop ends the instance at once.
 func (i *instance) stop() {
 	i.cluster.mu.Lock()
@@ -264,6 +321,7 @@
 	failed   bool
 	term     int
 	writes   []string
+	unacked  int // commit of this connection that waits for a replica; 0 for none
 }
 
 func (i *instance) serve(conn net.Conn) {
@@ -374,9 +432,57 @@
 		defer func() { <-s.instance.slots }()
 	}
 	body := s.run(id, word, rest, after)
+	if s.unacked > 0 && !s.awaitReplica() {
+		return "" // it has crashed or does not lead any more
+	}
 	return body + s.ready()
 }
 
+// awaitReplica waits until a replica has received the commit of this connection, if the service promises that. It returns false
+// if the instance ends or does not lead any more.
+func (s *connection) awaitReplica() bool {
+	i, at := s.instance, s.unacked
+	s.unacked = 0
+	for term := i.cluster.currentTerm(); ; time.Sleep(time.Millisecond) {
+		if done, leads := i.acknowledge(at, term); done || !leads {
+			return done
+		}
+	}
+}
+
+func (c *cluster) currentTerm() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.term
+}
+
+// acknowledge acknowledges a commit of a term if it may be.
+func (i *instance) acknowledge(at, term int) (done, leads bool) {
+	c := i.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i.down || c.primary != i.id || c.term != term {
+		return false, false
+	}
+	for _, other := range c.instances {
+		if !c.sync || other != i && !other.down && other.received >= at {
+			c.log[at-1].acked = true
+			return true, true
+		}
+	}
+	return false, true
+}
+
+// status returns the answer to STATUS. The caller holds the lock of the cluster.
+func (i *instance) status() string {
+	role := "replica"
+	if i.cluster.primary == i.id {
+		role = "primary"
+	}
+	term := i.termAt(i.received)
+	return fmt.Sprintf("ROW %s %d %d.%d 0 %d %d %d\r\nDONE -\r\n", role, term, term, i.received, i.lag.Milliseconds(), len(i.slots), len(i.conns))
+}
+
 // lacks reports whether the log of the instance lacks a position. The caller holds the lock of the cluster.
 func (s *connection) lacks(after string) bool {
 	if after == "" {
@@ -420,15 +526,17 @@
 		}
 		s.open, s.reading, s.term, s.writes = true, rest == "READ", c.term, nil
 		return "DONE -\r\n"
-	case "SET", "RESET", "PREPARE", "DEALLOC", "RESUME", "PAUSE":
+	case "SET", "RESET", "PREPARE", "DEALLOC":
 		return "DONE -\r\n"
-	case "STATUS":
-		role := "replica"
+	case "PAUSE", "RESUME":
 		if leads {
-			role = "primary"
+			return "ERR MALFORMED " + i.id + " leads\r\n"
 		}
-		at := s.position()
-		return fmt.Sprintf("ROW %s %d %s 0 %d %d %d\r\nDONE -\r\n", role, i.termAt(i.applied), at, i.lag.Milliseconds(), len(i.slots), len(i.conns))
+		i.paused = word == "PAUSE"
+		c.site.record.printf("instance %s: %s %s with %d commits", i.id, word, rest, i.received)
+		return i.status()
+	case "STATUS":
+		return i.status()
 	case "READ":
 		c.site.record.printf("instance %s runs %s READ %s after %q with log %s", i.id, id, rest, after, s.position())
 		c.site.ran(c, i, id, s)
@@ -459,6 +567,8 @@
 	c := s.instance.cluster
 	c.log = append(c.log, entry{term: c.term, at: time.Now(), writes: s.writes})
 	s.writes = nil
+	s.unacked = len(c.log)
+	c.instances[c.primary].received = len(c.log)
 	c.site.record.printf("instance %s commits %s at %d.%d", s.instance.id, id, c.term, len(c.log))
 }
 
--- a/review/lab2/cmd/drain.go
+++ b/review/lab2/cmd/drain.go
@@ -19,7 +19,7 @@
 
 // playDrain ends a primary as planned while the platform is down and one machine, which serves callers only, is frozen.
 func playDrain(s *site, trouble disruption) error {
-	c, err := startCluster(s, "ledger", 11, 40)
+	c, err := startCluster(s, "ledger", 11, 40, false)
 	if err != nil {
 		return err
 	}
--- a/review/lab2/cmd/fence.go
+++ b/review/lab2/cmd/fence.go
@@ -12,11 +12,11 @@
 // playFence replaces the primary of a service twice as planned, under two control leaders. In between the service leaves the
 // configuration and comes back.
 func playFence(s *site, trouble disruption) error {
-	c, err := startCluster(s, "ledger", 11, 40)
+	c, err := startCluster(s, "ledger", 11, 40, false)
 	if err != nil {
 		return err
 	}
-	if _, err := startCluster(s, "annex", 21, 5); err != nil {
+	if _, err := startCluster(s, "annex", 21, 5, false); err != nil {
 		return err
 	}
 	both := []object{service("ledger"), service("annex")}
--- a/review/lab2/cmd/main.go
+++ b/review/lab2/cmd/main.go
@@ -5,9 +5,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -37,6 +40,8 @@
 	"stale": playStale,
 	"fence": playFence,
 	"drain": playDrain,
+	"lost":  playLost,
+	"reuse": playReuse,
 }
 
 func main() {
@@ -71,10 +76,13 @@
 		defer s.end()
 	}
 	if err == nil {
-		done := make(chan error, 1)
+		done, stop := make(chan error, 1), make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 		go func() { done <- cases[args[0]](s, playedDisruption()) }()
 		select {
 		case err = <-done:
+		case <-stop:
+			err = errors.New("stopped")
 		case <-time.After(limit):
 			err = fmt.Errorf("not over after %s", limit)
 		}
--- a/review/lab2/cmd/site.go
+++ b/review/lab2/cmd/site.go
@@ -309,8 +309,11 @@
 }
 
 // service returns a service of a configuration.
-func service(name string) object {
-	return object{"name": name, "health_path": "/health", "max_conns": 23, "protocol": "h1", "tls": false, "sync_replicas": 0}
+func service(name string) object { return syncService(name, 0) }
+
+// syncService returns a service whose commits are acknowledged once a number of replicas have received them.
+func syncService(name string, replicas int) object {
+	return object{"name": name, "health_path": "/health", "max_conns": 23, "protocol": "h1", "tls": false, "sync_replicas": replicas}
 }
 
 // leader returns the machine of the control leader according to the logs' last line about one, or nil.
--- a/review/lab2/cmd/stale.go
+++ b/review/lab2/cmd/stale.go
@@ -53,11 +53,11 @@
 
 // playStale moves a route to another service and back, while a session of it writes and reads and one replica lags.
 func playStale(s *site, trouble disruption) error {
-	first, err := startCluster(s, "ledger", 11, 400)
+	first, err := startCluster(s, "ledger", 11, 400, false)
 	if err != nil {
 		return err
 	}
-	if _, err := startCluster(s, "annex", 21, 5); err != nil {
+	if _, err := startCluster(s, "annex", 21, 5, false); err != nil {
 		return err
 	}
 	version := 1
