--- a/review/lab2/cmd/lost.go
+++ b/review/lab2/cmd/lost.go
@@ -14,17 +14,30 @@
 	restartTime = time.Second
 )
 
+// startSyncSite starts three services with one synchronous replica each, and configures them. It returns the first two.
+func startSyncSite(s *site) (first, second *cluster, err error) {
+	var started []*cluster
+	var services, routes []object
+	for n, name := range []string{"ledger", "annex", "archive"} {
+		c, err := startCluster(s, name, 11+10*n, 40, true)
+		if err != nil {
+			return nil, nil, err
+		}
+		started = append(started, c)
+		services = append(services, syncService(name, 1))
+		routes = append(routes, route("db-"+name, "primary", name))
+	}
+	return started[0], started[1], s.configure(2, routes, services)
+}
+
 // playLost plays a service with one synchronous replica: one replica receives nothing for a while, the other one starts again,
 // and the primary crashes.
 func playLost(s *site, trouble disruption) error {
-	c, err := startCluster(s, "ledger", 11, 40, true)
+	c, _, err := startSyncSite(s)
 	if err != nil {
 		return err
 	}
-	if err := s.configure(2, []object{route("orders", "primary", "ledger")}, []object{syncService("ledger", 1)}); err != nil {
-		return err
-	}
-	if err := s.awaitReady("orders", 20*time.Second); err != nil {
+	if err := s.awaitReady("db-ledger", 20*time.Second); err != nil {
 		return err
 	}
 	time.Sleep(5 * time.Second)
@@ -58,22 +71,11 @@
 // playReuse plays a service with one synchronous replica: one replica receives nothing for a while, the other one is gone for good
 // and its address is used by another service, and the primary crashes.
 func playReuse(s *site, trouble disruption) error {
-	c, err := startCluster(s, "ledger", 11, 40, true)
+	c, other, err := startSyncSite(s)
 	if err != nil {
 		return err
 	}
-	other, err := startCluster(s, "annex", 21, 5, true)
-	if err != nil {
-		return err
-	}
-	if _, err := startCluster(s, "archive", 31, 5, true); err != nil {
-		return err
-	}
-	routes := []object{route("orders", "primary", "ledger"), route("other", "primary", "annex"), route("third", "primary", "archive")}
-	if err := s.configure(2, routes, []object{syncService("ledger", 1), syncService("annex", 1), syncService("archive", 1)}); err != nil {
-		return err
-	}
-	if err := s.awaitReady("orders", 20*time.Second); err != nil {
+	if err := s.awaitReady("db-ledger", 20*time.Second); err != nil {
 		return err
 	}
 	time.Sleep(5 * time.Second)
@@ -123,7 +125,7 @@
 
 // lostClient runs one write.
 func lostClient(s *site, n int) error {
-	c, err := s.connect(s.machines[n%len(s.machines)], fmt.Sprintf("l%d", n), "orders")
+	c, err := s.connect(s.machines[n%len(s.machines)], fmt.Sprintf("l%d", n), "db-ledger")
 	if err != nil {
 		return err
 	}
--- a/review/lab2/cmd/site.go
+++ b/review/lab2/cmd/site.go
@@ -32,7 +32,7 @@
 
 // machineCount is the number of machines. All take callers; the first coreCount also have a disk and serve control.
 const (
-	machineCount = 4
+	machineCount = 10
 	coreCount    = 3
 )
 
