--- a/review/lab2/cmd/stale.go
+++ b/review/lab2/cmd/stale.go
@@ -11,6 +11,8 @@
 	replicaLag = 120 * normalLag
 	// warmUp is how long a session reads before its write.
 	warmUp = 800 * time.Millisecond
+	// configurationGap is the time between two configurations.
+	configurationGap = 330 * time.Millisecond
 	// readPeriod is how long a session reads after its route is back.
 	readPeriod = 600 * time.Millisecond
 )
@@ -120,6 +122,7 @@
 
 // moveAndWrite moves the route to the other service, writes there, and moves it back.
 func moveAndWrite(c *session, set func(target string) error) error {
+	started := time.Now()
 	if err := set("annex"); err != nil {
 		return err
 	}
@@ -135,5 +138,6 @@
 			return fmt.Errorf("the route did not move")
 		}
 	}
+	time.Sleep(time.Until(started.Add(configurationGap)))
 	return set("ledger")
 }
