A replica that starts again without its log leaves a departure

The one replica that had them had started again under its id, with nothing.

State.enlist replaced the member, and the failover counted its fence as that of a replica which may have each commit.

Change: another start of its process leaves a departure, as another id does. A server keeps its departure until it is settled, also if a later process of it hands over a log, and an instance takes over a log only from one that reported its end, not from one that crashed while it left.

--- a/internal/controlstate/departure.go
+++ b/internal/controlstate/departure.go
@@ -10,13 +10,17 @@
 )
 
 // recordDeparture records that the process of a member has ended. The next instance of the group at the address takes over its
-// log; without an address the log is gone. Only the latest departure of a server counts: until it is settled, no commit that
-// the server received is known to be elsewhere.
+// log; without an address the log is gone. A server has one departure, the latest, until it is settled: what an earlier process
+// had elsewhere is not in the log that the latest one left.
 func (s *State) recordDeparture(v *wire.View, m *wire.Member, address string) {
-	if s.countsForCommits(v, m) {
-		d := &wire.Departure{Server: m.GetServer(), Address: address, Born: m.GetBorn()}
-		v.Departures = putNamed(v.GetDepartures(), d, (*wire.Departure).GetServer)
+	if !s.countsForCommits(v, m) {
+		return
+	}
+	if former, ok := getNamed(v.GetDepartures(), m.GetServer(), (*wire.Departure).GetServer); ok && former.GetAddress() != address {
+		address = ""
 	}
+	d := &wire.Departure{Server: m.GetServer(), Address: address, Born: m.GetBorn()}
+	v.Departures = putNamed(v.GetDepartures(), d, (*wire.Departure).GetServer)
 }
 
 // countsForCommits reports whether a member that ends may be the only replica with an acknowledged commit.
--- a/internal/controlstate/departure_test.go
+++ b/internal/controlstate/departure_test.go
@@ -31,3 +31,16 @@
 	s.Apply(10, &wire.Entry{Entry: &wire.Entry_Settle{Settle: &wire.Settle{Group: "g", Server: gone}}})
 	require.Empty(t, departures())
 }
+
+// TestDepartureOfFormerProcessIsKept guards against a lost log that is forgotten when the next process of the same server, which
+// did not have it, leaves as planned and hands over its own.
+func TestDepartureOfFormerProcessIsKept(t *testing.T) {
+	s := controlstate.New()
+	s.Apply(1, &wire.Entry{Entry: &wire.Entry_Publish{Publish: &wire.Configuration{Version: 1, Groups: []*wire.Group{{Name: "g", Sync: 1}}}}})
+	enlist(s, 2, "b", "10.0.0.1:1", 1, 1, false)
+	enlist(s, 3, "b", "10.0.0.1:1", 2, 1, true)
+	s.Apply(4, &wire.Entry{Entry: &wire.Entry_Delist{Delist: &wire.Delist{Server: "b", Born: 2, Sequence: 1}}})
+	enlist(s, 5, "c", "10.0.0.1:1", 3, 1, false)
+	require.Len(t, s.Views()[0].GetDepartures(), 1)
+	require.Empty(t, s.Views()[0].GetDepartures()[0].GetAddress(), "nobody takes over the log of the first process")
+}
--- a/internal/controlstate/publish.go
+++ b/internal/controlstate/publish.go
@@ -117,6 +117,9 @@
 	}
 	v, _ := s.View(e.GetGroup())
 	s.updateView(v, func(v *wire.View) {
+		if known, ok := getNamed(v.GetMembers(), m.GetServer(), (*wire.Member).GetServer); ok && known.GetBorn() != m.GetBorn() {
+			s.recordDeparture(v, known, "")
+		}
 		v.Members = putNamed(v.GetMembers(), s.marked(m), (*wire.Member).GetServer)
 		v.Departures = withoutLogsAt(v.GetDepartures(), m.GetAddress())
 	})
@@ -147,8 +150,8 @@
 }
 
 // removeReplaced removes the members of a view that m replaces: other instances at its address, and m itself
-// unless the view is that of its own group. The logs of these are gone, but an instance takes over the log of one of its own
-// group that left its address.
+// unless the view is that of its own group. The logs of these are gone: an instance takes over a log only from one of its own
+// group that reported its end.
 func (s *State) removeReplaced(v *wire.View, m *wire.Member, sameGroup bool) {
 	replaced := func(o *wire.Member) bool {
 		if o.GetServer() == m.GetServer() {
@@ -167,7 +170,7 @@
 		members := v.GetMembers()
 		v.Members = slices.DeleteFunc(slices.Clone(members), replaced)
 		for _, o := range members {
-			if replaced(o) && !(sameGroup && o.GetLeaving()) {
+			if replaced(o) {
 				s.recordDeparture(v, o, "")
 			}
 		}
--- a/internal/failover/platform_departure_test.go
+++ b/internal/failover/platform_departure_test.go
@@ -60,6 +60,11 @@
 			s.members = []string{"a", "c", "d"}
 			s.enlist("g", "d", b, 2, false)
 		},
+		"address, by its own group, as it crashed while it left": func(s *platformHarness) {
+			s.members = []string{"a", "c", "d"}
+			s.enlist("g", "b", b, 1, true)
+			s.enlist("g", "d", b, 2, false)
+		},
 		"address after its planned end, by another group and then its own": func(s *platformHarness) {
 			s.members = []string{"a", "c", "d"}
 			s.apply(&wire.Entry{Entry: &wire.Entry_Delist{Delist: &wire.Delist{Server: "b", Born: 1, Sequence: 1}}})
@@ -80,10 +85,19 @@
 // instance at its address has its log.
 func TestSuccessorTakesOverLog(t *testing.T) {
 	s := newSyncHarness(t)
-	s.enlist("g", "b", simulatedAddress("b"), 1, true)
+	s.apply(&wire.Entry{Entry: &wire.Entry_Delist{Delist: &wire.Delist{Server: "b", Born: 1, Sequence: 1}}})
 	s.members, s.offsets["d"] = []string{"a", "c", "d"}, 10
 	s.enlist("g", "d", simulatedAddress("b"), 2, false)
 	require.Empty(t, s.view().GetDepartures())
 	s.losePrimary()
 	require.Equal(t, "d", s.view().GetPrimary())
 }
+
+// TestRestartedReplicaDeparts guards against a failover that counts a replica which started again under its id, and holds
+// nothing of before, as if it still had its log.
+func TestRestartedReplicaDeparts(t *testing.T) {
+	s := newSyncHarness(t)
+	s.offsets["b"] = 0
+	s.enlist("g", "b", simulatedAddress("b"), 2, false)
+	s.requireWaits(t)
+}
--- a/internal/failover/platform_sync_test.go
+++ b/internal/failover/platform_sync_test.go
@@ -95,6 +95,8 @@
 	born      uint64
 	promoted  int
 	later     []scheduled
+	loseLogs  bool           // replicas may lose their logs, at any time without an order under way to them
+	late      map[string]int // orders that the platform may still carry out, by server
 
 	evacuations *evacuations
 }
@@ -108,11 +110,11 @@
 func newSyncSimulation(t *testing.T, seed uint64) *syncSimulation {
 	s := &syncSimulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 5)), now: time.Unix(1000, 0), policy: failover.NewPlatformCoordinator(),
-		state: controlstate.New(), leader: "i0", term: 3, evacuations: newEvacuations(),
+		state: controlstate.New(), leader: "i0", term: 3, late: map[string]int{}, evacuations: newEvacuations(),
 	}
 	members := 2 + s.random.IntN(4)
 	s.sync = 1 + s.random.IntN(min(2, members-1))
-	s.apply(&wire.Entry{Entry: &wire.Entry_Publish{Publish: &wire.Configuration{Version: 1, Groups: []*wire.Group{{Name: "g", Sync: uint32(s.sync)}}}}})
+	s.apply(&wire.Entry{Entry: &wire.Entry_Publish{Publish: &wire.Configuration{Version: 1, Groups: []*wire.Group{{Name: "g", Sync: uint32(s.sync)}, {Name: "h"}}}}})
 	for n := range members {
 		s.born++
 		i := &syncInstance{id: fmt.Sprint("i", n), address: fmt.Sprintf("10.0.0.%d:1", n+1), born: s.born, up: true}
@@ -173,7 +175,11 @@
 		if s.silent {
 			s.after(c.Timeout(), func() { answer(failover.Report{}, errors.New("no answer")) })
 			if s.random.IntN(2) == 0 {
-				s.after(time.Duration(s.random.IntN(4000))*time.Millisecond, func() { _ = s.order(c) })
+				s.late[string(c.Server)]++
+				s.after(time.Duration(s.random.IntN(4000))*time.Millisecond, func() {
+					s.late[string(c.Server)]--
+					_ = s.order(c)
+				})
 			}
 			return
 		}
@@ -320,7 +326,12 @@
 		return
 	}
 	i.up = false
+	loses := s.loseLogs && i.id != s.leader && s.random.IntN(2) == 0
 	s.after(time.Duration(500+s.random.IntN(6000))*time.Millisecond, func() {
+		if loses && s.leader != i.id {
+			s.startEmpty(i)
+			return
+		}
 		s.born++
 		s.note("%s is back", i.id)
 		i.up, i.paused, i.born, i.received = true, false, s.born, min(i.received, s.log)
@@ -328,9 +339,35 @@
 	})
 }
 
+// startEmpty starts a replica that crashed again, without its log: under its id, or under another one at its address or after
+// an instance of another group came there.
+func (s *syncSimulation) startEmpty(i *syncInstance) {
+	if s.view().GetOrdered() != "" || s.late[i.id] > 0 {
+		s.after(100*time.Millisecond, func() { s.startEmpty(i) }) // nothing can withdraw an order
+		return
+	}
+	s.born++
+	next := &syncInstance{id: i.id, address: i.address, born: s.born, up: true}
+	switch s.random.IntN(3) {
+	case 0:
+		next.id = fmt.Sprint("i", s.born*100)
+	case 1:
+		next.id, next.address = fmt.Sprint("i", s.born*100), fmt.Sprintf("10.0.1.%d:1", s.born)
+		s.apply(&wire.Entry{Entry: &wire.Entry_Enlist{Enlist: &wire.Enlist{
+			Group: "h", Member: &wire.Member{Server: fmt.Sprint("h", s.born), Address: i.address, Born: s.born, Sequence: 1},
+		}}})
+	}
+	s.note("%s at %s lost its log; %s comes at %s", i.id, i.address, next.id, next.address)
+	s.instances[slices.Index(s.instances, i)] = next
+	s.announce(next)
+}
+
 // bearsRestart reports whether a replica may restart: its fence ends with it, and until an order that is on its way takes
 // effect nothing can take the place of the fence.
 func (s *syncSimulation) bearsRestart() bool {
+	if s.loseLogs {
+		return s.view().GetOrdered() == ""
+	}
 	return s.view().GetPhase() == wire.Phase_PHASE_STEADY && s.view().GetPrimary() == s.leader
 }
 
@@ -414,10 +451,25 @@
 // TestNoPromotionLosesAcknowledgedCommits guards against promotions that lose commits which the configured number of replicas
 // had received, with any replica deaf, busy, gone or leaving, orders carried out late and other control VMs taking over.
 func TestNoPromotionLosesAcknowledgedCommits(t *testing.T) {
-	promoted, evacuated := 0, 0
-	for seed := range uint64(150) {
+	promoted, evacuated := playSyncSimulations(t, 150, false)
+	require.Greater(t, promoted, 300, "promotions in all runs")
+	require.Greater(t, evacuated, 30, "evacuations of the primary of a whole group")
+}
+
+// TestNoPromotionCountsLostLogs guards against promotions that count the log of a replica which started again without it, or
+// whose address another instance uses, and against groups that stay without a primary although all of their instances are back.
+func TestNoPromotionCountsLostLogs(t *testing.T) {
+	promoted, _ := playSyncSimulations(t, 150, true)
+	require.Greater(t, promoted, 150, "promotions in all runs")
+}
+
+// playSyncSimulations plays simulations with failures and then without, and returns the promotions and the evacuations after
+// the failures.
+func playSyncSimulations(t *testing.T, seeds uint64, loseLogs bool) (promoted, evacuated int) {
+	for seed := range seeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			s := newSyncSimulation(t, seed)
+			s.loseLogs = loseLogs
 			s.run(2*time.Second, false)
 			s.run(40*time.Second, true)
 			s.silent = false
@@ -443,6 +495,5 @@
 			promoted += s.promoted
 		})
 	}
-	require.Greater(t, promoted, 300, "promotions in all runs")
-	require.Greater(t, evacuated, 30, "evacuations of the primary of a whole group")
+	return promoted, evacuated
 }
