Statements that need a primary are refused at once while a failover is stalled

Cause: the control leader knew that the failover could not end, and only logged it.

Entry VMs then refuse before an instance gets the statement, with a reason of its own, unless an instance proved to this VM that it leads.

--- a/internal/controlstate/departure_test.go
+++ b/internal/controlstate/departure_test.go
@@ -44,3 +44,33 @@
 	require.Len(t, s.Views()[0].GetDepartures(), 1)
 	require.Empty(t, s.Views()[0].GetDepartures()[0].GetAddress(), "nobody takes over the log of the first process")
 }
+
+// TestStallEndsWithItsTerm guards against callers that are refused although a later term has a primary or looks for one, since
+// a report of an earlier term arrives late or is not withdrawn.
+func TestStallEndsWithItsTerm(t *testing.T) {
+	s := controlstate.New()
+	index := uint64(0)
+	apply := func(e *wire.Entry) *wire.View {
+		index++
+		s.Apply(index, e)
+		return s.Views()[0]
+	}
+	raise := func(term uint64) *wire.Entry {
+		return &wire.Entry{Entry: &wire.Entry_Raise{Raise: &wire.RaiseTerm{Group: "g", Term: term, Phase: wire.Phase_PHASE_RAISING}}}
+	}
+	stall := func(term uint64) *wire.Entry {
+		return &wire.Entry{Entry: &wire.Entry_Stall{Stall: &wire.Stall{Group: "g", Term: term}}}
+	}
+	apply(&wire.Entry{Entry: &wire.Entry_Publish{Publish: &wire.Configuration{Version: 1, Groups: []*wire.Group{{Name: "g", Sync: 1}}}}})
+	apply(&wire.Entry{Entry: &wire.Entry_Enlist{Enlist: &wire.Enlist{Group: "g", Member: &wire.Member{Server: "a", Address: "10.0.0.1:1", Born: 1}}}})
+	apply(raise(2))
+	require.False(t, apply(stall(1)).GetStalled())
+	require.True(t, apply(stall(2)).GetStalled())
+	restored, err := controlstate.Restore(s.Snapshot())
+	require.NoError(t, err)
+	require.True(t, restored.Views()[0].GetStalled())
+	require.False(t, apply(raise(3)).GetStalled())
+	require.True(t, apply(stall(3)).GetStalled())
+	require.False(t, apply(&wire.Entry{Entry: &wire.Entry_Promoted{Promoted: &wire.Promoted{Group: "g", Term: 3, Server: "a"}}}).GetStalled())
+	require.False(t, apply(stall(3)).GetStalled())
+}
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -152,6 +152,8 @@
 		s.dropRegistration(e.Forget)
 	case *wire.Entry_Evacuation:
 		s.evacuate(e.Evacuation)
+	case *wire.Entry_Stall:
+		s.stall(e.Stall)
 	}
 	return nil
 }
--- a/internal/controlstate/view.go
+++ b/internal/controlstate/view.go
@@ -28,6 +28,7 @@
 		Former:     v.GetFormer(),
 		Ordered:    v.GetOrdered(),
 		Departures: v.GetDepartures(),
+		Stalled:    v.GetStalled(),
 	}
 	edit(next)
 	return next
@@ -47,7 +48,7 @@
 		return
 	}
 	s.updateView(v, func(v *wire.View) {
-		v.Term, v.Ordered = r.GetTerm(), r.GetServer()
+		v.Term, v.Ordered, v.Stalled = r.GetTerm(), r.GetServer(), false
 		v.Former = cmp.Or(v.GetPrimary(), v.GetFormer())
 		v.Phase = wire.Phase_PHASE_SWITCHING
 		if !planned {
@@ -68,12 +69,21 @@
 		return
 	}
 	s.updateView(v, func(v *wire.View) {
-		v.Phase, v.Ordered = wire.Phase_PHASE_STEADY, ""
+		v.Phase, v.Ordered, v.Stalled = wire.Phase_PHASE_STEADY, "", false
 		v.Primary = p.GetServer()
 		v.History = append(v.History, &wire.Start{Term: p.GetTerm(), Offset: p.GetOffset()})
 	})
 }
 
+// stall records that the failover of the current term waits for instances that do not answer.
+func (s *State) stall(e *wire.Stall) {
+	v, ok := s.View(e.GetGroup())
+	if !ok || e.GetTerm() != v.GetTerm() || v.GetPhase() != wire.Phase_PHASE_RAISING || v.GetStalled() {
+		return
+	}
+	s.updateView(v, func(v *wire.View) { v.Stalled = true })
+}
+
 // admit adds a member while the group has fewer members than configured. Membership changes only while no
 // failover is running, so that the promises of one term are counted over one set of members.
 func (s *State) admit(a *wire.Admit) {
--- a/internal/failover/platform.go
+++ b/internal/failover/platform.go
@@ -138,8 +138,9 @@
 	fenced       map[ServerID]fencedReplica
 	fenceStarted time.Time // when replicas were first fenced; zero before
 	lastFence    time.Time
-	delayed      bool // PromotionDelayed was emitted
-	recorded     bool // the new primary is proposed to the log; waits for the view
+	delayed      bool      // PromotionDelayed was emitted
+	lastStall    time.Time // when the control log was last told that the failover waits
+	recorded     bool      // the new primary is proposed to the log; waits for the view
 	lastProposed time.Time
 }
 
--- a/internal/failover/platform_departure_test.go
+++ b/internal/failover/platform_departure_test.go
@@ -38,10 +38,12 @@
 func (s *platformHarness) requireWaits(t *testing.T) {
 	s.losePrimary()
 	require.Empty(t, s.orders, "the log of b is gone, and c lacks commits that b had acknowledged")
+	require.True(t, s.view().GetStalled(), "entry VMs are told that nothing can be written")
 	s.unreachable["a"] = false
 	s.votes = map[string]bool{"e1": true, "e2": true, "e3": true}
 	s.run(3 * time.Second)
 	require.Equal(t, "a", s.view().GetPrimary())
+	require.False(t, s.view().GetStalled())
 	s.offsets["c"] = 10
 	s.run(3 * time.Second)
 	require.Empty(t, s.view().GetDepartures(), "c has received all that b had")
@@ -101,3 +103,20 @@
 	s.enlist("g", "b", simulatedAddress("b"), 2, false)
 	s.requireWaits(t)
 }
+
+// TestFailoverStallsForSilentReplicas guards against callers that wait for their deadlines while a failover waits for replicas
+// that do not answer, and against refusals during one that ends soon.
+func TestFailoverStallsForSilentReplicas(t *testing.T) {
+	s := newSyncHarness(t)
+	s.unreachable["a"], s.unreachable["b"] = true, true
+	s.votes = map[string]bool{"e1": false, "e2": false, "e3": false}
+	s.run(900 * time.Millisecond)
+	require.Equal(t, wire.Phase_PHASE_RAISING, s.view().GetPhase())
+	require.False(t, s.view().GetStalled())
+	s.run(2 * time.Second)
+	require.True(t, s.view().GetStalled())
+	s.unreachable["b"] = false
+	s.run(2 * time.Second)
+	require.Equal(t, "b", s.view().GetPrimary())
+	require.False(t, s.view().GetStalled())
+}
--- a/internal/failover/platform_sync.go
+++ b/internal/failover/platform_sync.go
@@ -56,12 +56,31 @@
 		return
 	}
 	g.fenceReplicas(now, a, "")
-	if !a.delayed && now.Sub(a.fenceStarted) >= statusWait {
+	g.reportDelay(now, a)
+}
+
+// reportDelay reports a failover that waits for replicas. Once it cannot end soon, the control log is told, so that entry VMs
+// refuse at once what needs a primary.
+func (g *platformGroup) reportDelay(now time.Time, a *attempt) {
+	fenced, required := len(g.fencedReplicas(a)), g.requiredReplicas()
+	waited := now.Sub(a.fenceStarted)
+	if waited < statusWait {
+		return
+	}
+	if !a.delayed {
 		a.delayed = true
 		g.coordinator.effects = append(g.coordinator.effects, PromotionDelayed{
-			Group: g.id, Term: position.Term(a.term), Fenced: len(g.fencedReplicas(a)), Required: g.requiredReplicas(),
+			Group: g.id, Term: position.Term(a.term), Fenced: fenced, Required: required,
 		})
 	}
+	hopeless := required > len(g.replicas()) || waited >= maxSuccessorSearch
+	if fenced >= required || !hopeless || g.view.GetStalled() || now.Sub(a.lastStall) < proposeRetryInterval {
+		return
+	}
+	a.lastStall = now
+	g.coordinator.effects = append(g.coordinator.effects, Propose{&wire.Entry{Entry: &wire.Entry_Stall{Stall: &wire.Stall{
+		Group: string(g.id), Term: a.term,
+	}}}})
 }
 
 // orderDurably raises the term once more with the server that is ordered under it. Another control VM that takes over orders
--- a/internal/proxy/evacuation.go
+++ b/internal/proxy/evacuation.go
@@ -110,6 +110,9 @@
 	if g.evacuatedPrimary() != nil {
 		return reasonEvacuated
 	}
+	if g.stalled {
+		return reasonStalled
+	}
 	return reasonPrimary
 }
 
--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -213,7 +213,8 @@
 }
 
 // awaitPrimary waits for an instance to use as the primary. It returns false if the deadline would pass, or at once if the
-// primary leaves and has no successor yet, or if all members are evacuated: nobody knows when there will be one.
+// primary leaves and has no successor yet, if a failover is stalled, or if all members are evacuated: nobody knows when there
+// will be one.
 func (e *execution) awaitPrimary(ctx context.Context) (*member, bool) {
 	for {
 		if e.lastReason == reasonCold {
@@ -229,7 +230,7 @@
 			return m, !e.cannotWait(m)
 		}
 		e.recordFailure(operation.Answer{Code: operation.Busy}, g.missingPrimaryReason())
-		if g.allEvacuated() || g.primaryIsLeaving(e.now()) || !e.pause(ctx, wait, changed) {
+		if g.allEvacuated() || g.isStalled() || g.primaryIsLeaving(e.now()) || !e.pause(ctx, wait, changed) {
 			return nil, false
 		}
 	}
@@ -309,7 +310,7 @@
 		e.session.proxy.metrics.proofs.Add(took)
 		e.permit.trace.proof += took
 		if !ok {
-			e.recordFailure(operation.Answer{Code: operation.Busy}, reasonPrimary)
+			e.recordFailure(operation.Answer{Code: operation.Busy}, g.missingPrimaryReason())
 			return nil, floor, false
 		}
 		if m := g.readTarget(e.now(), floor, e.triedServers, e.connRequest(false), e.runsAt); m != nil {
--- a/internal/proxy/proofs.go
+++ b/internal/proxy/proofs.go
@@ -43,9 +43,10 @@
 )
 
 // floor returns the minimum log position that a read of a session must see. It queries the primary if no
-// proof is recent enough. It returns false if ctx ended before a proof arrived.
+// proof is recent enough. It returns false if ctx ended before a proof arrived, or after one attempt if there is no primary
+// since a failover is stalled.
 func (g *group) floor(ctx context.Context, account string, age time.Duration, session position.Position) (position.Position, bool) {
-	for {
+	for attempted := false; ; attempted = true {
 		g.mu.Lock()
 		g.lastUsed = g.now()
 		if g.recentAccount == "" {
@@ -59,7 +60,7 @@
 		if ok {
 			return at, true
 		}
-		if !g.awaitProof(ctx, age) {
+		if attempted && g.isStalled() || !g.awaitProof(ctx, age) {
 			return position.Position{}, false
 		}
 	}
--- a/internal/proxy/refusal.go
+++ b/internal/proxy/refusal.go
@@ -28,12 +28,14 @@
 	reasonSyntax  = "syntax"  // the statement cannot be parsed
 	// reasonEvacuated: the availability zone of the instance is evacuated.
 	reasonEvacuated = "evacuated"
+	// reasonStalled: no instance leads the group, and a failover waits for instances that do not answer.
+	reasonStalled = "stalled"
 )
 
 // retryAfter returns the recommended time before a caller retries.
 func retryAfter(reason string) time.Duration {
 	switch reason {
-	case reasonPrimary, reasonLink, reasonHome, reasonEvacuated:
+	case reasonPrimary, reasonStalled, reasonLink, reasonHome, reasonEvacuated:
 		return time.Second
 	case reasonLag:
 		return 500 * time.Millisecond
@@ -43,8 +45,11 @@
 
 // cause returns the cause of a refusal that its reason alone explains, for the text of the answer.
 func cause(reason string) string {
-	if reason == reasonEvacuated {
+	switch reason {
+	case reasonEvacuated:
 		return ": the availability zone is evacuated"
+	case reasonStalled:
+		return ": the primary is lost, and too few replicas answer to replace it safely"
 	}
 	return ""
 }
--- a/internal/proxy/site_test.go
+++ b/internal/proxy/site_test.go
@@ -45,6 +45,7 @@
 	groups    []string
 	leaders   map[string]string // zone of the primary, by group
 	evacuated map[string]bool   // by zone
+	stalled   bool              // a failover waits for instances that do not answer
 	revision  uint64
 	work      time.Duration // of a statement that needs a slot
 	control   leaseControl
@@ -99,6 +100,9 @@
 		u.Full.Routes = append(u.Full.Routes,
 			&wire.Route{Name: g, Group: g, Open: true, Timeout: 2000}, &wire.Route{Name: g + "-old", Group: g, Open: true, Timeout: 2000, Age: 2000})
 		v := &wire.View{Group: g, Term: 1, Primary: g + "-" + s.leaders[g], Revision: s.revision}
+		if s.stalled {
+			v.Primary, v.Phase, v.Stalled = "", wire.Phase_PHASE_RAISING, true
+		}
 		for i, zone := range []string{"a", "b", "c"} {
 			v.Members = append(v.Members, &wire.Member{
 				Server: g + "-" + zone, Address: fmt.Sprintf("10.0.%s.%d:1", g[1:], i+1), Zone: zone, Born: 1, Sequence: 1, Slots: 3, Evacuated: s.evacuated[zone],
