Positions of a session's commits are kept by group

Where the other service's log was the longer one, its reads were refused as lagging.

Cause: the session kept one position, whatever the group. The commit in the other group replaced it, and the reads after the route was back were compared with a position of that log.

Change: the session keeps a position for each group, in the type that package entryvm uses already, where a lower position replaces no higher one: a former primary may acknowledge a commit of an earlier term. That type dropped positions beyond 64 groups, on the assumption that a caller uses one group per connection; it keeps them now, and issues no token then.

--- a/internal/proxy/execution.go
+++ b/internal/proxy/execution.go
@@ -135,13 +135,13 @@
 	return e.session.proxy.refuse(e.st.ID, code, reasonLink, "the outcome is not known; look before doing it again")
 }
 
-// recordCommit records the position of a write that took effect, as a proof and as the floor of the session.
+// recordCommit records the position of a write that took effect, as a proof and as a floor of the session in the group.
 func (e *execution) recordCommit(m *member, sent time.Time, a operation.Answer) {
 	if a.Code != operation.Done || a.At.IsZero() {
 		return
 	}
 	e.permit.route.group.recordPrimary(sent, string(m.id), a.At)
-	e.session.floor = a.At
+	e.session.floors.Raise(e.permit.route.group.sessionID(), a.At)
 }
 
 // run runs statements on a connection with the session values.
@@ -305,7 +305,7 @@
 			return nil, position.Position{}, false
 		}
 		started := e.now()
-		floor, ok := g.floor(ctx, e.permit.account.name, e.permit.route.maxStaleness, e.session.floor)
+		floor, ok := g.floor(ctx, e.permit.account.name, e.permit.route.maxStaleness, e.session.floors.Floor(g.sessionID()))
 		took := e.now().Sub(started)
 		e.session.proxy.metrics.proofs.Add(took)
 		e.permit.trace.proof += took
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -13,6 +13,7 @@
 	"fireflyrudder.example/fireflyrudder/internal/forward"
 	"fireflyrudder.example/fireflyrudder/internal/freshness"
 	"fireflyrudder.example/fireflyrudder/internal/placement"
+	"fireflyrudder.example/fireflyrudder/internal/session"
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
@@ -93,6 +94,10 @@
 	}
 }
 
+// sessionID returns the name under which sessions keep their floors in the group. A group that leaves the configuration and
+// comes back has the same one.
+func (g *group) sessionID() session.GroupID { return session.GroupID(g.name) }
+
 // applyView applies a view. The pools of instances that left the group are closed.
 func (g *group) applyView(now time.Time, v *wire.View, retired map[string]bool, newPool func(m *wire.Member) *connpool.Pool) {
 	g.mu.Lock()
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -9,7 +9,7 @@
 
 	"fireflyrudder.example/fireflyrudder/internal/lease"
 	"fireflyrudder.example/fireflyrudder/internal/operation"
-	"fireflyrudder.example/fireflyrudder/pkg/position"
+	"fireflyrudder.example/fireflyrudder/internal/session"
 )
 
 const (
@@ -43,10 +43,10 @@
 	mu          sync.Mutex
 	values      map[string]string
 	prepared    map[string]preparedStatement
-	floor       position.Position // of the session's last commit; its reads must see it
-	tx          *transaction      // nil while none is open
-	failed      bool              // the transaction failed and was rolled back at the instance
-	abortReason string            // why the transaction failed
+	floors      session.Session // positions of the session's commits, by group; its reads in a group must see them
+	tx          *transaction     // nil while none is open
+	failed      bool             // the transaction failed and was rolled back at the instance
+	abortReason string           // why the transaction failed
 	// abortUnreported is set if the transaction was rolled back between two statements, so that no answer has said so yet.
 	abortUnreported bool
 }
--- a/internal/proxy/simulated_test.go
+++ b/internal/proxy/simulated_test.go
@@ -19,12 +19,14 @@
 	Server string
 	At     time.Time
 	Text   string
+	After  position.Position // that a read must see
 }
 
 // Simulated is one entry VM with simulated time and instances that answer at once. Its group is "g", and its routes are open.
 type Simulated struct {
 	Now      time.Time
 	Arrivals []Arrival
+	Logs     map[string]position.Position // ends of the logs by server; writes extend those that are named
 	Update   *wire.Update // the next one; Apply applies it
 
 	mu    sync.Mutex
@@ -33,7 +35,7 @@
 
 // NewSimulated returns a Simulated in the availability zone "zone". The entry VM is alone in it.
 func NewSimulated(regions map[string]string, c *wire.Configuration, members ...*wire.Member) *Simulated {
-	s := &Simulated{Now: time.Unix(1000, 0)}
+	s := &Simulated{Now: time.Unix(1000, 0), Logs: map[string]position.Position{}}
 	s.proxy = New(Options{
 		Node: settings.Node{Zone: "zone"}, Process: "self", Now: s.now, Server: s.dial, LeaseGrace: time.Hour, ColdOverrun: 1.5, ColdSlack: 5,
 		Controls: func() []string { return nil }, Regions: regions,
@@ -104,14 +106,24 @@
 	}
 }
 
-func (s *Simulated) arrive(server, text string) {
+// arrive records an arrival at an instance and returns the end of its log.
+func (s *Simulated) arrive(server string, st operation.Statement) position.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.Arrivals = append(s.Arrivals, Arrival{server, s.Now, text})
+	s.Arrivals = append(s.Arrivals, Arrival{server, s.Now, st.Text, st.After})
+	at, ok := s.Logs[server]
+	if !ok {
+		return position.Position{Term: 1, Offset: 1}
+	}
+	if st.Kind == operation.Write {
+		at.Offset++
+		s.Logs[server] = at
+	}
+	return at
 }
 
 func (s *Simulated) dial(_ context.Context, t connpool.Target) (connpool.Conn, error) {
-	s.arrive(t.Server, "connect")
+	s.arrive(t.Server, operation.Statement{Text: "connect"})
 	return &simulatedConn{s: s, server: t.Server}, nil
 }
 
@@ -126,14 +138,18 @@
 func (c *simulatedConn) Exchange(_ time.Duration, statements ...operation.Statement) ([]operation.Answer, error) {
 	answers := make([]operation.Answer, 0, len(statements))
 	for _, st := range statements {
-		c.s.arrive(c.server, st.Text)
+		at := c.s.arrive(c.server, st)
 		switch st.Kind {
 		case operation.Begin:
 			c.state = operation.Open
 		case operation.Commit, operation.Rollback:
 			c.state = operation.Idle
 		}
-		answers = append(answers, operation.Answer{Code: operation.Done, State: c.state, At: position.Position{Term: 1, Offset: 1}})
+		a := operation.Answer{Code: operation.Done, State: c.state, At: at}
+		if at.Less(st.After) {
+			a.Code = operation.Lagging
+		}
+		answers = append(answers, a)
 	}
 	return answers, nil
 }
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -22,7 +22,8 @@
 const (
 	// maxToken is the longest accepted token, in bytes. A startup packet holds 10,000.
 	maxToken = 8 << 10
-	// maxGroups limits the floors in one token, so that it stays below maxToken with names of up to 63 bytes.
+	// maxGroups limits the floors in one token, so that it stays below maxToken with names of up to 63 bytes. A session has more
+	// if its route moved more often.
 	maxGroups = 64
 	// version starts each token, so that a later format can be distinguished.
 	version = "v1"
@@ -55,9 +56,6 @@
 	if s.floors == nil {
 		s.floors = make(map[GroupID]position.Position, 1)
 	}
-	if _, known := s.floors[g]; !known && len(s.floors) >= maxGroups {
-		return // a caller uses one group per connection; only a forged token gets here
-	}
 	s.floors[g] = p
 }
 
@@ -75,8 +73,12 @@
 	return &Signer{secret: append([]byte(nil), secret...)}, nil
 }
 
-// Token returns the floors of a session as a token that is bound to its account.
+// Token returns the floors of a session as a token that is bound to its account. It returns "" if the session has too many:
+// without a token the floor is determined anew at the next connect, whereas one with some floors only would be taken for all.
 func (k *Signer) Token(s *Session, account string) string {
+	if len(s.floors) > maxGroups {
+		return ""
+	}
 	names := make([]string, 0, len(s.floors))
 	for g := range s.floors {
 		names = append(names, string(g))
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -42,6 +42,19 @@
 	require.Error(t, err)
 }
 
+// Guards against a session that forgets a write since its route was in many groups, and against a token without some of them.
+func TestSessionOfManyGroups(t *testing.T) {
+	k := signer(t, strings.Repeat("k", 32))
+	s := session.New()
+	for n := range 64 {
+		s.Raise(session.GroupID(strings.Repeat("g", n+1)), position.Position{Term: 1, Offset: 7})
+	}
+	require.NotEmpty(t, k.Token(s, "tide"))
+	s.Raise("another", position.Position{Term: 1, Offset: 9})
+	require.Equal(t, position.Position{Term: 1, Offset: 9}, s.Floor("another"))
+	require.Empty(t, k.Token(s, "tide"))
+}
+
 // Guards against a parser that panics, or that accepts a token which this system did not issue.
 func FuzzParse(f *testing.F) {
 	k := signer(f, strings.Repeat("k", 32))
