A group that comes back to the configuration goes on from its view

Cause: State.syncViews dropped the view of a group that a configuration does not name, and with it the term, which is the fencing token, the members and the departures. Announcements of its instances were acknowledged meanwhile and not recorded.

A group of which no term is known begins above the index of the control log, which covers what an earlier build has dropped.

--- a/internal/controlstate/change.go
+++ b/internal/controlstate/change.go
@@ -89,12 +89,9 @@
 func (s *State) updateViews(e *wire.Edit) {
 	switch e := e.GetEdit().(type) {
 	case *wire.Edit_PutGroup:
-		name := e.PutGroup.GetName()
-		if _, ok := s.View(name); !ok {
-			s.views = putNamed(s.views, &wire.View{Group: name, Revision: s.index}, (*wire.View).GetGroup)
-		}
+		s.addView(e.PutGroup.GetName())
 	case *wire.Edit_DropGroup:
-		s.views = removeNamed(s.views, e.DropGroup, (*wire.View).GetGroup)
+		s.dropView(e.DropGroup)
 	case *wire.Edit_RetireServer:
 		s.setRetired(e.RetireServer, true)
 	case *wire.Edit_RestoreServer:
--- a/internal/controlstate/departure.go
+++ b/internal/controlstate/departure.go
@@ -23,10 +23,11 @@
 	v.Departures = putNamed(v.GetDepartures(), d, (*wire.Departure).GetServer)
 }
 
-// countsForCommits reports whether a member that ends may be the only replica with an acknowledged commit.
+// countsForCommits reports whether a member that ends may be the only replica with an acknowledged commit. A group that left the
+// configuration may have had synchronous replicas, and have them again when it comes back.
 func (s *State) countsForCommits(v *wire.View, m *wire.Member) bool {
-	g, _ := s.Group(v.GetGroup())
-	return g.GetSync() > 0 && m.GetServer() != cmp.Or(v.GetPrimary(), v.GetFormer())
+	g, configured := s.Group(v.GetGroup())
+	return (g.GetSync() > 0 || !configured) && m.GetServer() != cmp.Or(v.GetPrimary(), v.GetFormer())
 }
 
 // hasLogAt reports whether a departure left its log at an address.
--- a/internal/controlstate/draft.go
+++ b/internal/controlstate/draft.go
@@ -218,7 +218,7 @@
 }
 
 func (d *draft) checkGroup(g *wire.Group) string {
-	v, _ := d.state.View(g.GetName())
+	v, _ := d.state.knownView(g.GetName())
 	switch {
 	case d.trusted:
 		return ""
--- a/internal/controlstate/publish.go
+++ b/internal/controlstate/publish.go
@@ -91,17 +91,16 @@
 // Published reports whether the current configuration was published as a whole.
 func (s *State) Published() bool { return s.configuration.GetDocument() != nil }
 
-// syncViews adds views for new groups and removes those of groups that no longer exist.
+// syncViews adds views for new groups and drops those of groups that no longer exist.
 func (s *State) syncViews() {
-	kept := make([]*wire.View, 0, len(s.configuration.GetGroups()))
-	for _, g := range s.configuration.GetGroups() {
-		v, ok := s.View(g.GetName())
-		if !ok {
-			v = &wire.View{Group: g.GetName(), Revision: s.index}
+	for _, v := range s.views {
+		if _, ok := s.Group(v.GetGroup()); !ok {
+			s.dropView(v.GetGroup())
 		}
-		kept = append(kept, v)
 	}
-	s.views = kept
+	for _, g := range s.configuration.GetGroups() {
+		s.addView(g.GetName())
+	}
 }
 
 // enlist records the announcement of an instance. Only the latest start of an instance counts, and at one
@@ -109,13 +108,13 @@
 // has ended.
 func (s *State) enlist(e *wire.Enlist) {
 	m := e.GetMember()
-	if _, ok := s.View(e.GetGroup()); !ok || CheckMember(m) != nil || s.isOutdated(m) {
+	if _, ok := s.knownView(e.GetGroup()); !ok || CheckMember(m) != nil || s.isOutdated(m) {
 		return
 	}
-	for _, other := range slices.Clone(s.views) {
+	for _, other := range s.allViews() {
 		s.removeReplaced(other, m, other.GetGroup() == e.GetGroup())
 	}
-	v, _ := s.View(e.GetGroup())
+	v, _ := s.knownView(e.GetGroup())
 	s.updateView(v, func(v *wire.View) {
 		if known, ok := getNamed(v.GetMembers(), m.GetServer(), (*wire.Member).GetServer); ok && known.GetBorn() != m.GetBorn() {
 			s.recordDeparture(v, known, "")
@@ -128,7 +127,7 @@
 // isOutdated reports whether a later announcement of the instance, or an instance that started later at the
 // same address, is recorded.
 func (s *State) isOutdated(m *wire.Member) bool {
-	for _, v := range s.views {
+	for _, v := range s.allViews() {
 		for _, known := range v.GetMembers() {
 			if known.GetServer() == m.GetServer() && !IsNewer(m, known) {
 				return true
@@ -178,16 +177,20 @@
 }
 
 // delist removes an instance that has ended. If it was the primary, the view still names it, so that the
-// failover procedure looks for a successor.
+// failover procedure looks for a successor. Its end leaves no departure while its group is not in the configuration: nobody
+// promotes a successor of its primary then, and without a primary no departure would ever be settled.
 func (s *State) delist(d *wire.Delist) {
-	v, ok := s.View(s.groupOfMember(d.GetServer()))
+	v, ok := s.viewOfMember(d.GetServer())
 	if !ok {
 		return
 	}
+	_, configured := s.Group(v.GetGroup())
 	ended, _ := getNamed(v.GetMembers(), d.GetServer(), (*wire.Member).GetServer)
 	s.updateView(v, func(v *wire.View) {
 		v.Members = removeNamed(v.GetMembers(), d.GetServer(), (*wire.Member).GetServer)
-		s.recordDeparture(v, ended, ended.GetAddress())
+		if configured {
+			s.recordDeparture(v, ended, ended.GetAddress())
+		}
 	})
 	s.departed = append(slices.Clip(s.departed), d)
 	s.departed = s.departed[max(len(s.departed)-maxDeparted, 0):]
@@ -204,13 +207,12 @@
 	})
 }
 
-// Member returns the recorded member for an instance and the group that it belongs to.
+// Member returns the recorded member for an instance and the group that it belongs to, which may have left the configuration.
 func (s *State) Member(server string) (m *wire.Member, group string, ok bool) {
-	group = s.groupOfMember(server)
-	v, found := s.View(group)
+	v, found := s.viewOfMember(server)
 	if !found {
 		return nil, "", false
 	}
 	m, ok = getNamed(v.GetMembers(), server, (*wire.Member).GetServer)
-	return m, group, ok
+	return m, v.GetGroup(), ok
 }
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -28,6 +28,7 @@
 	index             uint64              // log index of the last applied entry; after Restore a lower bound until SetIndex
 	configuration     *wire.Configuration // accounts, routes, groups and retired servers are sorted by name
 	views             []*wire.View        // sorted by group, one per group; a revision is the log index of the latest change
+	dropped           []*wire.View        // sorted by group, of groups that left the configuration, at most maxDropped
 	registrations     []*wire.Registration
 	registrationIndex uint64             // log index of the latest change of the registrations
 	registrationEdits []registrationEdit // oldest first, at most maxRegistrationEdits, contiguous up to registrationIndex
@@ -72,6 +73,7 @@
 		sorted(c.GetGroups(), (*wire.Group).GetName) &&
 		sorted(c.GetRetired(), identity) &&
 		sorted(snapshot.GetViews(), (*wire.View).GetGroup) &&
+		sorted(snapshot.GetDropped(), (*wire.View).GetGroup) &&
 		sorted(snapshot.GetRegistrations(), (*wire.Registration).GetEntry) &&
 		sorted(snapshot.GetEvacuated(), identity)
 	if !ordered {
@@ -79,6 +81,7 @@
 			"restore the data folder of this control VM from another voter: remove it and join as a spare")
 	}
 	s.views = withDepartures(usableMembers(snapshot.GetViews()))
+	s.dropped = usableMembers(snapshot.GetDropped())
 	s.registrations, s.registrationIndex = snapshot.GetRegistrations(), snapshot.GetEntered()
 	s.registrationBase = s.registrationIndex
 	s.evacuated, s.orders = snapshot.GetEvacuated(), snapshot.GetOrders()
@@ -88,7 +91,7 @@
 		s.outcomes[d.GetChange()] = d
 	}
 	s.baseVersion = c.GetVersion()
-	for _, v := range s.views {
+	for _, v := range slices.Concat(s.views, s.dropped) {
 		s.index = max(s.index, v.GetRevision())
 	}
 	return s, nil
@@ -111,6 +114,7 @@
 		Departed:      slices.Clip(s.departed),
 		Evacuated:     s.evacuated,
 		Orders:        slices.Clip(s.orders),
+		Dropped:       s.dropped,
 	}
 }
 
--- a/internal/controlstate/view.go
+++ b/internal/controlstate/view.go
@@ -9,10 +9,14 @@
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
-// updateView replaces the view of a group with a copy modified by edit. The revision is the log index, so it
-// also grows when a group is dropped and added again.
+// updateView replaces the view of a group, also of one that left the configuration, with a copy modified by edit. The revision
+// is the log index, so it also grows when a group leaves and comes back.
 func (s *State) updateView(v *wire.View, edit func(*wire.View)) {
-	s.views = putNamed(s.views, s.nextView(v, edit), (*wire.View).GetGroup)
+	list := &s.views
+	if _, configured := s.View(v.GetGroup()); !configured {
+		list = &s.dropped
+	}
+	*list = putNamed(*list, s.nextView(v, edit), (*wire.View).GetGroup)
 }
 
 // nextView returns a copy of a view modified by edit, with the revision of the current entry.
@@ -96,6 +100,7 @@
 	if len(v.GetMembers()) >= int(g.GetMembers()) {
 		return
 	}
+	s.removeFromDropped(server)
 	s.updateView(v, func(v *wire.View) {
 		v.Members = putNamed(v.GetMembers(), s.marked(a.GetMember()), (*wire.Member).GetServer)
 	})
--- a/internal/controlvm/publish.go
+++ b/internal/controlvm/publish.go
@@ -172,17 +172,13 @@
 	if !vm.leadership.announced.observe(m) || !ok && vm.state.HasDeparted(m) {
 		return nil // the instance has ended since
 	}
-	if _, configured := vm.state.Group(a.GetGroup()); !configured {
+	_, configured := vm.state.Group(a.GetGroup())
+	if !configured && !vm.state.HasLeft(a.GetGroup()) {
 		return nil
 	}
-	role := ""
-	if a.GetPrimary() {
-		role = "primary"
+	if configured {
+		vm.stepPolicy(now, failover.Announced{Report: announcedReport(a)})
 	}
-	vm.stepPolicy(now, failover.Announced{Report: failover.Report{
-		Server: failover.ServerID(m.GetServer()), Group: failover.GroupID(a.GetGroup()), Address: m.GetAddress(), Zone: m.GetZone(),
-		Role: role, ShuttingDown: m.GetLeaving(),
-	}})
 	m = vm.warmUpMember(a.GetGroup(), m)
 	if ok && group == a.GetGroup() && sameMember(m, known) && vm.leadership.warmth.matches(now, m, known) {
 		return nil
@@ -195,6 +191,19 @@
 	return &wire.Entry{Entry: &wire.Entry_Enlist{Enlist: &wire.Enlist{Group: a.GetGroup(), Member: m}}}
 }
 
+// announcedReport returns an announcement as a report for the failover policy.
+func announcedReport(a *wire.Announcement) failover.Report {
+	m := a.GetMember()
+	r := failover.Report{
+		Server: failover.ServerID(m.GetServer()), Group: failover.GroupID(a.GetGroup()), Address: m.GetAddress(), Zone: m.GetZone(),
+		ShuttingDown: m.GetLeaving(),
+	}
+	if a.GetPrimary() {
+		r.Role = "primary"
+	}
+	return r
+}
+
 // sameMember reports whether an announcement changes nothing in the known member.
 func sameMember(m, known *wire.Member) bool {
 	return m.GetAddress() == known.GetAddress() && m.GetZone() == known.GetZone() &&
--- a/internal/failover/platform.go
+++ b/internal/failover/platform.go
@@ -423,7 +423,7 @@
 
 // proposeTerm proposes the next term to the log, under which a server is ordered to lead if one is named.
 func (g *platformGroup) proposeTerm(now time.Time, phase wire.Phase, ordered ServerID, reason string) {
-	g.proposedTerm, g.lastProposed, g.reason = max(g.view.GetTerm(), g.proposedTerm)+1, now, reason
+	g.proposedTerm, g.lastProposed, g.reason = max(g.latestTerm(), g.proposedTerm)+1, now, reason
 	if g.attempt != nil {
 		g.previous = g.attempt
 	}
@@ -433,6 +433,16 @@
 	}}}})
 }
 
+// latestTerm returns a term that is not below any that the platform has received for the group. A group without a term may have
+// been in the configuration before, under an earlier build that kept nothing of it. Each of its terms took an entry of the
+// control log.
+func (g *platformGroup) latestTerm() uint64 {
+	if g.view.GetTerm() == 0 {
+		return g.view.GetRevision()
+	}
+	return g.view.GetTerm()
+}
+
 func (g *platformGroup) steady() bool { return g.view.GetPhase() == wire.Phase_PHASE_STEADY }
 
 // member returns a member of the view, or nil.
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -44,9 +44,9 @@
 	values      map[string]string
 	prepared    map[string]preparedStatement
 	floors      session.Session // positions of the session's commits, by group; its reads in a group must see them
-	tx          *transaction     // nil while none is open
-	failed      bool             // the transaction failed and was rolled back at the instance
-	abortReason string           // why the transaction failed
+	tx          *transaction    // nil while none is open
+	failed      bool            // the transaction failed and was rolled back at the instance
+	abortReason string          // why the transaction failed
 	// abortUnreported is set if the transaction was rolled back between two statements, so that no answer has said so yet.
 	abortUnreported bool
 }
--- a/internal/proxy/simulated_test.go
+++ b/internal/proxy/simulated_test.go
@@ -27,7 +27,7 @@
 	Now      time.Time
 	Arrivals []Arrival
 	Logs     map[string]position.Position // ends of the logs by server; writes extend those that are named
-	Update   *wire.Update // the next one; Apply applies it
+	Update   *wire.Update                 // the next one; Apply applies it
 
 	mu    sync.Mutex
 	proxy *Proxy
