A client account that comes back does not start with a full bucket

What an account had spent was dropped with its name when a configuration left it out and another control VM led, and a bucket that the issuer does not know starts full.

Change: the control state remembers the accounts that left, at most 1,024, and the issuer of a new leader starts their buckets with what they have earned since its start.

--- a/internal/controlstate/change.go
+++ b/internal/controlstate/change.go
@@ -66,7 +66,7 @@
 	d.next.Version = s.Version() + 1
 	d.next.Change = c.GetId()
 	s.keepEdits(d.next.Version, d.edits)
-	s.configuration = d.next
+	s.setConfiguration(d.next)
 	for _, e := range c.GetEdits() {
 		s.updateViews(e)
 	}
--- a/internal/controlstate/dropped.go
+++ b/internal/controlstate/dropped.go
@@ -17,6 +17,24 @@
 // forgotten. A failover policy begins a group of which no term is known above the index of the control log.
 const maxDropped = 4096
 
+// maxFormer bounds the accounts that are remembered after they left. What an account has spent matters for seconds only.
+const maxFormer = 1024
+
+// setConfiguration replaces the configuration and remembers the accounts that it does not have any more.
+func (s *State) setConfiguration(c *wire.Configuration) {
+	for _, a := range s.configuration.GetAccounts() {
+		if _, ok := getNamed(c.GetAccounts(), a.GetName(), (*wire.Account).GetName); !ok {
+			s.former = append(slices.Clip(s.former), a.GetName())
+		}
+	}
+	s.configuration = c
+	s.former = slices.DeleteFunc(slices.Clone(s.former), func(name string) bool {
+		_, ok := s.Account(name)
+		return ok
+	})
+	s.former = s.former[max(len(s.former)-maxFormer, 0):]
+}
+
 // addView adds the view of a configured group: as it was when the group left the configuration, or a new one.
 func (s *State) addView(group string) {
 	if _, ok := s.View(group); ok {
--- a/internal/controlstate/dropped_test.go
+++ b/internal/controlstate/dropped_test.go
@@ -142,3 +142,24 @@
 	require.Len(t, s.Snapshot().GetDropped(), kept)
 	require.False(t, s.HasLeft("g"), "it left first")
 }
+
+// TestFormerAccountsAreRemembered guards against a client account that left the configuration and comes back as a new one, after
+// a restart too, and against accounts that are remembered for good.
+func TestFormerAccountsAreRemembered(t *testing.T) {
+	s := &droppedState{State: controlstate.New(), t: t}
+	publish := func(accounts ...*wire.Account) {
+		s.apply(&wire.Entry{Entry: &wire.Entry_Publish{Publish: &wire.Configuration{Version: s.Version() + 1, Accounts: accounts}}})
+	}
+	var many []*wire.Account
+	for n := range 1025 {
+		many = append(many, &wire.Account{Name: fmt.Sprintf("account-%04d", n), Rate: 1, Burst: 1})
+	}
+	publish(many...)
+	publish(many[1:]...)
+	require.Equal(t, []string{"account-0000"}, s.FormerAccounts())
+	s.restart()
+	publish(many...)
+	require.Empty(t, s.FormerAccounts(), "it came back")
+	publish()
+	require.Len(t, s.FormerAccounts(), 1024)
+}
--- a/internal/controlstate/publish.go
+++ b/internal/controlstate/publish.go
@@ -82,7 +82,7 @@
 func (s *State) publish(c *wire.Configuration) *wire.Decision {
 	if c.GetVersion() > s.Version() {
 		s.keepDifference(c)
-		s.configuration = c
+		s.setConfiguration(c)
 		s.syncViews()
 	}
 	return &wire.Decision{Verdict: wire.Verdict_VERDICT_ACCEPTED, Version: s.Version()}
--- a/internal/controlstate/state.go
+++ b/internal/controlstate/state.go
@@ -36,6 +36,7 @@
 	departed          []*wire.Delist     // instances that have ended, oldest first, at most maxDeparted
 	evacuated         []string           // availability zones that are evacuated, sorted; the members there are marked
 	orders            []string           // ids of evacuation orders, oldest first, at most maxOrders
+	former            []string           // accounts that left the configuration and did not come back, oldest first, at most maxFormer
 	drained           []string           // accounts whose bucket may be below its reserve, sorted
 	decisions         []*wire.Decision   // oldest first, at most maxDecisions
 	outcomes          map[string]*wire.Decision
@@ -85,7 +86,7 @@
 	s.registrations, s.registrationIndex = snapshot.GetRegistrations(), snapshot.GetEntered()
 	s.registrationBase = s.registrationIndex
 	s.evacuated, s.orders = snapshot.GetEvacuated(), snapshot.GetOrders()
-	s.drained, s.departed = snapshot.GetDrained(), snapshot.GetDeparted()
+	s.drained, s.departed, s.former = snapshot.GetDrained(), snapshot.GetDeparted(), snapshot.GetFormer()
 	s.decisions = snapshot.GetDecisions()
 	for _, d := range s.decisions {
 		s.outcomes[d.GetChange()] = d
@@ -115,6 +116,7 @@
 		Evacuated:     s.evacuated,
 		Orders:        slices.Clip(s.orders),
 		Dropped:       s.dropped,
+		Former:        slices.Clip(s.former),
 	}
 }
 
@@ -177,6 +179,10 @@
 // DrainedAccounts returns the accounts whose token bucket may be below its reserve, sorted; read-only.
 func (s *State) DrainedAccounts() []string { return s.drained }
 
+// FormerAccounts returns the accounts that left the configuration, oldest first; read-only. Their buckets are not full, for all
+// that is known.
+func (s *State) FormerAccounts() []string { return s.former }
+
 // Account returns the client account with that name.
 func (s *State) Account(name string) (*wire.Account, bool) {
 	return getNamed(s.configuration.GetAccounts(), name, (*wire.Account).GetName)
--- a/internal/controlvm/leadership.go
+++ b/internal/controlvm/leadership.go
@@ -47,6 +47,7 @@
 		policy: vm.newPolicy(),
 	}
 	d.issuer.SetTolerance(vm.options.Tolerance)
+	d.issuer.SetFormer(state.FormerAccounts())
 	d.issuer.Configure(now, state.Configuration(), state.Views())
 	d.issuer.SetDrained(state.DrainedAccounts())
 	d.ctx, d.cancel = context.WithCancel(context.Background())
--- a/internal/lease/disconnected_test.go
+++ b/internal/lease/disconnected_test.go
@@ -318,3 +318,28 @@
 	s.renew(now, e)
 	require.Equal(t, lease.Admitted, e.holder.Take(now, "b", 1).Verdict)
 }
+
+// TestReturnedAccountStartsEmpty guards against a client account that spends its burst, leaves the configuration, and has a full
+// bucket again when it comes back, since another control VM leads by then.
+func TestReturnedAccountStartsEmpty(t *testing.T) {
+	s := newCluster(3)
+	s.newLeader(epoch)
+	s.issuer.SetFormer([]string{"b"})
+	for _, e := range s.entries {
+		s.renew(epoch, e)
+	}
+	c := s.configuration()
+	c.Accounts = append(c.Accounts, &wire.Account{Name: "b", Rate: accountRate, Burst: accountBurst})
+	s.issuer.Configure(epoch, c, nil)
+	e := s.entries[0]
+	admitted := 0
+	now := epoch
+	for ; now.Before(epoch.Add(time.Second)); now = now.Add(50 * time.Millisecond) {
+		s.renew(now, e)
+		for e.holder.Take(now, "b", 1).Verdict == lease.Admitted {
+			admitted++
+		}
+	}
+	require.Positive(t, admitted, "it earns its rate")
+	require.LessOrEqual(t, float64(admitted), accountRate*now.Sub(epoch).Seconds()+1)
+}
--- a/internal/lease/issuer.go
+++ b/internal/lease/issuer.go
@@ -36,6 +36,7 @@
 	queue      []contact // accepted requests in order of time, to find expired leases
 	unreported int       // registered holders that have not reported since start
 	accounts   map[AccountID]*bucket
+	former     map[AccountID]bool // accounts that had left the configuration before start
 	servers    map[ServerID]*server
 }
 
@@ -101,6 +102,15 @@
 	b.evenFloat = b.excess / float64(max(len(i.holders), 1))
 }
 
+// SetFormer sets the accounts that had left the configuration before the start of this issuer. If one comes back, its bucket is
+// what it has earned since the start, like that of the accounts that stayed: it may have spent its burst under a former issuer.
+func (i *Issuer) SetFormer(accounts []string) {
+	i.former = map[AccountID]bool{}
+	for _, name := range accounts {
+		i.former[AccountID(name)] = true
+	}
+}
+
 // SetPolicy selects the policy. It is Pooled unless set before the first Renew.
 func (i *Issuer) SetPolicy(p Policy) { i.policy = p }
 
@@ -110,21 +120,26 @@
 	return h
 }
 
-// Configure applies accounts, rates and members. An account added later starts with a full bucket.
+// Configure applies accounts, rates and members. An account added later starts with a full bucket, unless SetFormer named it.
 func (i *Issuer) Configure(now time.Time, c *wire.Configuration, views []*wire.View) {
 	i.expire(now)
 	for _, b := range i.accounts {
 		b.removed = true
 	}
 	for _, a := range c.GetAccounts() {
-		b, ok := i.accounts[AccountID(a.GetName())]
+		id := AccountID(a.GetName())
+		b, ok := i.accounts[id]
 		if !ok {
 			b = &bucket{issuer: i, refilledAt: now}
-			i.accounts[AccountID(a.GetName())] = b
+			i.accounts[id] = b
 		}
 		b.refill(now, i.unreported)
 		i.setLimits(b, a)
-		if !ok {
+		switch {
+		case ok:
+		case i.former[id]:
+			b.refilledAt = i.start
+		default:
 			b.level = b.burst
 		}
 		b.refill(now, i.unreported)
