An entry VM that was out of contact counts the end of a leaving instance from its last contact

Cause: group.leftAt counted from when the VM learned of the announcement, if it knew the instance before. A VM that was frozen or cut off learns of it late.

Change: it counts from the last contact with the control group, as for evacuations.

--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -150,14 +150,21 @@
 	g.members, g.ids = members, ids
 }
 
-// leftAt returns when a member began to leave. What this VM saw itself goes before what a control VM states by its wall clock.
-// The caller holds the lock.
+// leftAt returns when a member began to leave, or an earlier time. What this VM saw itself goes before what a control VM states
+// by its wall clock. A VM that was frozen or cut off learns of it late, so it counts from its last contact. The caller holds the
+// lock.
 func (g *group) leftAt(now time.Time, w *wire.Member) time.Time {
 	known := g.find(placement.ServerID(w.GetServer()))
+	seen := known != nil && known.born == w.GetBorn()
 	switch {
-	case known != nil && known.born == w.GetBorn() && known.leaving:
+	case seen && known.leaving:
 		return known.leftAt
-	case known != nil && known.born == w.GetBorn() || w.GetLeft() == 0:
+	case seen:
+		if last := g.contact.current(now); !last.IsZero() {
+			return last
+		}
+		return now
+	case w.GetLeft() == 0:
 		return now
 	}
 	return now.Add(-max(g.wall().Sub(time.UnixMilli(w.GetLeft())), 0))
--- a/internal/proxy/simulated_test.go
+++ b/internal/proxy/simulated_test.go
@@ -37,7 +37,7 @@
 func NewSimulated(regions map[string]string, c *wire.Configuration, members ...*wire.Member) *Simulated {
 	s := &Simulated{Now: time.Unix(1000, 0), Logs: map[string]position.Position{}}
 	s.proxy = New(Options{
-		Node: settings.Node{Zone: "zone"}, Process: "self", Now: s.now, Server: s.dial, LeaseGrace: time.Hour, ColdOverrun: 1.5, ColdSlack: 5,
+		Node: settings.Node{Zone: "zone"}, Process: "self", Now: s.now, Server: s.dial, LeaseGrace: time.Hour, ColdOverrun: 1.5, ColdSlack: 5, LeaveLimit: 6 * time.Second,
 		Controls: func() []string { return nil }, Regions: regions,
 		Dial: func(string) (wire.ControlClient, io.Closer, error) { return nil, nil, io.EOF },
 	})
@@ -80,6 +80,9 @@
 	s.proxy.leaseGranted(s.now(), renewal.ConfigLease{Version: 1, Until: s.now().Add(2500 * time.Millisecond)})
 }
 
+// Contact records an answer of the control group.
+func (s *Simulated) Contact() { s.proxy.contact.renewed(s.now()) }
+
 // Session opens a session on a route.
 func (s *Simulated) Session(route, key string) *Session {
 	session, _ := s.proxy.Open(context.Background(), Caller{Route: route, Key: key, Interrupt: func() {}, Close: func() {}})
