--- a/internal/failover/platform.go
+++ b/internal/failover/platform.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 	"fireflyrudder.example/fireflyrudder/pkg/position"
 )
@@ -324,86 +322,6 @@
 	}
 }
 
-// requestStatus emits a status call to a member.
-func (g *platformGroup) requestStatus(now time.Time, m *wire.Member) {
-	g.server(ServerID(m.GetServer())).lastProbe = now
-	g.coordinator.effects = append(g.coordinator.effects, g.newCall(now, ServerID(m.GetServer()), Status))
-}
-
-// newCall returns a call to a server under the present term. One that is no member any more has no address.
-func (g *platformGroup) newCall(now time.Time, id ServerID, f Function) Call {
-	m := g.member(id)
-	return Call{
-		Group: g.id, Server: id, Address: m.GetAddress(), Function: f, Term: termOf(g.view), Born: m.GetBorn(), Sent: now,
-	}
-}
-
-// callCompleted handles the outcome of a call.
-func (g *platformGroup) callCompleted(now time.Time, e CallCompleted) {
-	s := g.server(e.Call.Server)
-	if e.Call.Function == Promote {
-		g.promotionAnswered(now, s, e)
-		return
-	}
-	a := g.attempt
-	if a != nil {
-		delete(a.pending, e.Call.Server)
-	}
-	if errors.Is(e.Err, ErrNoStatus) {
-		s.lastHeard, s.unansweredSince = now, time.Time{}
-		return
-	}
-	if e.Err != nil {
-		if a != nil && g.syncReplicas() > 0 {
-			delete(a.answers, e.Call.Server) // it may not lead any more
-		}
-		if s.unansweredSince.IsZero() {
-			s.unansweredSince = s.lastProbe
-		}
-		return
-	}
-	s.lastHeard, s.unansweredSince, s.lag = now, time.Time{}, e.Report.Lag
-	if e.Call.Function == Unfence {
-		delete(g.unfencing, e.Call.Server)
-		return
-	}
-	g.reportedRole(now, s, e.Report.Role == rolePrimary)
-	g.observePosition(e)
-	if a != nil {
-		if e.Call.Function == Fence {
-			g.replicaFenced(e)
-		}
-		a.answers[e.Call.Server] = e.Report
-		g.advanceAttempt(now)
-	}
-}
-
-// promotionAnswered handles the response to an order. After a refusal the target is not ordered again for
-// refusalBackoff: it does not run, or another control VM has ordered with a higher term.
-func (g *platformGroup) promotionAnswered(now time.Time, s *instance, e CallCompleted) {
-	a := g.attempt
-	if a == nil || uint64(e.Call.Term) != a.term || a.target != e.Call.Server || a.recorded {
-		return
-	}
-	if e.Err == nil && g.syncReplicas() > 0 {
-		a.grantedAt = now
-		delete(a.answers, a.target)
-		return
-	}
-	if e.Err == nil {
-		g.setClaim(now, s, true)
-		s.lastHeard = now
-		g.recordPrimary(now, a, e.Call.Server, uint64(e.Report.Offset))
-		return
-	}
-	if errors.Is(e.Err, ErrRefused) {
-		s.barredUntil = now.Add(refusalBackoff)
-		g.proposeTerm(now, wire.Phase_PHASE_RAISING, "", "the order was refused: "+e.Err.Error())
-		return
-	}
-	g.raiseTerm(now, wire.Phase_PHASE_RAISING, "the order failed: "+e.Err.Error())
-}
-
 // recordPrimary proposes the new primary to the log.
 func (g *platformGroup) recordPrimary(now time.Time, a *attempt, server ServerID, offset uint64) {
 	a.recorded, a.target, a.lastProposed = true, server, now
--- a/internal/failover/platform_return_test.go
+++ b/internal/failover/platform_return_test.go
@@ -36,13 +36,13 @@
 	require.Equal(s.t, successor, s.view().GetPrimary())
 }
 
-// TestReturnedGroupUsesNewTerms guards against orders with a fencing token that another control VM used for the same group before
-// it left the configuration and came back.
-func TestReturnedGroupUsesNewTerms(t *testing.T) {
-	s := newPlatformHarness(t)
+// returnGroup replaces the primary of a group, leaves the group out of the configuration and names it again under another control
+// leader, and replaces its primary once more. It returns the orders.
+func (s *platformHarness) returnGroup(whileOut func()) []failover.Call {
 	s.run(2 * time.Second)
 	s.release("a", "c")
 	s.publish()
+	whileOut()
 	s.publish("g")
 	s.lead()
 	for _, id := range s.members {
@@ -52,32 +52,29 @@
 	s.run(2 * time.Second)
 	s.offsets["a"] = s.offsets["c"]
 	s.release("c", "a")
-	require.Len(t, s.orders, 2)
-	require.Greater(t, s.orders[1].Term, s.orders[0].Term)
+	return s.orders
+}
+
+// TestReturnedGroupUsesNewTerms guards against orders with a fencing token that another control VM used for the same group before
+// it left the configuration and came back.
+func TestReturnedGroupUsesNewTerms(t *testing.T) {
+	orders := newPlatformHarness(t).returnGroup(func() {})
+	require.Len(t, orders, 2)
+	require.Greater(t, orders[1].Term, orders[0].Term)
 }
 
 // TestForgottenGroupUsesNewTerms is TestReturnedGroupUsesNewTerms for a control log of an earlier build, which kept nothing of a
 // group that had left the configuration.
 func TestForgottenGroupUsesNewTerms(t *testing.T) {
 	s := newPlatformHarness(t)
-	s.run(2 * time.Second)
-	s.release("a", "c")
-	s.publish()
-	snapshot := s.state.Snapshot()
-	snapshot.Dropped = nil
-	restored, err := controlstate.Restore(snapshot)
-	require.NoError(t, err)
-	restored.SetIndex(s.index)
-	s.state = restored
-	s.publish("g")
-	s.lead()
-	for _, id := range s.members {
-		s.enlist("g", id, simulatedAddress(id), 1, false)
-	}
-	s.shuttingDown["a"] = false
-	s.run(2 * time.Second)
-	s.offsets["a"] = s.offsets["c"]
-	s.release("c", "a")
-	require.Len(t, s.orders, 2)
-	require.Greater(t, s.orders[1].Term, s.orders[0].Term)
+	orders := s.returnGroup(func() {
+		snapshot := s.state.Snapshot()
+		snapshot.Dropped = nil
+		restored, err := controlstate.Restore(snapshot)
+		require.NoError(t, err)
+		restored.SetIndex(s.index)
+		s.state = restored
+	})
+	require.Len(t, orders, 2)
+	require.Greater(t, orders[1].Term, orders[0].Term)
 }
