--- a/internal/failover/platform.go
+++ b/internal/failover/platform.go
@@ -137,7 +137,7 @@
 	fenceStarted time.Time // when replicas were first fenced; zero before
 	lastFence    time.Time
 	delayed      bool      // PromotionDelayed was emitted
-	lastStall    time.Time // when the control log was last told that the failover waits
+	lastStall    time.Time // when a Stall of this attempt was last proposed
 	recorded     bool      // the new primary is proposed to the log; waits for the view
 	lastProposed time.Time
 }
--- a/internal/failover/platform_sync.go
+++ b/internal/failover/platform_sync.go
@@ -59,7 +59,7 @@
 	g.reportDelay(now, a)
 }
 
-// reportDelay reports a failover that waits for replicas. Once it cannot end soon, the control log is told, so that entry VMs
+// reportDelay reports a failover that waits for replicas. Unless it may end soon, the control log records that, so that entry VMs
 // refuse at once what needs a primary.
 func (g *platformGroup) reportDelay(now time.Time, a *attempt) {
 	fenced, required := len(g.fencedReplicas(a)), g.requiredReplicas()
@@ -73,8 +73,8 @@
 			Group: g.id, Term: position.Term(a.term), Fenced: fenced, Required: required,
 		})
 	}
-	hopeless := required > len(g.replicas()) || waited >= maxSuccessorSearch
-	if fenced >= required || !hopeless || g.view.GetStalled() || now.Sub(a.lastStall) < proposeRetryInterval {
+	soon := fenced >= required || required <= len(g.replicas()) && waited < maxSuccessorSearch
+	if soon || g.view.GetStalled() || now.Sub(a.lastStall) < proposeRetryInterval {
 		return
 	}
 	a.lastStall = now
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -272,8 +272,8 @@
 
 // primaryTarget returns the instance to use as the primary. If there is none, wait is the time after which to
 // try again, unless changed closes before. With fresh set it is for new work: it returns none during a planned switchover, no
-// instance that has been leaving for too long or is evacuated, and during a stalled failover only one that still leads. Otherwise it returns none that is past the limit of an
-// evacuation.
+// instance that has been leaving for too long or is evacuated, and during a stalled failover only one that still leads.
+// Otherwise it returns none that is past the limit of an evacuation.
 func (g *group) primaryTarget(now time.Time, fresh bool) (m *member, wait time.Duration, changed <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
