--- a/internal/failover/platform_departure_test.go
+++ b/internal/failover/platform_departure_test.go
@@ -120,3 +120,18 @@
 	require.Equal(t, "b", s.view().GetPrimary())
 	require.False(t, s.view().GetStalled())
 }
+
+// TestOperatorAcceptsLoss guards against a group that stays without a primary for good: the primary and a replica are lost, and
+// an operator gives up what only these two may have had.
+func TestOperatorAcceptsLoss(t *testing.T) {
+	s := newSyncHarness(t)
+	s.unreachable["b"] = true
+	s.enlist("h", "x", simulatedAddress("b"), 2, false)
+	s.losePrimary()
+	require.True(t, s.view().GetStalled())
+	s.publish("g", "h")
+	s.run(3 * time.Second)
+	require.Equal(t, "c", s.view().GetPrimary())
+	require.False(t, s.view().GetStalled())
+	require.Empty(t, s.view().GetDepartures())
+}
