--- a/internal/controlstate/departure.go
+++ b/internal/controlstate/departure.go
@@ -9,6 +9,10 @@
 	"fireflyrudder.example/fireflyrudder/internal/wire"
 )
 
+// A commit is acknowledged once some replicas have received it, whichever they are. A failover therefore counts each replica that
+// may have one, also those whose processes have ended: their departures stay in the view until the failover policy settles them.
+// The list of ended instances, State.departed, is another one: it recognizes late announcements.
+
 // recordDeparture records that the process of a member has ended. The next instance of the group at the address takes over its
 // log; without an address the log is gone. A server has one departure, the latest, until it is settled: what an earlier process
 // had elsewhere is not in the log that the latest one left.
