One search for the view of a member, one condition of stalled groups, one step of added accounts

Cause: read as a newcomer would, the search stood three times in controlstate, the condition twice in proxy, and the set-up of two lease tests twice. Change: extracted; no behaviour, check or bound changes. A server is a member of at most one view, so the search of dropped groups may end at the first.

--- a/internal/controlstate/dropped.go
+++ b/internal/controlstate/dropped.go
@@ -91,23 +91,27 @@
 // allViews returns a copy of the list of views, with those of groups that left the configuration at its end.
 func (s *State) allViews() []*wire.View { return slices.Concat(s.views, s.dropped) }
 
-// viewOfMember returns the view that has an instance as a member.
+// viewOfMember returns the view that has an instance as a member, also one of a group that left the configuration.
 func (s *State) viewOfMember(server string) (*wire.View, bool) {
-	for _, list := range [][]*wire.View{s.views, s.dropped} {
-		for _, v := range list {
-			if _, ok := findNamed(v.GetMembers(), server, (*wire.Member).GetServer); ok {
-				return v, true
-			}
+	if v, ok := viewWithMember(s.views, server); ok {
+		return v, true
+	}
+	return viewWithMember(s.dropped, server)
+}
+
+// viewWithMember returns the first of some views that has a server as a member.
+func viewWithMember(views []*wire.View, server string) (*wire.View, bool) {
+	for _, v := range views {
+		if _, ok := findNamed(v.GetMembers(), server, (*wire.Member).GetServer); ok {
+			return v, true
 		}
 	}
 	return nil, false
 }
 
-// removeFromDropped removes a server that becomes a member of a group from those that left the configuration.
+// removeFromDropped removes a server that becomes a member of a group from one that left the configuration.
 func (s *State) removeFromDropped(server string) {
-	for _, v := range slices.Clone(s.dropped) {
-		if _, ok := findNamed(v.GetMembers(), server, (*wire.Member).GetServer); ok {
-			s.updateView(v, func(v *wire.View) { v.Members = removeNamed(v.GetMembers(), server, (*wire.Member).GetServer) })
-		}
+	if v, ok := viewWithMember(s.dropped, server); ok {
+		s.updateView(v, func(v *wire.View) { v.Members = removeNamed(v.GetMembers(), server, (*wire.Member).GetServer) })
 	}
 }
--- a/internal/controlstate/view.go
+++ b/internal/controlstate/view.go
@@ -119,14 +119,10 @@
 	s.updateView(v, func(v *wire.View) { v.Members = members })
 }
 
-// groupOfMember returns the group that the server is a member of, or "".
+// groupOfMember returns the configured group that the server is a member of, or "".
 func (s *State) groupOfMember(server string) string {
-	for _, v := range s.views {
-		if _, ok := getNamed(v.GetMembers(), server, (*wire.Member).GetServer); ok {
-			return v.GetGroup()
-		}
-	}
-	return ""
+	v, _ := viewWithMember(s.views, server)
+	return v.GetGroup()
 }
 
 // setDrained records whether the token bucket of an account may be below its reserve.
--- a/internal/lease/disconnected_test.go
+++ b/internal/lease/disconnected_test.go
@@ -301,17 +301,22 @@
 	}
 }
 
-// TestAddedAccountStartsFull guards against the first operations of a new client account waiting until its bucket has
-// earned more than the reserve.
-func TestAddedAccountStartsFull(t *testing.T) {
-	s := newCluster(3)
-	s.newLeader(epoch)
+// addAccount adds a client account to the configuration, once all entry VMs have reported.
+func (s *cluster) addAccount(name string) {
 	for _, e := range s.entries {
 		s.renew(epoch, e)
 	}
 	c := s.configuration()
-	c.Accounts = append(c.Accounts, &wire.Account{Name: "b", Rate: accountRate, Burst: accountBurst})
+	c.Accounts = append(c.Accounts, &wire.Account{Name: name, Rate: accountRate, Burst: accountBurst})
 	s.issuer.Configure(epoch, c, nil)
+}
+
+// TestAddedAccountStartsFull guards against the first operations of a new client account waiting until its bucket has
+// earned more than the reserve.
+func TestAddedAccountStartsFull(t *testing.T) {
+	s := newCluster(3)
+	s.newLeader(epoch)
+	s.addAccount("b")
 	e := s.entries[0]
 	require.Equal(t, lease.Wait, e.holder.Take(epoch, "b", 1).Verdict)
 	now := epoch.Add(50 * time.Millisecond)
@@ -325,12 +330,7 @@
 	s := newCluster(3)
 	s.newLeader(epoch)
 	s.issuer.SetFormer([]string{"b"})
-	for _, e := range s.entries {
-		s.renew(epoch, e)
-	}
-	c := s.configuration()
-	c.Accounts = append(c.Accounts, &wire.Account{Name: "b", Rate: accountRate, Burst: accountBurst})
-	s.issuer.Configure(epoch, c, nil)
+	s.addAccount("b")
 	e := s.entries[0]
 	admitted := 0
 	now := epoch
--- a/internal/proxy/group.go
+++ b/internal/proxy/group.go
@@ -278,7 +278,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.lastUsed = now
-	if fresh && (g.switching || g.stalled && g.finder.Leader() == "") {
+	if fresh && (g.switching || g.stalledWithoutLeader()) {
 		return nil, switchoverRetry, g.viewChanged
 	}
 	if m := g.evacuatedPrimary(); m != nil && (fresh || m.pastEvacuation(now)) {
@@ -312,9 +312,12 @@
 func (g *group) isStalled() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.stalled && g.finder.Leader() == ""
+	return g.stalledWithoutLeader()
 }
 
+// stalledWithoutLeader is isStalled for callers that hold the lock.
+func (g *group) stalledWithoutLeader() bool { return g.stalled && g.finder.Leader() == "" }
+
 // primaryIsLeaving reports whether the instance that led last takes no new work any more.
 func (g *group) primaryIsLeaving(now time.Time) bool {
 	g.mu.Lock()
