--- /dev/null
+++ b/review/stand3/clock.go
@@ -0,0 +1,6 @@
+package main
+
+import "time"
+
+// now is the clock of the stand-ins.
+var now = time.Now //nolint:forbidigo // a stand-in owns its clock
